--- /dev/null
+++ b/src/base/change_id.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/strong_id.hpp"
+
+#include <string>
+
+namespace damaskladder::base {
+
+/// Request id of an operator's change; a resent change carries the same one.
+using change_id = strong_id<struct change_id_tag, std::string>;
+
+} // namespace damaskladder::base
--- /dev/null
+++ b/src/base/key_id.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/strong_id.hpp"
+
+#include <string>
+
+namespace damaskladder::base {
+
+/// Public name of a workspace's key. Never the key itself.
+using key_id = strong_id<struct key_id_tag, std::string>;
+
+} // namespace damaskladder::base
--- /dev/null
+++ b/src/base/settings_version.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/strong_id.hpp"
+
+#include <cstdint>
+
+namespace damaskladder::base {
+
+/// Version of the settings tree; grows by at least one with each accepted change.
+using settings_version = strong_id<struct settings_version_tag, std::uint64_t>;
+
+} // namespace damaskladder::base
--- /dev/null
+++ b/src/base/time.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace damaskladder::base {
+
+/// Time on the monotonic clock of one process. Decisions take it as an argument.
+struct monotonic_clock {
+    using rep = std::int64_t;
+    using period = std::micro;
+    using duration = std::chrono::duration<rep, period>;
+    using time_point = std::chrono::time_point<monotonic_clock>;
+    static constexpr bool is_steady = true;
+};
+
+/// Calendar time in UTC. Only for audit records, log lines and the age of request ids.
+struct wall_clock {
+    using rep = std::int64_t;
+    using period = std::micro;
+    using duration = std::chrono::duration<rep, period>;
+    using time_point = std::chrono::time_point<wall_clock>;
+    static constexpr bool is_steady = false;
+};
+
+using duration = monotonic_clock::duration;
+using time_point = monotonic_clock::time_point;
+using wall_time = wall_clock::time_point;
+
+} // namespace damaskladder::base
