HTTP: serve and send requests on one thread, with streaming and bounded buffers

Cause: the traffic path needs libmicrohttpd and libcurl on one loop, without their traps: libcurl sends a request again by itself on a kept connection that closed without an answer, and libmicrohttpd does not notice a caller that leaves while its connection is suspended. Change: an epoll loop with timers; a server that watches each connection for the peer's close; a client whose pre-request callback refuses a second send of one transfer. A caller that half-closes its connection counts as gone.

--- /dev/null
+++ b/src/http/event_loop.cpp
@@ -0,0 +1,186 @@
+#include "http/event_loop.hpp"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <stdexcept>
+
+namespace damaskladder::http {
+
+namespace {
+
+constexpr int max_events = 128;
+constexpr base::duration longest_wait = std::chrono::seconds(1);
+
+// epoll carries 64 bits of data: the descriptor, and a generation that tells a reused descriptor
+// number from the one the event was for.
+std::uint64_t pack(int fd, std::uint64_t generation)
+{
+    return (generation << 32U) | static_cast<std::uint32_t>(fd);
+}
+
+} // namespace
+
+event_loop::event_loop()
+    : m_epoll(epoll_create1(EPOLL_CLOEXEC)), m_wake(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+{
+    if (m_epoll < 0 || m_wake < 0) {
+        throw std::runtime_error("event loop: no descriptors left");
+    }
+    epoll_event event{};
+    event.events = EPOLLIN;
+    event.data.u64 = pack(m_wake, 0);
+    epoll_ctl(m_epoll, EPOLL_CTL_ADD, m_wake, &event);
+}
+
+event_loop::~event_loop()
+{
+    close(m_wake);
+    close(m_epoll);
+}
+
+base::time_point event_loop::now()
+{
+    const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
+    return base::time_point(std::chrono::duration_cast<base::duration>(since_boot));
+}
+
+void event_loop::watch(int fd, std::uint32_t events, fd_handler handler)
+{
+    auto& entry = m_watched[fd];
+    const bool known = entry.generation != 0;
+    entry.generation = ++m_generation & 0xffffffffU;
+    entry.handler = std::move(handler);
+    epoll_event event{};
+    event.events = events;
+    event.data.u64 = pack(fd, entry.generation);
+    if (!known || epoll_ctl(m_epoll, EPOLL_CTL_MOD, fd, &event) != 0) {
+        epoll_ctl(m_epoll, EPOLL_CTL_ADD, fd, &event);
+    }
+}
+
+void event_loop::unwatch(int fd)
+{
+    if (m_watched.erase(fd) != 0) {
+        epoll_ctl(m_epoll, EPOLL_CTL_DEL, fd, nullptr);
+    }
+}
+
+void event_loop::each_round(round_handler handler)
+{
+    m_rounds.push_back(std::move(handler));
+}
+
+void event_loop::call_at(base::time_point when, std::function<void()> call)
+{
+    m_timers.emplace(when, std::move(call));
+}
+
+void event_loop::post(std::function<void()> call)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_posted.push_back(std::move(call));
+    }
+    wake();
+}
+
+void event_loop::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    wake();
+}
+
+void event_loop::wake()
+{
+    const std::uint64_t one = 1;
+    // A full counter already wakes the loop.
+    [[maybe_unused]] const auto written = write(m_wake, &one, sizeof one);
+}
+
+void event_loop::dispatch(int fd, std::uint64_t generation, std::uint32_t events)
+{
+    if (fd == m_wake) {
+        std::uint64_t count = 0;
+        [[maybe_unused]] const auto got = read(m_wake, &count, sizeof count);
+        return;
+    }
+    const auto found = m_watched.find(fd);
+    if (found == m_watched.end() || found->second.generation != generation) {
+        return;
+    }
+    // The handler may unwatch itself, so it runs from a copy.
+    const auto handler = found->second.handler;
+    handler(events);
+}
+
+void event_loop::run_posted()
+{
+    std::vector<std::function<void()>> calls;
+    {
+        const std::lock_guard lock(m_mutex);
+        calls.swap(m_posted);
+    }
+    for (const auto& call : calls) {
+        call();
+    }
+}
+
+void event_loop::run_timers(base::time_point now)
+{
+    while (!m_timers.empty() && m_timers.begin()->first <= now) {
+        const auto call = std::move(m_timers.begin()->second);
+        m_timers.erase(m_timers.begin());
+        call();
+    }
+}
+
+int event_loop::run_rounds()
+{
+    const auto start = now();
+    auto wait = longest_wait;
+    run_timers(start);
+    for (const auto& round : m_rounds) {
+        if (const auto next = round(start)) {
+            wait = std::min(wait, std::max(*next - start, base::duration::zero()));
+        }
+    }
+    if (!m_timers.empty()) {
+        wait = std::min(wait, std::max(m_timers.begin()->first - start, base::duration::zero()));
+    }
+    return static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(wait).count());
+}
+
+void event_loop::run()
+{
+    std::array<epoll_event, max_events> events{};
+    for (;;) {
+        run_posted();
+        int wait_ms = run_rounds();
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_stopping) {
+                m_stopping = false;
+                return;
+            }
+            if (!m_posted.empty()) {
+                wait_ms = 0;
+            }
+        }
+        const int count = epoll_wait(m_epoll, events.data(), max_events, wait_ms);
+        for (int i = 0; i < count; ++i) {
+            const auto data = events.at(static_cast<std::size_t>(i)).data.u64;
+            dispatch(static_cast<int>(data & 0xffffffffU), data >> 32U,
+                     events.at(static_cast<std::size_t>(i)).events);
+        }
+    }
+}
+
+} // namespace damaskladder::http
--- /dev/null
+++ b/src/http/event_loop.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "base/time.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace damaskladder::http {
+
+/// Waits for descriptors, deadlines and calls from other threads on one thread (epoll).
+///
+///     event_loop loop;
+///     loop.watch(fd, EPOLLIN, [](std::uint32_t events) { ... });
+///     loop.run();   // until stop()
+///
+/// All members but post() and stop() belong to the thread that calls run(). The loop blocks in
+/// epoll_wait while there is nothing to do.
+class event_loop {
+public:
+    using fd_handler = std::function<void(std::uint32_t events)>;
+    /// Runs once in each round of the loop and returns when it must run again at the latest.
+    using round_handler = std::function<std::optional<base::time_point>(base::time_point now)>;
+
+    event_loop();
+    ~event_loop();
+    event_loop(const event_loop&) = delete;
+    event_loop& operator=(const event_loop&) = delete;
+
+    /// Adds or changes the events watched on a descriptor.
+    void watch(int fd, std::uint32_t events, fd_handler handler);
+
+    /// Stops watching a descriptor. Pending events of this round are dropped.
+    void unwatch(int fd);
+
+    /// Adds a handler that runs in every round.
+    void each_round(round_handler handler);
+
+    /// Runs a call once at or after a time.
+    void call_at(base::time_point when, std::function<void()> call);
+
+    /// Runs a call on the loop's thread in its next round. From any thread.
+    void post(std::function<void()> call);
+
+    /// Runs until stop().
+    void run();
+
+    /// Ends run() after the current round. From any thread.
+    void stop();
+
+    /// Present time on the monotonic clock.
+    static base::time_point now();
+
+private:
+    struct watched {
+        std::uint64_t generation = 0;
+        fd_handler handler;
+    };
+
+    void wake();
+    void dispatch(int fd, std::uint64_t generation, std::uint32_t events);
+    void run_posted();
+    void run_timers(base::time_point now);
+    int run_rounds();
+
+    int m_epoll = -1;
+    int m_wake = -1;
+    std::uint64_t m_generation = 0;
+    std::unordered_map<int, watched> m_watched;
+    std::vector<round_handler> m_rounds;
+    std::multimap<base::time_point, std::function<void()>> m_timers;
+    std::mutex m_mutex;
+    std::vector<std::function<void()>> m_posted; // guarded by m_mutex
+    bool m_stopping = false;                     // guarded by m_mutex
+};
+
+} // namespace damaskladder::http
--- /dev/null
+++ b/src/http/exchange.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "http/request_head.hpp"
+#include "http/response_head.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+struct MHD_Connection;
+struct MHD_Response;
+
+namespace damaskladder::http {
+
+class server;
+
+/// One request that a server received and the answer to it. Belongs to the server's loop thread.
+///
+/// The request body arrives in body(); consume_body() makes room for more. The answer is given
+/// whole with respond(), or as start(), any number of write(), and finish() or abort(). An aborted
+/// answer reaches the caller as a visibly broken transfer. After the caller has gone or the answer
+/// is complete all calls are without effect.
+class exchange : public std::enable_shared_from_this<exchange> {
+public:
+    exchange(server& owner, std::string target);
+    ~exchange();
+    exchange(const exchange&) = delete;
+    exchange& operator=(const exchange&) = delete;
+
+    const request_head& head() const { return m_head; }
+
+    /// Body bytes received and not yet consumed.
+    std::string_view body() const { return m_body; }
+    void consume_body(std::size_t size);
+    /// Whether the last body byte is in body() or was consumed.
+    bool body_complete() const { return m_body_complete; }
+
+    /// Called when body bytes arrive and when the body is complete.
+    void on_body(std::function<void()> hook) { m_on_body = std::move(hook); }
+    /// Called when the answer's buffer has room again.
+    void on_writable(std::function<void()> hook) { m_on_writable = std::move(hook); }
+    /// Called once when the caller closed its connection, or its sending half, before the answer
+    /// was complete.
+    void on_gone(std::function<void()> hook) { m_on_gone = std::move(hook); }
+
+    void respond(response_head head, std::string_view body);
+    void start(response_head head);
+    void write(std::string_view data);
+    void finish();
+    void abort();
+
+    /// Whether the answer's buffer has room for more.
+    bool writable() const;
+    bool started() const { return m_started; }
+    bool gone() const { return m_gone; }
+
+private:
+    friend class server;
+    friend struct server_callbacks;
+
+    struct chunk_reader;
+
+    /// Drops the hooks, which often hold what keeps this exchange alive.
+    void clear_hooks();
+    void suspend();
+    void resume();
+    bool queue_answer();
+    MHD_Response* make_response();
+    std::int64_t read_answer(char* out, std::size_t size);
+
+    server& m_server;
+    MHD_Connection* m_connection = nullptr;
+    request_head m_head;
+    std::string m_body;
+    bool m_body_complete = false;
+    std::size_t m_body_discarded = 0;
+    bool m_head_seen = false;
+
+    response_head m_answer;
+    std::string m_out;
+    std::size_t m_out_read = 0;
+    bool m_started = false;
+    bool m_queued = false;
+    bool m_finished = false;
+    bool m_aborted = false;
+    bool m_gone = false;
+    bool m_suspended = false;
+
+    std::function<void()> m_on_body;
+    std::function<void()> m_on_writable;
+    std::function<void()> m_on_gone;
+};
+
+} // namespace damaskladder::http
--- /dev/null
+++ b/src/http/header_list.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "http/header.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace damaskladder::http {
+
+/// Header fields in the order received. Names compare without regard to case.
+class header_list {
+public:
+    header_list() = default;
+    header_list(std::initializer_list<header> fields) : m_fields(fields) {}
+
+    void add(std::string name, std::string value);
+
+    /// Value of the first field of that name, or nullptr.
+    const std::string* find(std::string_view name) const;
+
+    /// Number of fields of that name.
+    std::size_t count(std::string_view name) const;
+
+    /// Removes all fields of that name.
+    void remove(std::string_view name);
+
+    /// Removes the hop-by-hop fields of RFC 9110 section 7.6.1, those that Connection names, and
+    /// Content-Length, which the transport sets from the body itself.
+    void remove_hop_by_hop();
+
+    /// Removes all fields whose name starts with the prefix.
+    void remove_prefix(std::string_view prefix);
+
+    auto begin() const { return m_fields.begin(); }
+    auto end() const { return m_fields.end(); }
+    std::size_t size() const { return m_fields.size(); }
+
+    friend bool operator==(const header_list&, const header_list&) = default;
+
+private:
+    std::vector<header> m_fields;
+};
+
+/// Whether two header names are the same without regard to case.
+bool same_name(std::string_view a, std::string_view b);
+
+} // namespace damaskladder::http
--- /dev/null
+++ b/src/http/raw_socket_fake.hpp
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace damaskladder::http {
+
+/// For tests: a server that answers with given bytes, then reads one more request and closes.
+class raw_socket_fake {
+public:
+    explicit raw_socket_fake(std::vector<std::string> answers)
+        : m_answers(std::move(answers)), m_listening(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in bound{};
+        bound.sin_family = AF_INET;
+        bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        if (bind(m_listening, reinterpret_cast<sockaddr*>(&bound), sizeof bound) != 0 ||
+            listen(m_listening, 8) != 0) {
+            throw std::runtime_error("no free port");
+        }
+        socklen_t size = sizeof bound;
+        getsockname(m_listening, reinterpret_cast<sockaddr*>(&bound), &size);
+        m_port = ntohs(bound.sin_port);
+        m_thread = std::thread([this] { serve(); });
+    }
+    ~raw_socket_fake()
+    {
+        shutdown(m_listening, SHUT_RDWR);
+        m_thread.join();
+        close(m_listening);
+    }
+    raw_socket_fake(const raw_socket_fake&) = delete;
+    raw_socket_fake& operator=(const raw_socket_fake&) = delete;
+
+    std::uint16_t port() const { return m_port; }
+    std::size_t requests_seen() const { return m_requests_seen; }
+
+private:
+    void serve()
+    {
+        std::size_t next = 0;
+        for (;;) {
+            const int connection = accept(m_listening, nullptr, nullptr);
+            if (connection < 0) {
+                return;
+            }
+            while (read_request(connection) && next < m_answers.size()) {
+                const auto& answer = m_answers[next++];
+                [[maybe_unused]] const auto sent =
+                    send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+                if (answer.find("Connection: close") != std::string::npos) {
+                    break;
+                }
+            }
+            close(connection);
+        }
+    }
+
+    bool read_request(int connection)
+    {
+        std::string request;
+        std::array<char, 4096> data{};
+        while (request.find("\r\n\r\n") == std::string::npos) {
+            const auto got = read(connection, data.data(), data.size());
+            if (got <= 0) {
+                return false;
+            }
+            request.append(data.data(), static_cast<std::size_t>(got));
+        }
+        ++m_requests_seen;
+        return true;
+    }
+
+    std::vector<std::string> m_answers;
+    int m_listening;
+    std::uint16_t m_port = 0;
+    std::atomic<std::size_t> m_requests_seen = 0;
+    std::thread m_thread;
+};
+
+/// For tests: a caller that sends given bytes.
+class raw_socket_caller {
+public:
+    raw_socket_caller(std::uint16_t port, const std::string& bytes)
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in peer{};
+        peer.sin_family = AF_INET;
+        peer.sin_port = htons(port);
+        peer.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        if (connect(m_socket, reinterpret_cast<sockaddr*>(&peer), sizeof peer) != 0) {
+            throw std::runtime_error("the server does not listen");
+        }
+        [[maybe_unused]] const auto sent = send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        fcntl(m_socket, F_SETFL, O_NONBLOCK);
+    }
+    ~raw_socket_caller() { close(m_socket); }
+    raw_socket_caller(const raw_socket_caller&) = delete;
+    raw_socket_caller& operator=(const raw_socket_caller&) = delete;
+
+    void shut_down_sending() const { shutdown(m_socket, SHUT_WR); }
+
+    /// Reads what is there; true when the server has closed.
+    bool try_read_all()
+    {
+        std::array<char, 4096> data{};
+        for (;;) {
+            const auto got = read(m_socket, data.data(), data.size());
+            if (got <= 0) {
+                return got == 0 || errno != EAGAIN;
+            }
+            m_received.append(data.data(), static_cast<std::size_t>(got));
+        }
+    }
+    const std::string& received() const { return m_received; }
+
+private:
+    int m_socket;
+    std::string m_received;
+};
+
+} // namespace damaskladder::http
--- /dev/null
+++ b/src/http/transfer_test.cpp
@@ -0,0 +1,283 @@
+#include "damaskladder/http.hpp"
+#include "http/raw_socket_fake.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace damaskladder::http {
+namespace {
+
+/// Runs a loop on the test's thread until a condition holds. Gives up after a long time, which
+/// only a failing test reaches.
+void run_until(event_loop& loop, const std::function<bool()>& done)
+{
+    const auto give_up = event_loop::now() + std::chrono::seconds(20);
+    const auto stop = std::make_shared<bool>(false);
+    loop.each_round(
+        [&loop, &done, give_up, stop](base::time_point now) -> std::optional<base::time_point> {
+            if (*stop) {
+                return std::nullopt;
+            }
+            if (done() || now > give_up) {
+                *stop = true;
+                loop.stop();
+            }
+            return now + std::chrono::milliseconds(1);
+        });
+    loop.run();
+}
+
+struct received {
+    response_head head;
+    std::string body;
+    std::optional<transfer_end> end;
+};
+
+transfer::hooks collect(received& into)
+{
+    return {.on_connected = nullptr,
+            .on_head = [&](response_head head) { into.head = std::move(head); },
+            .on_body =
+                [&](std::string_view data) {
+                    into.body += data;
+                    return true;
+                },
+            .read_body = nullptr,
+            .body_pending = nullptr,
+            .on_end = [&](const transfer_end& end) { into.end = end; }};
+}
+
+class echo_sizes : public testing::TestWithParam<std::size_t> {};
+
+// Guards against bodies that are cut, reordered or held whole when they exceed the buffers.
+TEST_P(echo_sizes, body_comes_back_whole)
+{
+    event_loop loop;
+    client out(loop);
+    server in(loop, {}, [](const std::shared_ptr<exchange>& request) {
+        request->start({200, {}, request->head().body_size});
+        const auto pump = [raw = request.get()] {
+            const auto size = raw->body().size();
+            raw->write(raw->body());
+            raw->consume_body(size);
+            if (raw->body_complete()) {
+                raw->finish();
+            }
+        };
+        request->on_body(pump);
+    });
+    ASSERT_TRUE(in.listen({"127.0.0.1", 0}));
+    std::string sent(GetParam(), 'x');
+    for (std::size_t i = 0; i < sent.size(); ++i) {
+        sent[i] = static_cast<char>('a' + i % 23);
+    }
+    std::size_t position = 0;
+    received answer;
+    auto hooks = collect(answer);
+    hooks.read_body = [&](char* data, std::size_t size) {
+        const auto taken = sent.copy(data, size, position);
+        position += taken;
+        return taken;
+    };
+    client_request request;
+    request.to = {"127.0.0.1", in.port()};
+    request.head.method = "POST";
+    request.head.body_size = base::byte_count(static_cast<std::int64_t>(sent.size()));
+    out.send(request, hooks);
+    run_until(loop, [&] { return answer.end.has_value(); });
+    ASSERT_TRUE(answer.end);
+    EXPECT_EQ(answer.end->how, transfer_end::kind::complete) << answer.end->text;
+    EXPECT_EQ(answer.head.status, 200);
+    EXPECT_EQ(answer.body, sent);
+}
+
+INSTANTIATE_TEST_SUITE_P(table, echo_sizes, testing::Values(0, 1, 4096, 60000, 1000000));
+
+struct broken_case {
+    std::string name;
+    /// Answers that the fake server gives on one connection, one for each request; after the last
+    /// one it reads one more request and closes.
+    std::vector<std::string> answers;
+    std::size_t requests;
+    transfer_end::kind last_end;
+    std::size_t requests_seen;
+};
+
+class broken_servers : public testing::TestWithParam<broken_case> {};
+
+// Guards against a request that libcurl sends twice by itself, and against short answers that
+// look whole.
+TEST_P(broken_servers, end_is_reported_and_nothing_is_sent_twice)
+{
+    const auto& expected = GetParam();
+    raw_socket_fake fake(expected.answers);
+    event_loop loop;
+    client out(loop);
+    std::optional<transfer_end> last;
+    for (std::size_t i = 0; i < expected.requests; ++i) {
+        received answer;
+        client_request request;
+        request.to = {"127.0.0.1", fake.port()};
+        out.send(request, collect(answer));
+        run_until(loop, [&] { return answer.end.has_value(); });
+        last = answer.end;
+    }
+    ASSERT_TRUE(last);
+    EXPECT_EQ(last->how, expected.last_end) << last->text;
+    EXPECT_EQ(fake.requests_seen(), expected.requests_seen);
+}
+
+const std::string whole_answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+INSTANTIATE_TEST_SUITE_P(
+    table, broken_servers,
+    testing::Values(
+        broken_case{
+            "closes a fresh connection without answer", {}, 1, transfer_end::kind::broken, 1},
+        broken_case{"closes a kept connection without answer",
+                    {whole_answer},
+                    2,
+                    transfer_end::kind::broken,
+                    2},
+        broken_case{"short body",
+                    {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nok"},
+                    1,
+                    transfer_end::kind::broken,
+                    1},
+        broken_case{"no last chunk",
+                    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: "
+                     "close\r\n\r\n2\r\nok\r\n"},
+                    1,
+                    transfer_end::kind::broken,
+                    1},
+        broken_case{"not HTTP", {"nonsense\r\n\r\n"}, 1, transfer_end::kind::broken, 1}),
+    [](const auto& tested) { return "case_" + std::to_string(tested.index); });
+
+// Guards against calling a request unknown that certainly was not sent.
+TEST(transfer, refused_connection_is_not_sent)
+{
+    std::uint16_t unused_port = 0;
+    {
+        raw_socket_fake fake({});
+        unused_port = fake.port();
+    }
+    event_loop loop;
+    client out(loop);
+    received answer;
+    client_request request;
+    request.to = {"127.0.0.1", unused_port};
+    out.send(request, collect(answer));
+    run_until(loop, [&] { return answer.end.has_value(); });
+    ASSERT_TRUE(answer.end);
+    EXPECT_EQ(answer.end->how, transfer_end::kind::not_sent);
+}
+
+class aborted_answers : public testing::TestWithParam<bool> {};
+
+// Guards against a broken answer that reaches the caller as a short clean one.
+TEST_P(aborted_answers, caller_sees_a_broken_transfer)
+{
+    const bool size_known = GetParam();
+    event_loop loop;
+    client out(loop);
+    server in(loop, {}, [&](const std::shared_ptr<exchange>& request) {
+        response_head head;
+        if (size_known) {
+            head.body_size = base::byte_count(100);
+        }
+        request->start(head);
+        request->write("first part");
+        loop.call_at(event_loop::now(), [request] { request->abort(); });
+    });
+    ASSERT_TRUE(in.listen({"127.0.0.1", 0}));
+    received answer;
+    client_request request;
+    request.to = {"127.0.0.1", in.port()};
+    out.send(request, collect(answer));
+    run_until(loop, [&] { return answer.end.has_value(); });
+    ASSERT_TRUE(answer.end);
+    EXPECT_EQ(answer.end->how, transfer_end::kind::broken);
+}
+
+INSTANTIATE_TEST_SUITE_P(table, aborted_answers, testing::Bool());
+
+struct leaving_case {
+    std::string request;
+    /// Whether the server has begun its answer when the caller leaves.
+    bool answer_begun;
+};
+
+class leaving_callers : public testing::TestWithParam<leaving_case> {};
+
+// Guards against work that goes on for a caller that left while its connection was suspended.
+TEST_P(leaving_callers, are_noticed)
+{
+    event_loop loop;
+    bool gone = false;
+    std::shared_ptr<exchange> held;
+    server in(loop, {}, [&](const std::shared_ptr<exchange>& request) {
+        held = request;
+        request->on_gone([&] { gone = true; });
+        if (GetParam().answer_begun) {
+            request->start({});
+            request->write("part");
+        }
+    });
+    ASSERT_TRUE(in.listen({"127.0.0.1", 0}));
+    auto caller = std::make_unique<raw_socket_caller>(in.port(), GetParam().request);
+    run_until(loop, [&] { return held != nullptr; });
+    caller.reset();
+    run_until(loop, [&] { return gone; });
+    EXPECT_TRUE(gone);
+    run_until(loop, [&] { return in.open_exchanges() == 0; });
+    EXPECT_EQ(in.open_exchanges(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, leaving_callers,
+    testing::Values(leaving_case{"GET / HTTP/1.1\r\nHost: a\r\n\r\n", false},
+                    leaving_case{"GET / HTTP/1.1\r\nHost: a\r\n\r\n", true},
+                    leaving_case{"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc",
+                                 false}));
+
+struct malformed_case {
+    std::string bytes;
+    std::string answer_prefix;
+};
+
+class malformed_requests : public testing::TestWithParam<malformed_case> {};
+
+// Guards against a crash or a leaked exchange on input that is not a request.
+TEST_P(malformed_requests, are_refused)
+{
+    event_loop loop;
+    server in(loop, {},
+              [](const std::shared_ptr<exchange>& request) { request->respond({}, "ok"); });
+    ASSERT_TRUE(in.listen({"127.0.0.1", 0}));
+    raw_socket_caller caller(in.port(), GetParam().bytes);
+    const auto& prefix = GetParam().answer_prefix;
+    if (prefix.empty()) {
+        caller.shut_down_sending();
+    }
+    run_until(loop, [&] {
+        const bool closed = caller.try_read_all();
+        return closed || (!prefix.empty() && caller.received().size() >= prefix.size());
+    });
+    EXPECT_EQ(caller.received().substr(0, prefix.size()), prefix);
+    run_until(loop, [&] { return in.open_exchanges() == 0; });
+    EXPECT_EQ(in.open_exchanges(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, malformed_requests,
+    testing::Values(
+        malformed_case{"\r\n\r\n\r\n", ""}, malformed_case{std::string(64, '\0'), ""},
+        malformed_case{"GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(20000, 'y') + "\r\n\r\n",
+                       "HTTP/1.1 431"},
+        malformed_case{"GET /" + std::string(20000, 'y') + " HTTP/1.1\r\n\r\n", "HTTP/1.1 414"},
+        malformed_case{"GET / HTTP/1.1\r\n\r\n", "HTTP/1.1 400"},
+        malformed_case{"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n", "HTTP/1.1 400"}));
+
+} // namespace
+} // namespace damaskladder::http
