--- /dev/null
+++ b/src/base/content_hash.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/strong_id.hpp"
+
+#include <string>
+
+namespace damaskladder::base {
+
+/// Hash of everything that makes two requests the same: method, path, query and body.
+using content_hash = strong_id<struct content_hash_tag, std::string>;
+
+} // namespace damaskladder::base
--- a/src/base/quantity.hpp
+++ b/src/base/quantity.hpp
@@ -17,6 +17,8 @@
 
     constexpr Rep value() const { return m_value; }
 
+    // clang-tidy 14 misreads the generated comparison with 0.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend constexpr auto operator<=>(const quantity&, const quantity&) = default;
 
     constexpr quantity& operator+=(quantity other)
--- a/src/base/strong_id.hpp
+++ b/src/base/strong_id.hpp
@@ -21,6 +21,8 @@
 
     constexpr const Rep& value() const { return m_value; }
 
+    // clang-tidy 14 misreads the generated comparison with 0.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend constexpr auto operator<=>(const strong_id&, const strong_id&) = default;
 
     friend std::ostream& operator<<(std::ostream& out, const strong_id& id)
--- /dev/null
+++ b/src/node/answer_started.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "base/importance.hpp"
+#include "base/retry_count.hpp"
+#include "node/answer_class.hpp"
+#include "node/transfer_id.hpp"
+
+#include <optional>
+
+namespace damaskladder::node {
+
+/// Event: the status and the headers of a backend server's answer arrived, directly at the
+/// gatekeeper or through it at the entry node.
+struct answer_started {
+    transfer_id transfer;
+    answer_class answer = answer_class::served;
+    /// Unused extra attempts, as the gatekeeper says; always nothing at the gatekeeper itself.
+    std::optional<base::retry_count> allowance_left;
+    /// Importance level that the gatekeeper sheds now; always nothing at the gatekeeper itself.
+    std::optional<base::importance> shed;
+};
+
+} // namespace damaskladder::node
--- /dev/null
+++ b/src/node/ask_claim.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "base/attempt_id.hpp"
+#include "base/content_hash.hpp"
+#include "base/request_id.hpp"
+#include "base/time.hpp"
+#include "base/workspace_id.hpp"
+
+namespace damaskladder::node {
+
+/// Effect: asks for the claim of a non-idempotent call. Answered by claim_granted or claim_denied.
+struct ask_claim {
+    base::attempt_id attempt;
+    base::workspace_id workspace;
+    base::request_id request;
+    base::content_hash content;
+    base::time_point deadline;
+};
+
+} // namespace damaskladder::node
--- /dev/null
+++ b/src/node/ask_tokens.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "base/time.hpp"
+#include "base/workspace_id.hpp"
+#include "node/exchange_id.hpp"
+
+namespace damaskladder::node {
+
+/// Effect: asks for one rate token of a workspace. Answered by tokens_granted or tokens_refused; a
+/// grant that comes after the exchange ended is given back.
+struct ask_tokens {
+    exchange_id exchange;
+    base::workspace_id workspace;
+    /// Until when an answer is of use.
+    base::time_point deadline;
+};
+
+} // namespace damaskladder::node
--- /dev/null
+++ b/src/node/call_context.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "base/call_depth.hpp"
+#include "base/call_id.hpp"
+#include "base/chain_id.hpp"
+#include "base/importance.hpp"
+#include "base/key_id.hpp"
+#include "base/node_id.hpp"
+#include "base/request_id.hpp"
+#include "base/retry_count.hpp"
+#include "base/time.hpp"
+#include "base/workspace_id.hpp"
+
+namespace damaskladder::node {
+
+/// What travels with a call in place of the key, in the clear. The front end seals and opens it.
+struct call_context {
+    /// Empty on open routes.
+    base::workspace_id workspace;
+    /// Empty on open routes.
+    base::key_id key;
+    base::request_id request;
+    base::chain_id chain;
+    /// Drawn anew for each attempt. Onward calls name it as their parent.
+    base::call_id call;
+    base::call_depth depth;
+    /// Time left when the context was sealed. Relative, so that clocks need not agree.
+    base::duration budget{};
+    base::importance importance = base::importance::normal;
+    /// Extra attempts lent to this call and all calls below it.
+    base::retry_count allowance;
+    bool idempotent = true;
+    base::node_id issuer;
+};
+
+} // namespace damaskladder::node
--- /dev/null
+++ b/src/node/caller_gone.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "node/exchange_id.hpp"
+
+namespace damaskladder::node {
+
+/// Event: the caller of an exchange closed its connection before the answer ended.
+struct caller_gone {
+    exchange_id exchange;
+};
+
+} // namespace damaskladder::node
--- /dev/null
+++ b/src/node/gatekeeper_refused.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "base/importance.hpp"
+#include "base/retry_count.hpp"
+#include "node/outcome.hpp"
+#include "node/refusal_reason.hpp"
+#include "node/transfer_id.hpp"
+
+#include <optional>
+
+namespace damaskladder::node {
+
+/// Event: the gatekeeper answered a transfer with a refusal of its own.
+struct gatekeeper_refused {
+    transfer_id transfer;
+    outcome said = outcome::unknown;
+    refusal_reason reason = refusal_reason::backend_failed;
+    /// Unused extra attempts; nothing if the answer does not say.
+    std::optional<base::retry_count> allowance_left;
+    /// Importance level that the gatekeeper sheds now.
+    std::optional<base::importance> shed;
+};
+
+} // namespace damaskladder::node
--- /dev/null
+++ b/src/node/onward_call_arrived.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "base/byte_count.hpp"
+#include "base/content_hash.hpp"
+#include "base/request_id.hpp"
+#include "node/call_context.hpp"
+#include "node/exchange_id.hpp"
+#include "node/request_wishes.hpp"
+
+#include <optional>
+#include <string>
+
+namespace damaskladder::node {
+
+/// Event: a backend server on this VM makes an onward call and names the call that it serves.
+struct onward_call_arrived {
+    exchange_id exchange;
+    std::string path;
+    /// Context of the call that the backend server is running, as opened by the front end.
+    call_context parent;
+    /// Needed on routes that are not idempotent, as at the entry.
+    std::optional<base::request_id> request;
+    request_wishes wishes;
+    std::optional<base::byte_count> body_size;
+    std::optional<base::content_hash> content;
+    /// The front end holds the whole body and can send it again.
+    bool body_can_be_resent = false;
+};
+
+} // namespace damaskladder::node
--- /dev/null
+++ b/src/node/refusal_reason.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "node/status_code.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace damaskladder::node {
+
+/// Why a request was refused. The order is that of the status codes.
+enum class refusal_reason : std::uint8_t {
+    /// Malformed or missing header field.
+    bad_request,
+    /// A non-idempotent request came without a usable request id.
+    request_id_required,
+    /// The chain of calls is longer than the limit.
+    too_deep,
+    /// The route is not open and no key came.
+    key_required,
+    /// No workspace has this key.
+    unknown_key,
+    /// The route does not admit the workspace of the key.
+    key_not_allowed,
+    /// The key has been withdrawn.
+    key_withdrawn,
+    /// An onward call names a call that does not run on this node.
+    parent_not_running,
+    /// No route matches the path.
+    no_route,
+    /// The request id was used with other content.
+    other_content,
+    /// The request ran and was answered; its answer is no longer kept.
+    already_answered,
+    /// Another attempt of the request may have run.
+    claim_held,
+    /// The body is larger than the route permits.
+    too_large,
+    /// The workspace is above its rate.
+    rate,
+    /// The backend server failed or closed its connection.
+    backend_failed,
+    /// The connection to the gatekeeper broke before its verdict.
+    answer_lost,
+    /// The backend server has no capacity for this importance or share.
+    shed,
+    /// No backend server of the service is announced.
+    no_backend_server,
+    /// No connection could be made.
+    unreachable,
+    /// The backend server drains or leaves.
+    draining,
+    /// The node stops.
+    stopping,
+    /// The settings are too old to trust a key.
+    stale_settings,
+    /// No claim could be had in time.
+    claim_unavailable,
+    /// The time budget ended.
+    deadline,
+    /// The caller closed its connection.
+    caller_gone,
+};
+
+/// The word sent in Damaskladder-Reason.
+std::string_view to_string(refusal_reason reason);
+
+/// The reason named by a word of Damaskladder-Reason, if there is one.
+std::optional<refusal_reason> parse_refusal_reason(std::string_view word);
+
+/// The status sent with the reason.
+status_code status_of(refusal_reason reason);
+
+} // namespace damaskladder::node
--- /dev/null
+++ b/src/node/refuse.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "base/importance.hpp"
+#include "base/retry_count.hpp"
+#include "base/time.hpp"
+#include "node/exchange_id.hpp"
+#include "node/outcome.hpp"
+#include "node/refusal_reason.hpp"
+#include "node/status_code.hpp"
+
+#include <optional>
+
+namespace damaskladder::node {
+
+/// Effect: answers an exchange with a refusal and ends it.
+struct refuse {
+    exchange_id exchange;
+    status_code status;
+    outcome said = outcome::unknown;
+    refusal_reason reason = refusal_reason::backend_failed;
+    /// Set with refusal_reason::rate.
+    std::optional<base::duration> retry_after;
+    /// Unused extra attempts, for answers between nodes.
+    std::optional<base::retry_count> allowance_left;
+    /// Importance level shed now, for answers between nodes.
+    std::optional<base::importance> shed;
+};
+
+} // namespace damaskladder::node
--- /dev/null
+++ b/src/node/relay_answer.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "base/importance.hpp"
+#include "base/retry_count.hpp"
+#include "node/exchange_id.hpp"
+#include "node/transfer_id.hpp"
+
+#include <optional>
+
+namespace damaskladder::node {
+
+/// Effect: sends the answer of a transfer to the caller of an exchange, as it arrives.
+struct relay_answer {
+    exchange_id exchange;
+    transfer_id transfer;
+    /// Keep a copy of the whole answer, up to the bound of retry::repeat_options, for
+    /// answer_finished.
+    bool keep_copy = false;
+    /// Unused extra attempts, for answers between nodes.
+    std::optional<base::retry_count> allowance_left;
+    /// Importance level shed now, for answers between nodes.
+    std::optional<base::importance> shed;
+};
+
+} // namespace damaskladder::node
--- /dev/null
+++ b/src/node/request_wishes.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "base/importance.hpp"
+#include "base/time.hpp"
+
+#include <optional>
+
+namespace damaskladder::node {
+
+/// What a caller asks for beyond the route's settings. Each wish can only tighten them.
+struct request_wishes {
+    /// Lowers the importance; a higher value than the route's or the parent's is ignored.
+    std::optional<base::importance> importance;
+    /// Shortens the time budget.
+    std::optional<base::duration> timeout;
+    /// The request must not run twice although its route is idempotent.
+    bool non_idempotent = false;
+};
+
+} // namespace damaskladder::node
--- /dev/null
+++ b/src/node/tick.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace damaskladder::node {
+
+/// Event: time has passed.
+struct tick {};
+
+} // namespace damaskladder::node
--- /dev/null
+++ b/src/node/token_grant_id.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/strong_id.hpp"
+
+#include <cstdint>
+
+namespace damaskladder::node {
+
+/// Identifies one rate token lent to one request, so that it is given back at most once.
+using token_grant_id = base::strong_id<struct token_grant_id_tag, std::uint64_t>;
+
+} // namespace damaskladder::node
--- /dev/null
+++ b/src/node/tokens_granted.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "node/exchange_id.hpp"
+#include "node/token_grant_id.hpp"
+
+namespace damaskladder::node {
+
+/// Event: the rate of the workspace permits the request.
+struct tokens_granted {
+    exchange_id exchange;
+    token_grant_id grant;
+};
+
+} // namespace damaskladder::node
--- /dev/null
+++ b/src/node/traffic_options.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "base/byte_count.hpp"
+#include "base/call_depth.hpp"
+#include "base/random_source.hpp"
+#include "base/time.hpp"
+
+#include <chrono>
+
+namespace damaskladder::node {
+
+/// Options of a traffic machine. The defaults suit a node with one backend server.
+struct traffic_options {
+    /// Uniform random values; required.
+    base::random_source random;
+    /// Part of a call's time kept for the way back, so that the entry node hears the verdict.
+    base::duration return_margin{std::chrono::milliseconds(5)};
+    /// Onward calls deeper than this are refused.
+    base::call_depth max_depth{16};
+    /// Longest first pause before another attempt at a backend server that may be overloaded.
+    base::duration retry_pause{std::chrono::milliseconds(10)};
+    /// Longest path of a request.
+    base::byte_count max_path{8192};
+    /// Baseline for comparison: random choice among the announced backend servers, no admission
+    /// and no early shedding, and three attempts at every level without allowance or budget.
+    bool pass_through = false;
+};
+
+} // namespace damaskladder::node
--- /dev/null
+++ b/src/node/transfer_broke.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "node/transfer_id.hpp"
+
+namespace damaskladder::node {
+
+/// Event: a transfer ended without a whole answer, and the request may have been received.
+struct transfer_broke {
+    transfer_id transfer;
+};
+
+} // namespace damaskladder::node
--- /dev/null
+++ b/src/node/transfer_id.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/strong_id.hpp"
+
+#include <cstdint>
+
+namespace damaskladder::node {
+
+/// Identifies one outbound request of this node; given by the traffic machine, never reused.
+using transfer_id = base::strong_id<struct transfer_id_tag, std::uint64_t>;
+
+} // namespace damaskladder::node
