Wire and stand-in: sealed contexts, messages over nng, a backend server for tests

Contexts and messages are sealed with keys derived from the cluster secret (XChaCha20-Poly1305); a message names sender, run, sequence and receiver, and a repeat is refused.

--- /dev/null
+++ b/src/standin/announcer.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "http/client.hpp"
+#include "standin/standin_options.hpp"
+
+#include <string>
+
+namespace damaskladder::standin {
+
+/// Keeps a backend server announced to the node on its VM.
+class announcer {
+public:
+    announcer(http::event_loop& loop, http::client& client, const standin_options& options);
+
+    /// Announces now and renews until withdraw().
+    void start(std::uint16_t port, bool cold);
+    void set_cold(bool cold) { m_cold = cold; }
+
+    /// Tells the node that no new work must come.
+    void drain();
+    /// Ends the announcement.
+    void withdraw();
+
+private:
+    void renew();
+    void send(const std::string& method, const std::string& path, std::string body);
+
+    http::event_loop& m_loop;
+    http::client& m_client;
+    const standin_options& m_options;
+    std::uint16_t m_port = 0;
+    bool m_cold = false;
+    bool m_announced = false;
+};
+
+} // namespace damaskladder::standin
--- /dev/null
+++ b/src/standin/running_request.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "http/exchange.hpp"
+#include "http/transfer.hpp"
+
+#include <memory>
+#include <string>
+
+namespace damaskladder::standin {
+
+/// One request that the stand-in backend server holds.
+struct running_request {
+    std::shared_ptr<http::exchange> exchange;
+    /// The onward call that is under way, if any.
+    std::shared_ptr<http::transfer> onward;
+    /// Index of the next onward call.
+    std::size_t next_onward = 0;
+    bool running = false;
+    bool ended = false;
+};
+
+} // namespace damaskladder::standin
--- /dev/null
+++ b/src/wire/envelope_codec.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "base/result.hpp"
+#include "wire/envelope.hpp"
+#include "wire/replay_window.hpp"
+#include "wire/sealed_box.hpp"
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace damaskladder::wire {
+
+/// Seals messages to other processes of the cluster and opens theirs.
+class envelope_codec {
+public:
+    envelope_codec(const cluster_secret& secret, base::node_id self, base::incarnation incarnation);
+
+    /// Seals a message with the next sequence number for its receiver.
+    std::string seal(const base::node_id& receiver, message_kind kind, std::string body);
+
+    /// Fails with permission_denied if the message is not from this cluster, not for this process
+    /// or a repeat, and with corrupt if it cannot be understood.
+    base::result<envelope> open(std::string_view sealed);
+
+    /// Longest message, in bytes.
+    static constexpr std::size_t max_size = std::size_t{1024} * 1024;
+    /// Senders remembered against replays; more are refused until the process restarts.
+    static constexpr std::size_t max_senders = 16384;
+
+private:
+    sealed_box m_box;
+    base::node_id m_self;
+    base::incarnation m_incarnation;
+    std::unordered_map<base::node_id, base::sequence_number> m_sent;
+    std::unordered_map<base::node_id, replay_window> m_received;
+};
+
+} // namespace damaskladder::wire
--- /dev/null
+++ b/src/wire/message_kind.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+
+namespace damaskladder::wire {
+
+/// The library that a message between processes belongs to.
+enum class message_kind : std::uint8_t {
+    consensus = 1,
+    membership = 2,
+    propagation = 3,
+    lease = 4,
+    quota = 5,
+    claims = 6,
+};
+
+} // namespace damaskladder::wire
--- /dev/null
+++ b/src/wire/sealed_box.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "wire/cluster_secret.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace damaskladder::wire {
+
+/// Encrypts and authenticates byte strings (XChaCha20-Poly1305 with a random nonce).
+class sealed_box {
+public:
+    explicit sealed_box(const secret_key& key);
+
+    /// Nonce, ciphertext and tag: 40 bytes longer than the input.
+    std::string seal(std::string_view plain) const;
+
+    /// Nothing if the bytes were not sealed with this key or were altered.
+    std::optional<std::string> open(std::string_view sealed) const;
+
+private:
+    secret_key m_key;
+};
+
+} // namespace damaskladder::wire
