Settings: read, check, compare and compile the settings tree

Cause: every other part needs the tree, its checks and the typed form that nodes use.

Change: paths, entries and trees; INI in and out over inih, with a reader that counts lines and reports what inih would cut (section names above 49 characters, lines above 198 bytes) or accept (duplicates, zero bytes); typed differences; a schema of fields with units and bounds; checked_settings, which checks a change at the cost of the change and leaves no trace of a refused one; compiled_settings with longest-prefix routes, keys by hash, workspaces, limits, policies and failure domains.

Conclusion: usable for the first path from end to end. Not measured yet.

--- /dev/null
+++ b/src/settings/compiled_settings_test.cpp
@@ -0,0 +1,121 @@
+#include "settings/compiled_settings.hpp"
+#include "settings/ini_reader.hpp"
+#include "settings/sample_settings_test.hpp"
+#include "settings/value_parsers.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <string>
+
+namespace damaskladder::settings {
+namespace {
+
+std::shared_ptr<const compiled_settings> sample()
+{
+    auto tree = read_ini(sample_settings(), "x.ini").tree;
+    tree.set_version(base::settings_version(7));
+    return compiled_settings::compile(tree);
+}
+
+struct match_case {
+    const char* path;
+    /// Empty if no route matches.
+    const char* route;
+};
+
+class route_match : public testing::TestWithParam<match_case> {};
+
+// Guards against a request that reaches another route than the one whose key was checked.
+TEST_P(route_match, takes_the_longest_prefix_of_whole_parts)
+{
+    auto compiled = sample();
+    const auto* route = compiled->match_route(GetParam().path);
+    EXPECT_EQ(route == nullptr ? "" : route->id.value(), GetParam().route);
+}
+
+constexpr const char* pay = "teams/grants/routes/pay";
+constexpr const char* calendar = "teams/fairs/routes/calendar";
+
+INSTANTIATE_TEST_SUITE_P(
+    table, route_match,
+    testing::Values(
+        match_case{"/payments", pay}, match_case{"/payments/", pay},
+        match_case{"/payments/1/2", pay}, match_case{"/payments//x", pay},
+        match_case{"/payments/calendar", calendar}, match_case{"/payments/calendar/x", calendar},
+        match_case{"/payments/calendars", pay}, match_case{"/paymentsx", ""}, match_case{"/", ""},
+        match_case{"", ""}, match_case{"payments", ""}, match_case{"/payments/calendar/..", ""},
+        match_case{"/payments/calendar/../1", ""}, match_case{"/payments/calendar/%2e%2E/1", ""},
+        match_case{"/payments/calendar/.%2e", ""}, match_case{"/payments/calendar/.", ""},
+        match_case{"/payments/calendar/%2f..%2f1", ""}, match_case{"/payments/calendar\\..\\1", ""},
+        match_case{"/payments/calendar/...", calendar}));
+
+// Guards against values that lose their unit on the way to the nodes.
+TEST(compiled_settings, holds_typed_values)
+{
+    auto compiled = sample();
+    EXPECT_EQ(compiled->version(), base::settings_version(7));
+    const auto* route = compiled->find_route(base::route_id(pay));
+    ASSERT_NE(route, nullptr);
+    EXPECT_EQ(route->timeout, std::chrono::milliseconds(500));
+    EXPECT_EQ(route->max_body, base::byte_count(65'536));
+    EXPECT_EQ(route->retries, base::retry_count(3));
+    EXPECT_TRUE(route->allows(base::workspace_id("w2")));
+    EXPECT_FALSE(route->allows(base::workspace_id("w3")));
+    const auto* workspace = compiled->find_workspace(base::workspace_id("w2"));
+    ASSERT_NE(workspace, nullptr);
+    EXPECT_EQ(workspace->rate, token_rate(500));
+    EXPECT_EQ(workspace->weight, base::share_weight(3));
+    const auto* key = compiled->find_key(*parse_key_hash(std::string(64, 'a')));
+    ASSERT_NE(key, nullptr);
+    EXPECT_EQ(key->workspace, base::workspace_id("w1"));
+    EXPECT_EQ(key, compiled->find_key(base::key_id("k1")));
+    EXPECT_EQ(compiled->find_key(*parse_key_hash(std::string(64, 'b'))), nullptr);
+    EXPECT_EQ(compiled->limits_of(base::team_id("fairs")).max_staleness, std::chrono::seconds(60));
+    EXPECT_EQ(compiled->limits_of(base::team_id("grants")).max_staleness, std::chrono::seconds(10));
+    EXPECT_EQ(compiled->policy_of(base::team_id("fairs")), policy_revision(2));
+    EXPECT_EQ(compiled->policy_of(base::team_id("grants")), first_policy_revision);
+    const auto* domain = compiled->find_domain(base::failure_domain_id("fd2"));
+    ASSERT_NE(domain, nullptr);
+    EXPECT_EQ(domain->share, (domain_share{1, 2}));
+    EXPECT_EQ(domain->lease_voters, std::vector{base::node_id("n4")});
+}
+
+std::string random_path(std::mt19937_64& random)
+{
+    std::string path;
+    auto parts = 1 + random() % 4;
+    for (std::size_t i = 0; i < parts; ++i) {
+        path += "/" + std::string(1 + random() % 2, static_cast<char>('a' + random() % 2));
+    }
+    return path;
+}
+
+// Guards against errors in the hash lookup of prefixes: 200 trees, 20 paths each, against a scan.
+TEST(compiled_settings, matches_like_a_scan_of_all_prefixes)
+{
+    std::mt19937_64 random(5);
+    for (int round = 0; round < 200; ++round) {
+        setting_tree tree;
+        for (int i = 0; i < 15; ++i) {
+            auto path = *setting_path::parse("teams/t/routes/r" + std::to_string(i));
+            auto prefix = i == 0 ? std::string("/") : random_path(random);
+            tree.set(path, field_name("prefix"), field_value(prefix));
+            tree.set(path, field_name("service"), field_value("s"));
+        }
+        auto compiled = compiled_settings::compile(tree);
+        for (int i = 0; i < 20; ++i) {
+            auto path = random_path(random);
+            std::string best = "/";
+            for (const auto& route : compiled->routes()) {
+                const auto& prefix = route.prefix.value();
+                bool matches = path == prefix || path.starts_with(prefix + "/");
+                best = matches && prefix.size() > best.size() ? prefix : best;
+            }
+            ASSERT_EQ(compiled->match_route(path)->prefix.value(), best) << path;
+        }
+    }
+}
+
+} // namespace
+} // namespace damaskladder::settings
--- /dev/null
+++ b/src/settings/entry_references.cpp
@@ -0,0 +1,56 @@
+#include "settings/entry_references.hpp"
+
+#include "settings/entry_kind.hpp"
+#include "settings/value_parsers.hpp"
+
+#include <string>
+
+namespace damaskladder::settings {
+
+namespace {
+
+void add_value(const setting_entry& entry, const char* field, reference_kind kind,
+               std::vector<setting_reference>& references)
+{
+    if (const auto* value = entry.find(field_name(field))) {
+        references.push_back({kind, value->value()});
+    }
+}
+
+void add_names(const setting_entry& entry, const char* field, reference_kind kind,
+               std::vector<setting_reference>& references)
+{
+    const auto* value = entry.find(field_name(field));
+    if (value == nullptr) {
+        return;
+    }
+    for (auto& name : parse_names(value->value()).value_or(std::vector<std::string>())) {
+        references.push_back({kind, std::move(name)});
+    }
+}
+
+} // namespace
+
+entry_references references_of(const setting_path& path, const setting_entry& entry)
+{
+    entry_references references;
+    auto kind = kind_of(path);
+    if (kind == entry_kind::workspace) {
+        references.defined.push_back({reference_kind::workspace, std::string(path.part(3))});
+    }
+    else if (kind == entry_kind::key) {
+        references.defined.push_back({reference_kind::key, std::string(path.part(3))});
+        add_value(entry, "hash", reference_kind::key_hash, references.defined);
+        add_value(entry, "workspace", reference_kind::workspace, references.used);
+    }
+    else if (kind == entry_kind::route) {
+        add_value(entry, "prefix", reference_kind::path_prefix, references.defined);
+        add_names(entry, "workspaces", reference_kind::workspace, references.used);
+    }
+    else if (kind == entry_kind::failure_domain) {
+        add_names(entry, "lease_voters", reference_kind::lease_voter, references.defined);
+    }
+    return references;
+}
+
+} // namespace damaskladder::settings
--- /dev/null
+++ b/src/settings/ini_writer.cpp
@@ -0,0 +1,43 @@
+#include "settings/ini_writer.hpp"
+
+#include <string_view>
+
+namespace damaskladder::settings {
+
+namespace {
+
+// Below the 198 bytes that inih reads, with room for one more list item of 49 characters.
+constexpr std::size_t wrap_width = 100;
+
+std::string wrapped(std::string_view value)
+{
+    std::string text;
+    std::size_t width = 0;
+    for (std::size_t at = 0; at < value.size(); ++at) {
+        if (value[at] == ' ' && width >= wrap_width) {
+            text += "\n    ";
+            width = 0;
+            continue;
+        }
+        text += value[at];
+        ++width;
+    }
+    return text;
+}
+
+} // namespace
+
+std::string write_ini(const setting_tree& tree)
+{
+    std::string text;
+    for (const auto& [path, entry] : tree) {
+        text += text.empty() ? "" : "\n";
+        text += "[" + path.text() + "]\n";
+        for (const auto& [field, value] : entry) {
+            text += field.value() + " = " + wrapped(value.value()) + "\n";
+        }
+    }
+    return text;
+}
+
+} // namespace damaskladder::settings
--- /dev/null
+++ b/src/settings/ini_writer.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "settings/setting_tree.hpp"
+
+#include <string>
+
+namespace damaskladder::settings {
+
+/// Text that read_ini turns into the same entries, provided that the tree passed checked_settings.
+/// Long lists continue on indented lines.
+std::string write_ini(const setting_tree& tree);
+
+} // namespace damaskladder::settings
--- /dev/null
+++ b/src/settings/line_number.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/strong_id.hpp"
+
+#include <cstdint>
+
+namespace damaskladder::settings {
+
+/// Line of a settings file, from 1; 0 if a setting comes from no file.
+using line_number = base::strong_id<struct line_number_tag, std::uint32_t>;
+
+} // namespace damaskladder::settings
--- /dev/null
+++ b/src/settings/path_prefix.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/strong_id.hpp"
+
+#include <string>
+
+namespace damaskladder::settings {
+
+/// Start of the request paths that a route serves, for example "/payments".
+using path_prefix = base::strong_id<struct path_prefix_tag, std::string>;
+
+} // namespace damaskladder::settings
--- /dev/null
+++ b/src/settings/reference_index.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "settings/entry_references.hpp"
+#include "settings/setting_path.hpp"
+#include "settings/setting_reference.hpp"
+#include "settings/settings_problem.hpp"
+
+#include <map>
+#include <set>
+
+namespace damaskladder::settings {
+
+/// Who defines and who uses each name of the tree, so that a small change to a large tree is
+/// checked at the cost of the change.
+class reference_index {
+public:
+    void add(const setting_path& path, const entry_references& references);
+    void remove(const setting_path& path, const entry_references& references);
+
+    /// Checks that the name is defined at most once, and exactly once if it is used. A key must
+    /// belong to the team of its workspace, or one team could grant access to another's rate.
+    void check(const setting_reference& reference, settings_problems& problems) const;
+
+private:
+    using places = std::map<setting_reference, std::set<setting_path>>;
+
+    void check_unique(const setting_reference& reference, const std::set<setting_path>& definitions,
+                      settings_problems& problems) const;
+    void check_use(const setting_path& user, const setting_reference& reference,
+                   const std::set<setting_path>& definitions, settings_problems& problems) const;
+
+    places m_defined;
+    places m_used;
+};
+
+} // namespace damaskladder::settings
--- /dev/null
+++ b/src/settings/setting_tree.cpp
@@ -0,0 +1,52 @@
+#include "settings/setting_tree.hpp"
+
+#include <utility>
+
+namespace damaskladder::settings {
+
+const setting_entry* setting_tree::find(const setting_path& path) const
+{
+    auto found = m_entries.find(path);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+const field_value* setting_tree::find(const setting_path& path, const field_name& field) const
+{
+    const auto* entry = find(path);
+    return entry == nullptr ? nullptr : entry->find(field);
+}
+
+void setting_tree::set(const setting_path& path, const field_name& field, field_value value)
+{
+    m_entries[path].set(field, std::move(value));
+}
+
+void setting_tree::erase(const setting_path& path, const field_name& field)
+{
+    auto found = m_entries.find(path);
+    if (found == m_entries.end()) {
+        return;
+    }
+    found->second.erase(field);
+    if (found->second.empty()) {
+        m_entries.erase(found);
+    }
+}
+
+setting_tree setting_tree::subtree(const setting_path& root) const
+{
+    setting_tree part;
+    part.m_version = m_version;
+    // Paths within root are not contiguous: "a.b" sorts between "a" and "a/c". All start with root.
+    for (auto at = m_entries.lower_bound(root); at != m_entries.end(); ++at) {
+        if (!at->first.text().starts_with(root.text())) {
+            break;
+        }
+        if (at->first.is_within(root)) {
+            part.m_entries.insert(part.m_entries.end(), *at);
+        }
+    }
+    return part;
+}
+
+} // namespace damaskladder::settings
--- /dev/null
+++ b/src/settings/source_lines.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "settings/field_name.hpp"
+#include "settings/line_number.hpp"
+#include "settings/setting_path.hpp"
+#include "settings/settings_problem.hpp"
+
+#include <compare>
+#include <map>
+#include <string>
+
+namespace damaskladder::settings {
+
+/// Where in a file each section and field stands, so that problems found later can name the line.
+class source_lines {
+public:
+    void add_section(const setting_path& path, line_number line) { m_lines[{path, {}}] = line; }
+    void add_field(const setting_path& path, const field_name& field, line_number line)
+    {
+        m_lines[{path, field}] = line;
+    }
+
+    /// Line of the field, else of its section, else 0.
+    line_number find(const setting_path& path, const field_name& field) const
+    {
+        auto found = m_lines.find({path, field});
+        if (found == m_lines.end()) {
+            found = m_lines.find({path, {}});
+        }
+        return found == m_lines.end() ? line_number() : found->second;
+    }
+
+    /// Fills in file and line of problems that name a path of this file.
+    void locate(const std::string& file, settings_problems& problems) const
+    {
+        for (auto& problem : problems) {
+            if (problem.line == line_number()) {
+                problem.line = find(problem.path, problem.field);
+                problem.file = file;
+            }
+        }
+    }
+
+private:
+    struct place {
+        setting_path path;
+        field_name field;
+        friend auto operator<=>(const place&, const place&) = default;
+    };
+
+    std::map<place, line_number> m_lines;
+};
+
+} // namespace damaskladder::settings
--- /dev/null
+++ b/src/settings/workspace_settings.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "base/share_weight.hpp"
+#include "base/team_id.hpp"
+#include "base/workspace_id.hpp"
+#include "settings/token_count.hpp"
+#include "settings/token_rate.hpp"
+
+namespace damaskladder::settings {
+
+/// A workspace as nodes use it. Rate and burst hold for the whole fleet together.
+struct workspace_settings {
+    base::workspace_id id;
+    base::team_id team;
+    token_rate rate;
+    token_count burst;
+    base::share_weight weight{1};
+};
+
+} // namespace damaskladder::settings
