--- a/include/damaskladder/settings.hpp
+++ b/include/damaskladder/settings.hpp
@@ -52,6 +52,7 @@
 /// Nothing here reads a clock, a file or the environment; everything except compiled_settings
 /// belongs to one thread.
 
+#include "base/key_hash.hpp"
 #include "settings/change_kind.hpp"
 #include "settings/checked_settings.hpp"
 #include "settings/compiled_settings.hpp"
@@ -63,7 +64,6 @@
 #include "settings/ini_document.hpp"
 #include "settings/ini_reader.hpp"
 #include "settings/ini_writer.hpp"
-#include "settings/key_hash.hpp"
 #include "settings/key_settings.hpp"
 #include "settings/key_state.hpp"
 #include "settings/line_number.hpp"
--- a/src/base/key_hash.hpp
+++ b/src/base/key_hash.hpp
@@ -1,12 +1,30 @@
 #pragma once
 
-#include "base/strong_id.hpp"
-
-#include <string>
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <cstring>
+#include <functional>
 
 namespace damaskladder::base {
 
-/// Keyed hash of a workspace's key, as stored in the settings. Never the key itself.
-using key_hash = strong_id<struct key_hash_tag, std::string>;
+/// Keyed hash of a workspace's key or an operator's token (libsodium generichash, 32 bytes, with a
+/// key derived from the cluster secret). Never the key itself.
+struct key_hash {
+    std::array<std::uint8_t, 32> bytes{};
+
+    friend auto operator<=>(const key_hash&, const key_hash&) = default;
+};
 
 } // namespace damaskladder::base
+
+template <>
+struct std::hash<damaskladder::base::key_hash> {
+    std::size_t operator()(const damaskladder::base::key_hash& key) const
+    {
+        // The bytes are uniform already.
+        std::size_t value = 0;
+        std::memcpy(&value, key.bytes.data(), sizeof(value));
+        return value;
+    }
+};
--- a/src/settings/compiled_settings.cpp
+++ b/src/settings/compiled_settings.cpp
@@ -106,7 +106,7 @@
     return found == m_route_by_id.end() ? nullptr : found->second;
 }
 
-const key_settings* compiled_settings::find_key(const key_hash& hash) const
+const key_settings* compiled_settings::find_key(const base::key_hash& hash) const
 {
     auto found = m_key_by_hash.find(hash);
     return found == m_key_by_hash.end() ? nullptr : found->second;
--- a/src/settings/compiled_settings.hpp
+++ b/src/settings/compiled_settings.hpp
@@ -38,7 +38,7 @@
     const route_settings* match_route(std::string_view path) const;
     const route_settings* find_route(const base::route_id& id) const;
     /// Null if no key has this hash. The state of the key is the caller's business.
-    const key_settings* find_key(const key_hash& hash) const;
+    const key_settings* find_key(const base::key_hash& hash) const;
     const key_settings* find_key(const base::key_id& id) const;
     const workspace_settings* find_workspace(const base::workspace_id& id) const;
     const domain_settings* find_domain(const base::failure_domain_id& id) const;
@@ -76,7 +76,7 @@
     // The views point into the elements of the vectors above.
     std::unordered_map<std::string_view, const route_settings*> m_route_by_prefix;
     std::unordered_map<base::route_id, const route_settings*> m_route_by_id;
-    std::unordered_map<key_hash, const key_settings*> m_key_by_hash;
+    std::unordered_map<base::key_hash, const key_settings*> m_key_by_hash;
     std::unordered_map<base::key_id, const key_settings*> m_key_by_id;
     std::unordered_map<base::workspace_id, const workspace_settings*> m_workspace_by_id;
     std::unordered_map<base::failure_domain_id, const domain_settings*> m_domain_by_id;
--- a/src/settings/key_settings.hpp
+++ b/src/settings/key_settings.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "base/key_hash.hpp"
 #include "base/key_id.hpp"
 #include "base/team_id.hpp"
 #include "base/workspace_id.hpp"
-#include "settings/key_hash.hpp"
 #include "settings/key_state.hpp"
 
 namespace damaskladder::settings {
@@ -13,7 +13,7 @@
     base::key_id id;
     base::team_id team;
     base::workspace_id workspace;
-    key_hash hash;
+    base::key_hash hash;
     key_state state = key_state::withdrawn;
 };
 
--- a/src/settings/value_parsers.cpp
+++ b/src/settings/value_parsers.cpp
@@ -183,9 +183,9 @@
     return static_cast<base::importance>(found - names.begin());
 }
 
-std::optional<key_hash> parse_key_hash(std::string_view text)
+std::optional<base::key_hash> parse_key_hash(std::string_view text)
 {
-    key_hash hash;
+    base::key_hash hash;
     if (text.size() != 2 * hash.bytes.size()) {
         return std::nullopt;
     }
@@ -267,7 +267,7 @@
     return true;
 }
 
-std::string to_string(const key_hash& hash)
+std::string to_string(const base::key_hash& hash)
 {
     constexpr std::string_view digits = "0123456789abcdef";
     std::string text;
--- a/src/settings/value_parsers.hpp
+++ b/src/settings/value_parsers.hpp
@@ -2,9 +2,9 @@
 
 #include "base/byte_count.hpp"
 #include "base/importance.hpp"
+#include "base/key_hash.hpp"
 #include "base/time.hpp"
 #include "settings/domain_share.hpp"
-#include "settings/key_hash.hpp"
 #include "settings/key_state.hpp"
 #include "settings/token_rate.hpp"
 
@@ -31,7 +31,7 @@
 /// "background", "low", "normal" or "critical".
 std::optional<base::importance> parse_importance(std::string_view text);
 /// 64 lower-case hexadecimal digits.
-std::optional<key_hash> parse_key_hash(std::string_view text);
+std::optional<base::key_hash> parse_key_hash(std::string_view text);
 /// "active" or "withdrawn".
 std::optional<key_state> parse_key_state(std::string_view text);
 /// A fraction "1/11" or up to six decimals "0.25", above 0 and at most 1.
@@ -45,6 +45,6 @@
 bool is_path_prefix(std::string_view text);
 
 /// Form that parse_key_hash reads.
-std::string to_string(const key_hash& hash);
+std::string to_string(const base::key_hash& hash);
 
 } // namespace damaskladder::settings
--- a/src/wire/context_codec.cpp
+++ b/src/wire/context_codec.cpp
@@ -79,6 +79,7 @@
     call.allowance = base::retry_count(fields.at(next++).get<std::int32_t>());
     read(call.idempotent);
     call.issuer = base::node_id(text());
+    context.content = base::content_hash(text());
     return context;
 }
 
--- a/src/wire/key_hasher.cpp
+++ b/src/wire/key_hasher.cpp
@@ -6,14 +6,12 @@
 
 base::key_hash key_hasher::hash(std::string_view presented) const
 {
-    std::array<unsigned char, crypto_generichash_BYTES> digest{};
-    crypto_generichash(digest.data(), digest.size(),
+    base::key_hash digest;
+    static_assert(sizeof(digest.bytes) == crypto_generichash_BYTES);
+    crypto_generichash(digest.bytes.data(), digest.bytes.size(),
                        reinterpret_cast<const unsigned char*>(presented.data()), presented.size(),
                        m_key.data(), m_key.size());
-    std::string text(2 * digest.size() + 1, '\0');
-    sodium_bin2hex(text.data(), text.size(), digest.data(), digest.size());
-    text.pop_back();
-    return base::key_hash(text);
+    return digest;
 }
 
 } // namespace damaskladder::wire
--- a/src/wire/key_hasher.hpp
+++ b/src/wire/key_hasher.hpp
@@ -3,6 +3,7 @@
 #include "base/key_hash.hpp"
 #include "wire/cluster_secret.hpp"
 
+#include <string>
 #include <string_view>
 
 namespace damaskladder::wire {
@@ -13,7 +14,6 @@
     /// usage is key_hashes for workspaces' keys and tokens for operators' tokens.
     key_hasher(const cluster_secret& secret, key_usage usage) : m_key(secret.derive(usage)) {}
 
-    /// 64 lower-case hexadecimal digits.
     base::key_hash hash(std::string_view presented) const;
 
 private:
--- a/src/wire/sealed_context.hpp
+++ b/src/wire/sealed_context.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/content_hash.hpp"
 #include "base/incarnation.hpp"
 #include "base/time.hpp"
 #include "node/call_context.hpp"
@@ -11,6 +12,8 @@
 struct sealed_context {
     context_purpose purpose = context_purpose::gatekeeper;
     node::call_context call;
+    /// Hash of the request's content, for claims; empty if the entry node did not need it.
+    base::content_hash content;
     /// The node that may accept it.
     base::node_id receiver;
     /// Run of the issuing process; together with expires_at it bounds the use of a context that
