Membership: join, heartbeats, death, announcements and the view of services

Cause: nodes need to know which nodes of their failure domain are alive and which backend servers they announce, without a list of servers or an outside store.

Change: membership_node (join through seeds, heartbeats to five observers on hash rings, suspicion by a majority in awake time, news forwarded at once, repair of tables by digests in buckets, refutation with a higher incarnation, tombstones), announcement_lease, service_view and the message structs. Exchange between failure domains is not there yet.

Conclusion: usable within one failure domain, from one node upwards.

--- /dev/null
+++ b/src/membership/announcement_lease.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "base/port_number.hpp"
+#include "base/service_id.hpp"
+#include "base/time.hpp"
+#include "membership/announce_verdict.hpp"
+#include "membership/announcement.hpp"
+#include "membership/announcement_options.hpp"
+#include "membership/backend_server.hpp"
+
+#include <vector>
+
+namespace damaskladder::membership {
+
+/// The backend servers that announced themselves on this VM. A service and port name one of them.
+///
+/// Draining lasts until the backend server withdraws or its lease ends; renewing does not end it.
+/// The lease ends exactly at renewal + lease. Pass backends() to membership_node::set_backends()
+/// after each call.
+class announcement_lease {
+public:
+    explicit announcement_lease(announcement_options options);
+
+    /// Announces or renews. Slots, connections and cold replace the earlier ones.
+    announce_verdict announce(const announcement& offer, base::time_point now);
+    announce_verdict withdraw(const base::service_id& service, base::port_number port,
+                              const credential_text& credential);
+    announce_verdict drain(const base::service_id& service, base::port_number port,
+                           const credential_text& credential);
+    /// Drains everything, because the node itself stops.
+    void drain_all();
+
+    /// Ends leases that ran out. Returns true if one did.
+    bool expire(base::time_point now);
+
+    /// Current announcements in the order of service and port.
+    std::vector<backend_server> backends() const;
+
+private:
+    struct lease {
+        backend_server backend;
+        base::time_point ends;
+    };
+    using position = std::vector<lease>::iterator;
+
+    position find(const base::service_id& service, base::port_number port);
+    bool permitted(const credential_text& credential, const base::service_id& service) const;
+    bool valid(const announcement& offer) const;
+
+    announcement_options m_options;
+    std::vector<lease> m_leases;
+};
+
+} // namespace damaskladder::membership
--- /dev/null
+++ b/src/membership/bucket_digests.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "membership/table_digest.hpp"
+
+#include <array>
+#include <cstddef>
+
+namespace damaskladder::membership {
+
+/// Digests of a table split into buckets by node id, so that a repair moves only what differs.
+struct bucket_digests {
+    static constexpr std::size_t count = 32;
+    std::array<table_digest, count> digests{};
+
+    friend bool operator==(const bucket_digests&, const bucket_digests&) = default;
+};
+
+} // namespace damaskladder::membership
--- /dev/null
+++ b/src/membership/member_record.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/failure_domain_id.hpp"
+#include "base/incarnation.hpp"
+#include "base/message_address.hpp"
+#include "base/node_id.hpp"
+#include "base/traffic_address.hpp"
+#include "membership/backend_server.hpp"
+#include "membership/load_level.hpp"
+#include "membership/member_status.hpp"
+#include "membership/record_version.hpp"
+#include "membership/table_digest.hpp"
+
+#include <vector>
+
+namespace damaskladder::membership {
+
+/// What the fleet knows of one node. Only the node itself publishes alive records.
+struct member_record {
+    base::node_id node;
+    base::failure_domain_id domain;
+    base::incarnation incarnation;
+    record_version version;
+    member_status status = member_status::alive;
+    base::message_address messages;
+    base::traffic_address traffic;
+    load_level load = load_level::normal;
+    /// Empty in a tombstone.
+    std::vector<backend_server> backends;
+
+    friend bool operator==(const member_record&, const member_record&) = default;
+};
+
+/// True if candidate is newer than current. A larger incarnation wins; within one incarnation left
+/// wins over dead and dead over alive, so that no old message revives a node; among alive records
+/// the larger version wins.
+bool supersedes(const member_record& candidate, const member_record& current);
+
+/// The record's contribution to a table digest.
+table_digest digest_of(const member_record& record);
+
+/// Same node, marked dead or left, without its backend servers.
+member_record tombstone_of(const member_record& record, member_status status);
+
+/// True if callers of the node's services act differently on the two records. A change of the load
+/// alone is no such difference.
+bool differs_for_callers(const member_record& a, const member_record& b);
+
+} // namespace damaskladder::membership
--- /dev/null
+++ b/src/membership/membership_node.cpp
@@ -0,0 +1,612 @@
+#include "membership/membership_node.hpp"
+
+#include "membership/message_check.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <utility>
+
+namespace damaskladder::membership {
+
+namespace {
+
+constexpr std::size_t relay_count = 2;
+/// Heartbeats on which a leaving node repeats the news.
+constexpr std::size_t farewell_count = 3;
+/// Observers whose suspicion a node answers with a higher incarnation. One alone may be a link
+/// that stays cut, which would cause news without end.
+constexpr std::size_t answered_suspicions = 2;
+constexpr base::duration suspicion_answer_interval = std::chrono::seconds(5);
+constexpr base::duration suspicion_validity = std::chrono::seconds(1);
+constexpr base::duration cleaning_interval = std::chrono::seconds(10);
+/// Time after the start within which the records of a repair are not passed on.
+constexpr base::duration joining_time = std::chrono::seconds(2);
+
+member_record first_record(const node_identity& identity)
+{
+    member_record record;
+    record.node = identity.node;
+    record.domain = identity.domain;
+    record.incarnation = identity.start_incarnation;
+    record.version = record_version(1);
+    record.messages = identity.messages;
+    record.traffic = identity.traffic;
+    return record;
+}
+
+base::incarnation after(base::incarnation earlier)
+{
+    return base::incarnation(earlier.value() + 1);
+}
+
+} // namespace
+
+membership_node::membership_node(const node_identity& identity, membership_options options,
+                                 base::random_source random)
+    : m_options(std::move(options)),
+      m_random(std::move(random)),
+      m_self(first_record(identity)),
+      m_table(m_options.limits.members_per_domain),
+      m_rings({}, m_options.observer_count),
+      m_detector(m_self.node, m_options.detector),
+      m_awake(m_options.tick_interval),
+      m_repairs(m_options.sync_interval, m_options.sync_after),
+      m_contests(m_options.contest_time),
+      m_refutation(m_options.longest_refutation_delay),
+      m_view(std::make_shared<const service_view>())
+{
+}
+
+effects membership_node::start(base::time_point now)
+{
+    begin(now);
+    const auto interval = static_cast<std::uint64_t>(m_options.heartbeat_interval.count());
+    m_next_heartbeat = now + base::duration(static_cast<std::int64_t>(m_random() % interval));
+    forget_members();
+    seek_members();
+    return finish();
+}
+
+effects membership_node::tick(base::time_point now)
+{
+    begin(now);
+    if (m_left) {
+        send_heartbeats();
+        return finish();
+    }
+    refute();
+    seek_members();
+    run_detector();
+    settle_contests();
+    if (now >= m_next_cleaning) {
+        m_next_cleaning = now + cleaning_interval;
+        m_table.drop_tombstones(now, m_options.tombstone_retention);
+    }
+    if (m_pending_load.has_value()) {
+        set_load(*m_pending_load, now);
+    }
+    send_heartbeats();
+    return finish();
+}
+
+effects membership_node::receive(const base::node_id& from, const message& body,
+                                 base::time_point now)
+{
+    begin(now);
+    if (!acceptable(body, m_options.limits)) {
+        ++m_refused;
+        return finish();
+    }
+    if (from != m_self.node && !m_left) {
+        m_urgent_source = from;
+        m_heard = m_awake.elapsed();
+        std::visit([&](const auto& content) { handle(from, content); }, body);
+    }
+    return finish();
+}
+
+effects membership_node::set_backends(std::vector<backend_server> backends, base::time_point now)
+{
+    begin(now);
+    if (backends.size() > m_options.limits.backends_per_node) {
+        backends.resize(m_options.limits.backends_per_node);
+    }
+    if (!m_left && backends != m_self.backends) {
+        m_self.backends = std::move(backends);
+        publish_self(m_self.incarnation);
+    }
+    return finish();
+}
+
+effects membership_node::set_load(load_level load, base::time_point now)
+{
+    begin(now);
+    m_pending_load.reset();
+    if (m_left || load == m_self.load) {
+        return finish();
+    }
+    if (now < m_next_load) {
+        m_pending_load = load;
+        return finish();
+    }
+    m_next_load = now + m_options.load_interval;
+    m_self.load = load;
+    m_self.version = record_version(m_self.version.value() + 1);
+    take(m_self.node, m_self);
+    return finish();
+}
+
+effects membership_node::leave(base::time_point now)
+{
+    begin(now);
+    if (!m_left) {
+        refresh_rings();
+        m_left = true;
+        m_farewells = farewell_count;
+        m_self = tombstone_of(m_self, member_status::left);
+        m_urgent.push_back(m_self);
+        m_next_heartbeat = now + m_options.tick_interval;
+    }
+    return finish();
+}
+
+void membership_node::begin(base::time_point now)
+{
+    m_now = std::max(m_now, now);
+    const base::duration gap = m_awake.advance(m_now);
+    if (!m_left && gap > m_options.tombstone_retention / 2) {
+        forget_members();
+    }
+}
+
+void membership_node::forget_members()
+{
+    m_table = member_table(m_options.limits.members_per_domain);
+    m_table.merge(m_self, m_now);
+    m_next_join = m_now;
+    m_quiet_until = m_now + joining_time;
+    m_rings_stale = true;
+    m_view_stale = true;
+}
+
+effects membership_node::finish()
+{
+    flush_urgent();
+    if (!m_left) {
+        refresh_rings();
+        refresh_view();
+    }
+    effects result{std::move(m_sends), m_view_changed};
+    m_sends.clear();
+    m_view_changed = false;
+    return result;
+}
+
+void membership_node::handle(const base::node_id& from, const heartbeat& body)
+{
+    for (const member_record& record : body.news) {
+        take(from, record);
+    }
+    const member_record* known = m_table.find(from);
+    if (known == nullptr || known->incarnation < body.incarnation) {
+        if (m_repairs.ask_now(m_now)) {
+            ask_repair(from, body.reply_to);
+        }
+        return;
+    }
+    if (known->incarnation > body.incarnation || known->status != member_status::alive) {
+        reply(from, body.reply_to, news{{*known}});
+        return;
+    }
+    m_detector.heard_heartbeat(from, body.incarnation, body.sequence, m_awake.elapsed());
+    if (m_repairs.compare(from, body.digest, m_table.digest(), m_now)) {
+        ask_repair(from, body.reply_to);
+    }
+}
+
+void membership_node::handle(const base::node_id& from, const news& body)
+{
+    for (const member_record& record : body.records) {
+        take(from, record);
+    }
+}
+
+void membership_node::handle(const base::node_id& from, const probe& body)
+{
+    reply(from, body.reply_to, make_heartbeat({}));
+}
+
+void membership_node::handle(const base::node_id& from, const observer_vote& body)
+{
+    if (body.subject == m_self.node) {
+        consider_suspicion(from, body);
+        return;
+    }
+    const member_record* known = m_table.find(body.subject);
+    if (known == nullptr) {
+        return;
+    }
+    if (known->incarnation > body.incarnation || known->status != member_status::alive) {
+        reply(from, body.reply_to, news{{*known}});
+        return;
+    }
+    const base::duration awake = m_awake.elapsed();
+    m_detector.heard_vote(from, body.subject, body.incarnation, body.verdict, awake);
+    if (body.verdict == observer_verdict::suspects && m_detector.vouches_for(body.subject, awake)) {
+        reply(from, body.reply_to,
+              observer_vote{body.subject, known->incarnation, observer_verdict::hears,
+                            m_self.messages});
+    }
+}
+
+void membership_node::handle(const base::node_id& from, const join& body)
+{
+    if (body.joiner.node != from || body.joiner.domain != m_self.domain) {
+        return;
+    }
+    take(from, body.joiner);
+    send_records({from, body.joiner.messages}, m_table.records());
+}
+
+void membership_node::handle(const base::node_id& from, const sync_request& body)
+{
+    send_records({from, body.reply_to}, m_table.differing(body.buckets));
+}
+
+void membership_node::handle(const base::node_id& from, const sync_records& body)
+{
+    // What a node learns while it joins, the others know already.
+    m_quiet = m_now < m_quiet_until;
+    std::vector<member_record> better;
+    for (const member_record& record : body.records) {
+        const member_record* known = m_table.find(record.node);
+        if (known != nullptr && record.node != m_self.node && supersedes(*known, record)) {
+            better.push_back(*known);
+        }
+        take_repaired(from, record);
+    }
+    m_quiet = false;
+    if (!better.empty()) {
+        send_records({from, body.reply_to}, better);
+    }
+}
+
+void membership_node::take(const base::node_id& from, const member_record& record)
+{
+    if (record.domain != m_self.domain) {
+        return;
+    }
+    if (record.node == m_self.node && from != m_self.node) {
+        consider_own(from, record);
+        return;
+    }
+    const merge_verdict verdict = m_table.merge(record, m_now);
+    if (verdict == merge_verdict::ignored || verdict == merge_verdict::refused_full) {
+        return;
+    }
+    m_view_stale = true;
+    m_contests.settle(record.node);
+    if (!m_quiet) {
+        m_queue.add(record.node);
+    }
+    if (verdict == merge_verdict::load_only) {
+        return;
+    }
+    if (!m_quiet) {
+        m_urgent.push_back(record);
+    }
+    if (verdict == merge_verdict::added) {
+        m_detector.heard_incarnation(record.node, record.incarnation, m_awake.elapsed());
+        m_rings_stale = true;
+    }
+    if (verdict == merge_verdict::removed) {
+        m_repairs.forget(record.node);
+        m_rings_stale = true;
+    }
+}
+
+void membership_node::take_repaired(const base::node_id& from, const member_record& record)
+{
+    const member_record* alive = m_table.find_alive(record.node);
+    const bool would_kill = alive != nullptr && record.node != m_self.node &&
+                            record.status == member_status::dead && supersedes(record, *alive);
+    if (!would_kill) {
+        take(from, record);
+        return;
+    }
+    if (m_contests.add(record, m_now)) {
+        send_to_member(record.node, news{{record}});
+    }
+}
+
+void membership_node::consider_own(const base::node_id& from, const member_record& record)
+{
+    const bool same_order =
+        record.incarnation == m_self.incarnation && record.version == m_self.version;
+    const bool of_other_run = same_order && record != m_self;
+    if (!supersedes(record, m_self) && !of_other_run) {
+        return;
+    }
+    m_highest_heard = std::max(m_highest_heard, record.incarnation);
+    m_informer = from;
+    m_refutation.contradicted(m_now);
+    refute();
+}
+
+void membership_node::refute()
+{
+    if (!m_refutation.take_due(m_now) || m_highest_heard < m_self.incarnation) {
+        return;
+    }
+    publish_self(after(m_highest_heard));
+    send_to_member(m_informer, news{{m_self}});
+}
+
+void membership_node::consider_suspicion(const base::node_id& from, const observer_vote& body)
+{
+    reply(from, body.reply_to, make_heartbeat({}));
+    if (body.verdict != observer_verdict::suspects || body.incarnation != m_self.incarnation) {
+        return;
+    }
+    const auto& observers = m_rings.observers_of(m_self.node);
+    if (std::find(observers.begin(), observers.end(), from) == observers.end()) {
+        return;
+    }
+    std::erase_if(m_suspecting,
+                  [&](const auto& item) { return m_now - item.second > suspicion_validity; });
+    m_suspecting[from] = m_now;
+    const std::size_t enough = std::min(answered_suspicions, observers.size() / 2 + 1);
+    if (m_suspecting.size() < enough || m_now < m_next_suspicion_answer) {
+        return;
+    }
+    m_next_suspicion_answer = m_now + suspicion_answer_interval;
+    m_suspecting.clear();
+    publish_self(after(m_self.incarnation));
+}
+
+void membership_node::publish_self(base::incarnation incarnation)
+{
+    m_self.incarnation = incarnation;
+    m_self.version = record_version(m_self.version.value() + 1);
+    m_urgent_source = m_self.node;
+    take(m_self.node, m_self);
+}
+
+void membership_node::seek_members()
+{
+    if (m_now < m_next_join) {
+        return;
+    }
+    if (m_table.alive_count() <= 1) {
+        m_next_join = m_now + m_options.join_interval;
+        for (const base::message_address& seed : m_options.seeds) {
+            send_join(seed);
+        }
+        return;
+    }
+    m_next_join = m_now + m_options.rejoin_interval;
+    if (!is_relay()) {
+        return;
+    }
+    const std::vector<base::message_address> lost = lost_addresses();
+    if (!lost.empty()) {
+        send_join(lost[m_random() % lost.size()]);
+    }
+}
+
+void membership_node::send_join(const base::message_address& address)
+{
+    if (address != m_self.messages) {
+        reply(base::node_id(), address, join{m_self, false});
+    }
+}
+
+std::vector<base::message_address> membership_node::lost_addresses() const
+{
+    std::set<base::message_address> alive;
+    for (const base::node_id& node : m_table.alive()) {
+        alive.insert(m_table.find(node)->messages);
+    }
+    std::set<base::message_address> lost(m_options.seeds.begin(), m_options.seeds.end());
+    for (const base::node_id& node : m_table.dead()) {
+        lost.insert(m_table.find(node)->messages);
+    }
+    std::erase_if(lost, [&](const auto& address) { return alive.count(address) > 0; });
+    return {lost.begin(), lost.end()};
+}
+
+void membership_node::run_detector()
+{
+    refresh_rings();
+    const base::duration awake = m_awake.elapsed();
+    for (const detector_action& action : m_detector.step(awake)) {
+        switch (action.what) {
+        case detector_action::kind::probe:
+            send_to_member(action.subject, probe{m_self.messages});
+            break;
+        case detector_action::kind::cast_vote:
+            cast_vote(action.subject);
+            break;
+        case detector_action::kind::declare_dead:
+        case detector_action::kind::declare_unvouched:
+            declare_dead(action.subject);
+            break;
+        }
+    }
+}
+
+void membership_node::cast_vote(const base::node_id& subject)
+{
+    const member_record* known = m_table.find_alive(subject);
+    if (known == nullptr) {
+        return;
+    }
+    const observer_vote vote{subject, known->incarnation, observer_verdict::suspects,
+                             m_self.messages};
+    send_to_member(subject, vote);
+    for (const base::node_id& observer : m_rings.observers_of(subject)) {
+        if (observer != m_self.node) {
+            send_to_member(observer, vote);
+        }
+    }
+}
+
+void membership_node::declare_dead(const base::node_id& subject)
+{
+    const member_record* known = m_table.find_alive(subject);
+    if (known == nullptr) {
+        return;
+    }
+    const member_record tombstone = tombstone_of(*known, member_status::dead);
+    // A node that hears nobody may be deaf itself: it acts on its belief but does not spread it.
+    m_quiet = m_awake.elapsed() - m_heard >= m_options.detector.suspect_after;
+    if (!m_quiet) {
+        send_to_member(subject, news{{tombstone}});
+    }
+    take(m_self.node, tombstone);
+    m_quiet = false;
+}
+
+void membership_node::settle_contests()
+{
+    for (const member_record& tombstone : m_contests.take_unrefuted(m_now)) {
+        take(m_self.node, tombstone);
+    }
+}
+
+void membership_node::send_heartbeats()
+{
+    if (m_now < m_next_heartbeat) {
+        return;
+    }
+    m_next_heartbeat = std::max(m_next_heartbeat + m_options.heartbeat_interval, m_now);
+    if (m_left) {
+        m_next_heartbeat = m_now + m_options.tick_interval;
+        if (m_farewells > 0) {
+            --m_farewells;
+            m_urgent.push_back(m_self);
+        }
+        return;
+    }
+    refresh_rings();
+    std::vector<member_record> records;
+    for (const base::node_id& node : m_queue.take(m_options.limits.records_per_message)) {
+        const member_record* known = m_table.find(node);
+        if (known != nullptr) {
+            records.push_back(*known);
+        }
+    }
+    const heartbeat beat = make_heartbeat(std::move(records));
+    for (const base::node_id& observer : m_rings.observers_of(m_self.node)) {
+        send_to_member(observer, beat);
+    }
+}
+
+heartbeat membership_node::make_heartbeat(std::vector<member_record> records)
+{
+    m_sequence = base::sequence_number(m_sequence.value() + 1);
+    return {m_self.incarnation, m_sequence, m_self.messages, m_table.digest(), std::move(records)};
+}
+
+void membership_node::reply(const base::node_id& to, const base::message_address& address,
+                            message body)
+{
+    m_sends.push_back({{to, address}, std::move(body)});
+}
+
+void membership_node::send_to_member(const base::node_id& node, message body)
+{
+    const member_record* known = m_table.find(node);
+    if (known != nullptr && node != m_self.node) {
+        reply(node, known->messages, std::move(body));
+    }
+}
+
+void membership_node::send_records(const endpoint& to, const std::vector<member_record>& records)
+{
+    const std::size_t step = m_options.limits.records_per_message;
+    for (std::size_t first = 0; first < records.size(); first += step) {
+        const std::size_t last = std::min(first + step, records.size());
+        reply(to.node, to.address,
+              sync_records{m_self.messages,
+                           {records.begin() + static_cast<std::ptrdiff_t>(first),
+                            records.begin() + static_cast<std::ptrdiff_t>(last)}});
+    }
+}
+
+void membership_node::flush_urgent()
+{
+    // The rings from before the change: a leaving node must still find its observers, and a new
+    // node hears of the rest by its join.
+    const std::vector<member_record> records = std::exchange(m_urgent, {});
+    const base::node_id source = std::exchange(m_urgent_source, {});
+    if (records.empty()) {
+        return;
+    }
+    const std::size_t step = m_options.limits.records_per_message;
+    for (const base::node_id& observer : m_rings.observers_of(m_self.node)) {
+        if (observer == source) {
+            continue;
+        }
+        for (std::size_t first = 0; first < records.size(); first += step) {
+            const std::size_t last = std::min(first + step, records.size());
+            send_to_member(observer, news{{records.begin() + static_cast<std::ptrdiff_t>(first),
+                                           records.begin() + static_cast<std::ptrdiff_t>(last)}});
+        }
+    }
+}
+
+void membership_node::ask_repair(const base::node_id& from, const base::message_address& address)
+{
+    reply(from, address, sync_request{m_self.messages, m_table.buckets()});
+}
+
+void membership_node::refresh_rings()
+{
+    if (!std::exchange(m_rings_stale, false)) {
+        return;
+    }
+    m_rings = observer_rings(m_table.alive(), m_options.observer_count);
+    m_detector.observe(
+        m_rings, [&](const base::node_id& node) { return m_table.find(node)->incarnation; },
+        m_awake.elapsed());
+}
+
+void membership_node::refresh_view()
+{
+    if (!m_view_stale || m_now < m_next_view) {
+        return;
+    }
+    m_view_stale = false;
+    m_next_view = m_now + m_options.view_interval;
+    auto next = std::make_shared<service_view>();
+    for (const member_record& record : m_table.records()) {
+        next->add(record, reachability::reachable);
+    }
+    if (*next != *m_view) {
+        m_view = std::move(next);
+        m_view_changed = true;
+    }
+}
+
+std::vector<endpoint> membership_node::relays() const
+{
+    std::vector<endpoint> found;
+    for (const base::node_id& node : m_table.alive()) {
+        if (found.size() == relay_count) {
+            break;
+        }
+        found.push_back({node, m_table.find(node)->messages});
+    }
+    return found;
+}
+
+bool membership_node::is_relay() const
+{
+    const std::vector<endpoint> found = relays();
+    return std::any_of(found.begin(), found.end(),
+                       [&](const endpoint& relay) { return relay.node == m_self.node; });
+}
+
+} // namespace damaskladder::membership
--- /dev/null
+++ b/src/membership/membership_node_test.cpp
@@ -0,0 +1,257 @@
+#include "membership/fake_fleet_test.hpp"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace damaskladder::membership {
+namespace {
+
+struct fault_case {
+    std::string name;
+    std::size_t nodes;
+    std::function<void(fake_fleet&)> happens;
+    /// Time within which all running nodes must agree again.
+    base::duration agreed_in;
+};
+
+class fleet_faults : public testing::TestWithParam<fault_case> {};
+
+void cut_between(fake_fleet& fleet, std::size_t first_of_second_half)
+{
+    fleet.net.cut = [=](const base::node_id& a, const base::node_id& b) {
+        const base::node_id border = node_name(first_of_second_half);
+        return (a < border) != (b < border);
+    };
+}
+
+// Guards against members that are lost, revived or mistaken for their earlier self after a fault.
+TEST_P(fleet_faults, ends_in_agreement)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        fake_fleet fleet(seed);
+        start_domain(fleet, GetParam().nodes);
+        fleet.run(5s);
+        ASSERT_TRUE(agreed(fleet)) << "before the fault, seed " << seed;
+        GetParam().happens(fleet);
+        fleet.run_until([&] { return agreed(fleet); }, GetParam().agreed_in);
+        EXPECT_TRUE(agreed(fleet)) << "seed " << seed;
+        fleet.run(5s);
+        EXPECT_TRUE(agreed(fleet)) << "5 s later, seed " << seed;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, fleet_faults,
+    testing::Values(
+        fault_case{"alone", 1, [](fake_fleet&) {}, 0s},
+        fault_case{"two_nodes_one_dies", 2, [](fake_fleet& fleet) { fleet.kill(node_name(1)); },
+                   3s},
+        fault_case{"two_nodes_cut_and_back", 2,
+                   [](fake_fleet& fleet) {
+                       cut_between(fleet, 1);
+                       fleet.run(10s);
+                       EXPECT_EQ(fleet.at(node_name(0)).members().alive_count(), 1U);
+                       fleet.net.cut = nullptr;
+                   },
+                   5s},
+        fault_case{"dies", 40, [](fake_fleet& fleet) { fleet.kill(node_name(7)); }, 3s},
+        fault_case{"seed_dies", 40, [](fake_fleet& fleet) { fleet.kill(node_name(0)); }, 3s},
+        fault_case{"leaves", 40,
+                   [](fake_fleet& fleet) {
+                       fleet.perform(node_name(7), fleet.at(node_name(7)).leave(fleet.now));
+                       fleet.run(500ms);
+                       fleet.kill(node_name(7));
+                   },
+                   2s},
+        fault_case{"restarts_newer", 40,
+                   [](fake_fleet& fleet) {
+                       fleet.kill(node_name(7));
+                       fleet.run(500ms);
+                       fleet.start(node_name(7), "d1", 101);
+                   },
+                   1s},
+        fault_case{"restarts_with_clock_set_back", 40,
+                   [](fake_fleet& fleet) {
+                       fleet.kill(node_name(7));
+                       fleet.run(500ms);
+                       fleet.start(node_name(7), "d1", 50);
+                   },
+                   1s},
+        fault_case{"restarts_within_the_same_second", 40,
+                   [](fake_fleet& fleet) {
+                       fleet.announce(node_name(7), "advice");
+                       fleet.run(100ms);
+                       fleet.kill(node_name(7));
+                       fleet.start(node_name(7), "d1", 100);
+                   },
+                   1s},
+        fault_case{"restarts_after_death_with_clock_set_back", 40,
+                   [](fake_fleet& fleet) {
+                       fleet.kill(node_name(7));
+                       fleet.run(5s);
+                       fleet.start(node_name(7), "d1", 50);
+                   },
+                   1s},
+        fault_case{"stalled_longer_than_the_time_out", 40,
+                   [](fake_fleet& fleet) {
+                       fleet.stall(node_name(7), 6s);
+                       fleet.run(6s);
+                   },
+                   3s},
+        fault_case{"stalled_longer_than_the_tombstones", 20,
+                   [](fake_fleet& fleet) {
+                       fleet.kill(node_name(5));
+                       fleet.stall(node_name(7), 700s);
+                       fleet.run(700s);
+                   },
+                   3s},
+        fault_case{"forty_restart_together", 60,
+                   [](fake_fleet& fleet) {
+                       for (std::size_t index = 0; index < 40; ++index) {
+                           fleet.kill(node_name(index));
+                       }
+                       fleet.run(1s);
+                       for (std::size_t index = 0; index < 40; ++index) {
+                           fleet.start(node_name(index), "d1", 101);
+                       }
+                   },
+                   5s},
+        fault_case{"rack_dies", 60,
+                   [](fake_fleet& fleet) {
+                       for (std::size_t index = 10; index < 30; ++index) {
+                           fleet.kill(node_name(index));
+                       }
+                   },
+                   30s},
+        fault_case{"nine_in_ten_die", 40,
+                   [](fake_fleet& fleet) {
+                       for (std::size_t index = 4; index < 40; ++index) {
+                           fleet.kill(node_name(index));
+                       }
+                   },
+                   60s},
+        fault_case{"whole_domain_gone_and_back", 40,
+                   [](fake_fleet& fleet) {
+                       for (std::size_t index = 0; index < 40; ++index) {
+                           fleet.kill(node_name(index));
+                       }
+                       fleet.run(60s);
+                       for (std::size_t index = 0; index < 40; ++index) {
+                           fleet.start(node_name(index), "d1", 101);
+                       }
+                   },
+                   5s},
+        fault_case{"second_lost_right_after_a_repair", 40,
+                   [](fake_fleet& fleet) {
+                       fleet.kill(node_name(7));
+                       fleet.run(10s);
+                       fleet.start(node_name(7), "d1", 101);
+                       fleet.run(1s);
+                       fleet.kill(node_name(8));
+                   },
+                   3s},
+        fault_case{"domain_divided_and_joined", 40,
+                   [](fake_fleet& fleet) {
+                       cut_between(fleet, 20);
+                       fleet.run(60s);
+                       EXPECT_EQ(fleet.at(node_name(0)).members().alive_count(), 20U);
+                       EXPECT_EQ(fleet.at(node_name(30)).members().alive_count(), 20U);
+                       fleet.net.cut = nullptr;
+                   },
+                   20s},
+        fault_case{"divided_for_longer_than_the_tombstones", 20,
+                   [](fake_fleet& fleet) {
+                       cut_between(fleet, 10);
+                       fleet.run(1'300s);
+                       fleet.net.cut = nullptr;
+                   },
+                   20s},
+        fault_case{"cannot_send_for_a_while", 40,
+                   [](fake_fleet& fleet) {
+                       fleet.net.cut = [](const base::node_id& a, const base::node_id&) {
+                           return a == node_name(7);
+                       };
+                       fleet.run(20s);
+                       EXPECT_EQ(fleet.at(node_name(0)).members().find_alive(node_name(7)),
+                                 nullptr);
+                       fleet.net.cut = nullptr;
+                   },
+                   10s}),
+    [](const auto& tested) { return tested.param.name; });
+
+struct quiet_case {
+    std::string name;
+    std::size_t nodes;
+    base::duration time;
+    /// Called each second.
+    std::function<void(fake_fleet&)> condition;
+    /// Neither its own view nor its own state is judged; beyond the nodes if all are.
+    std::size_t excluded = 1'000;
+};
+
+class no_false_death : public testing::TestWithParam<quiet_case> {};
+
+// Guards against false deaths: each running node must be held alive by all others throughout.
+TEST_P(no_false_death, holds_throughout)
+{
+    fake_fleet fleet(11);
+    start_domain(fleet, GetParam().nodes);
+    fleet.run(5s);
+    ASSERT_TRUE(agreed(fleet));
+    std::vector<base::node_id> judged = fleet.names();
+    std::erase(judged, node_name(GetParam().excluded));
+    const base::time_point end = fleet.now + GetParam().time;
+    while (fleet.now < end) {
+        GetParam().condition(fleet);
+        fleet.run(1s);
+        for (const base::node_id& name : judged) {
+            // A dead node that refuted has a higher incarnation than the one it started with.
+            ASSERT_EQ(fleet.at(name).self().incarnation, base::incarnation(100)) << name;
+            for (const base::node_id& other : judged) {
+                ASSERT_NE(fleet.at(name).members().find_alive(other), nullptr) << other;
+            }
+        }
+    }
+}
+
+/// Cuts messages of one node, in the given directions, to and from nodes up to a border.
+void cut_node(fake_fleet& fleet, std::size_t node, std::size_t border, bool sends, bool receives)
+{
+    fleet.net.cut = [=](const base::node_id& from, const base::node_id& to) {
+        return (sends && from == node_name(node) && to < node_name(border)) ||
+               (receives && to == node_name(node) && from < node_name(border));
+    };
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, no_false_death,
+    testing::Values(quiet_case{"hour_of_loss", 20, 3'600s,
+                               [](fake_fleet& fleet) { fleet.net.loss = 0.2; }},
+                    quiet_case{"hour_of_loss_two_nodes", 2, 3'600s,
+                               [](fake_fleet& fleet) { fleet.net.loss = 0.2; }},
+                    quiet_case{"doubled_and_reordered", 20, 300s,
+                               [](fake_fleet& fleet) {
+                                   fleet.net.doubled = 0.5;
+                                   fleet.net.least_delay = 0ms;
+                                   fleet.net.most_delay = 400ms;
+                               }},
+                    quiet_case{"hour_with_stalled_observer", 20, 3'600s,
+                               [](fake_fleet& fleet) {
+                                   if (fleet.now.time_since_epoch() / 1s % 10 == 0) {
+                                       fleet.stall(node_name(3), 6s);
+                                   }
+                               },
+                               3},
+                    quiet_case{"deaf_node", 20, 300s,
+                               [](fake_fleet& fleet) { cut_node(fleet, 3, 20, false, true); }, 3},
+                    quiet_case{"mute_node", 20, 300s,
+                               [](fake_fleet& fleet) { cut_node(fleet, 3, 20, true, false); }, 3},
+                    quiet_case{"isolated_node", 20, 300s,
+                               [](fake_fleet& fleet) { cut_node(fleet, 3, 20, true, true); }, 3},
+                    quiet_case{"deaf_towards_half", 20, 300s,
+                               [](fake_fleet& fleet) { cut_node(fleet, 3, 10, false, true); }, 3}),
+    [](const auto& tested) { return tested.param.name; });
+
+} // namespace
+} // namespace damaskladder::membership
--- /dev/null
+++ b/src/membership/message.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "membership/heartbeat.hpp"
+#include "membership/join.hpp"
+#include "membership/news.hpp"
+#include "membership/observer_vote.hpp"
+#include "membership/probe.hpp"
+#include "membership/sync_records.hpp"
+#include "membership/sync_request.hpp"
+
+#include <variant>
+
+namespace damaskladder::membership {
+
+/// Everything that nodes say to each other about membership. The sender's node id comes with the
+/// sealed envelope.
+using message =
+    std::variant<heartbeat, news, probe, observer_vote, join, sync_request, sync_records>;
+
+} // namespace damaskladder::membership
--- /dev/null
+++ b/src/membership/message_size.cpp
@@ -0,0 +1,100 @@
+#include "membership/message_size.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace damaskladder::membership {
+
+namespace {
+
+constexpr std::int64_t flag_size = 1;
+constexpr std::int64_t digest_size = 9;
+
+/// One byte of type, then 1, 2, 4 or 8 bytes; nothing for the smallest values.
+std::int64_t size_of_number(std::uint64_t value)
+{
+    if (value < 24) {
+        return 1;
+    }
+    if (value < 0x100) {
+        return 2;
+    }
+    if (value < 0x10000) {
+        return 3;
+    }
+    return value < 0x100000000 ? 5 : 9;
+}
+
+std::int64_t size_of_text(const std::string& text)
+{
+    return size_of_number(text.size()) + static_cast<std::int64_t>(text.size());
+}
+
+std::int64_t size_of_backend(const backend_server& backend)
+{
+    return 1 + size_of_text(backend.service.value()) + size_of_number(backend.port.value()) +
+           size_of_number(static_cast<std::uint64_t>(backend.slots.value())) +
+           size_of_number(static_cast<std::uint64_t>(backend.connections.value())) + 2 * flag_size;
+}
+
+std::int64_t size_of_record(const member_record& record)
+{
+    std::int64_t size =
+        1 + size_of_text(record.node.value()) + size_of_text(record.domain.value()) +
+        size_of_number(record.incarnation.value()) + size_of_number(record.version.value()) +
+        flag_size + size_of_text(record.messages.value()) + size_of_text(record.traffic.value()) +
+        flag_size;
+    size += size_of_number(record.backends.size());
+    for (const backend_server& backend : record.backends) {
+        size += size_of_backend(backend);
+    }
+    return size;
+}
+
+std::int64_t size_of_records(const std::vector<member_record>& records)
+{
+    std::int64_t size = size_of_number(records.size());
+    for (const member_record& record : records) {
+        size += size_of_record(record);
+    }
+    return size;
+}
+
+struct size_visitor {
+    std::int64_t operator()(const heartbeat& body) const
+    {
+        return size_of_number(body.incarnation.value()) + size_of_number(body.sequence.value()) +
+               size_of_text(body.reply_to.value()) + digest_size + size_of_records(body.news);
+    }
+    std::int64_t operator()(const news& body) const { return size_of_records(body.records); }
+    std::int64_t operator()(const probe& body) const { return size_of_text(body.reply_to.value()); }
+    std::int64_t operator()(const observer_vote& body) const
+    {
+        return size_of_text(body.subject.value()) + size_of_number(body.incarnation.value()) +
+               flag_size + size_of_text(body.reply_to.value());
+    }
+    std::int64_t operator()(const join& body) const
+    {
+        return size_of_record(body.joiner) + flag_size;
+    }
+    std::int64_t operator()(const sync_request& body) const
+    {
+        return size_of_text(body.reply_to.value()) +
+               static_cast<std::int64_t>(bucket_digests::count) * digest_size;
+    }
+    std::int64_t operator()(const sync_records& body) const
+    {
+        return size_of_text(body.reply_to.value()) + size_of_records(body.records);
+    }
+};
+
+} // namespace
+
+base::byte_count encoded_size(const message& body)
+{
+    constexpr std::int64_t frame_size = 3;
+    return base::byte_count(frame_size + std::visit(size_visitor{}, body));
+}
+
+} // namespace damaskladder::membership
--- /dev/null
+++ b/src/membership/news.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "membership/member_record.hpp"
+
+#include <vector>
+
+namespace damaskladder::membership {
+
+/// Records that callers must learn at once; forwarded by each node that did not know them.
+struct news {
+    std::vector<member_record> records;
+
+    friend bool operator==(const news&, const news&) = default;
+};
+
+} // namespace damaskladder::membership
--- /dev/null
+++ b/src/membership/node_identity.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "base/failure_domain_id.hpp"
+#include "base/incarnation.hpp"
+#include "base/message_address.hpp"
+#include "base/node_id.hpp"
+#include "base/traffic_address.hpp"
+
+namespace damaskladder::membership {
+
+/// Who this node is, from its settings file.
+struct node_identity {
+    base::node_id node;
+    base::failure_domain_id domain;
+    /// Start count or wall seconds at start.
+    base::incarnation start_incarnation;
+    base::message_address messages;
+    base::traffic_address traffic;
+};
+
+} // namespace damaskladder::membership
--- /dev/null
+++ b/src/membership/observer_verdict.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace damaskladder::membership {
+
+/// What an observer says of the node that it observes.
+enum class observer_verdict {
+    hears,
+    suspects,
+};
+
+} // namespace damaskladder::membership
--- /dev/null
+++ b/src/membership/observer_vote.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "base/incarnation.hpp"
+#include "base/message_address.hpp"
+#include "base/node_id.hpp"
+#include "membership/observer_verdict.hpp"
+
+namespace damaskladder::membership {
+
+/// An observer's verdict on a node, for the node's other observers and for the node itself.
+struct observer_vote {
+    base::node_id subject;
+    base::incarnation incarnation;
+    observer_verdict verdict = observer_verdict::hears;
+    base::message_address reply_to;
+
+    friend bool operator==(const observer_vote&, const observer_vote&) = default;
+};
+
+} // namespace damaskladder::membership
--- /dev/null
+++ b/src/membership/repair_monitor.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "base/node_id.hpp"
+#include "base/time.hpp"
+#include "membership/table_digest.hpp"
+
+#include <map>
+
+namespace damaskladder::membership {
+
+/// Decides when two tables that should be equal are repaired: when both digests stand still and
+/// differ, or when they have differed for long. A difference that is only news under way passes.
+class repair_monitor {
+public:
+    repair_monitor(base::duration least_interval, base::duration longest_difference);
+
+    /// A neighbour reported its digest. Returns true if its table should be asked for now.
+    bool compare(const base::node_id& neighbour, table_digest theirs, table_digest mine,
+                 base::time_point now);
+
+    /// Something from an unknown sender or incarnation. Returns true if a repair is due now.
+    bool ask_now(base::time_point now);
+
+    void forget(const base::node_id& neighbour);
+
+private:
+    struct difference {
+        table_digest theirs;
+        table_digest mine;
+        base::time_point since;
+    };
+
+    base::duration m_least_interval;
+    base::duration m_longest_difference;
+    base::time_point m_next{};
+    std::map<base::node_id, difference> m_differences;
+};
+
+} // namespace damaskladder::membership
