Daemon: HTTP side of a node, between the event loop and the traffic decisions

The front end turns requests and answers into events and carries out effects; it decides nothing. Bodies up to the buffer size are held whole, so that a refused call can be sent elsewhere; larger ones stream. Keys are stripped before a request leaves the entry node.

--- /dev/null
+++ b/src/daemon/content_hasher.cpp
@@ -0,0 +1,42 @@
+#include "daemon/content_hasher.hpp"
+
+#include <sodium.h>
+
+#include <array>
+#include <string>
+
+namespace damaskladder::daemon {
+
+namespace {
+
+constexpr std::size_t hash_size = 16;
+
+void add(crypto_generichash_state& state, std::string_view part)
+{
+    // The size before each part keeps two requests apart whose parts differ only in where they end.
+    const auto size = std::to_string(part.size()) + ":";
+    crypto_generichash_update(&state, reinterpret_cast<const unsigned char*>(size.data()),
+                              size.size());
+    crypto_generichash_update(&state, reinterpret_cast<const unsigned char*>(part.data()),
+                              part.size());
+}
+
+} // namespace
+
+base::content_hash hash_content(const http::request_head& head, std::string_view body)
+{
+    crypto_generichash_state state;
+    crypto_generichash_init(&state, nullptr, 0, hash_size);
+    add(state, head.method);
+    add(state, head.target);
+    add(state, head.body_size ? std::to_string(head.body_size->value()) : "chunked");
+    add(state, body);
+    std::array<unsigned char, hash_size> digest{};
+    crypto_generichash_final(&state, digest.data(), digest.size());
+    std::string text(2 * hash_size + 1, '\0');
+    sodium_bin2hex(text.data(), text.size(), digest.data(), digest.size());
+    text.pop_back();
+    return base::content_hash(text);
+}
+
+} // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/request_parser.cpp
@@ -0,0 +1,121 @@
+#include "daemon/request_parser.hpp"
+
+#include "daemon/header_names.hpp"
+#include "daemon/importance_name.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace damaskladder::daemon {
+
+namespace {
+
+constexpr std::size_t max_key_size = 512;
+constexpr std::size_t max_request_id_size = 128;
+constexpr std::int64_t max_timeout_ms = std::int64_t{24} * 60 * 60 * 1000;
+constexpr std::string_view bearer = "Bearer ";
+
+boost::leaf::error_id invalid(std::string_view field, std::string expected)
+{
+    return base::fail(base::failure_kind::invalid_argument, "read request", std::string(field),
+                      std::move(expected));
+}
+
+bool is_printable(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < '\x7f'; });
+}
+
+base::result<void> check_single_fields(const http::request_head& head)
+{
+    using namespace header_names;
+    constexpr std::array<std::string_view, 7> single = {
+        key, authorization, request_id, importance, header_names::timeout, idempotent, context};
+    for (const auto name : single) {
+        if (head.headers.count(name) > 1) {
+            return invalid(name, std::string(name) + " is given more than once");
+        }
+    }
+    return {};
+}
+
+base::result<void> parse_key(const http::request_head& head, parsed_request& into)
+{
+    if (const auto* value = head.headers.find(header_names::key)) {
+        into.key = *value;
+    }
+    else if (const auto* authorization = head.headers.find(header_names::authorization)) {
+        if (std::string_view(*authorization).substr(0, bearer.size()) == bearer) {
+            into.key = std::string_view(*authorization).substr(bearer.size());
+            into.key_in_authorization = true;
+        }
+    }
+    if (into.key && (into.key->empty() || into.key->size() > max_key_size)) {
+        return invalid(header_names::key, "expected a key of 1 to 512 bytes");
+    }
+    return {};
+}
+
+base::result<void> parse_request_id(const http::request_head& head, parsed_request& into)
+{
+    const auto* value = head.headers.find(header_names::request_id);
+    if (value == nullptr) {
+        return {};
+    }
+    if (value->empty() || value->size() > max_request_id_size || !is_printable(*value)) {
+        return invalid(header_names::request_id,
+                       "Idempotency-Key: expected 1 to 128 printable characters without spaces");
+    }
+    into.request = base::request_id(*value);
+    return {};
+}
+
+base::result<void> parse_wishes(const http::request_head& head, node::request_wishes& into)
+{
+    if (const auto* value = head.headers.find(header_names::importance)) {
+        into.importance = parse_importance(*value);
+        if (!into.importance) {
+            return invalid(header_names::importance,
+                           "Damaskladder-Importance: expected background, low, normal or critical");
+        }
+    }
+    if (const auto* value = head.headers.find(header_names::timeout)) {
+        std::int64_t ms = 0;
+        const char* end = value->data() + value->size();
+        const auto parsed = std::from_chars(value->data(), end, ms);
+        if (parsed.ec != std::errc() || parsed.ptr != end || ms <= 0 || ms > max_timeout_ms) {
+            return invalid(header_names::timeout,
+                           "Damaskladder-Timeout-Ms: expected milliseconds from 1 to 86400000");
+        }
+        into.timeout = std::chrono::milliseconds(ms);
+    }
+    if (const auto* value = head.headers.find(header_names::idempotent)) {
+        if (*value != "no") {
+            return invalid(header_names::idempotent, "Damaskladder-Idempotent: expected no");
+        }
+        into.non_idempotent = true;
+    }
+    return {};
+}
+
+} // namespace
+
+base::result<parsed_request> parse_request(const http::request_head& head)
+{
+    parsed_request parsed;
+    parsed.path = head.target.substr(0, head.target.find('?'));
+    if (parsed.path.empty() || parsed.path.front() != '/') {
+        return invalid("request target", "expected a path that begins with /");
+    }
+    BOOST_LEAF_CHECK(check_single_fields(head));
+    BOOST_LEAF_CHECK(parse_key(head, parsed));
+    BOOST_LEAF_CHECK(parse_request_id(head, parsed));
+    BOOST_LEAF_CHECK(parse_wishes(head, parsed.wishes));
+    if (const auto* context = head.headers.find(header_names::context)) {
+        parsed.context = *context;
+    }
+    return parsed;
+}
+
+} // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/traffic_front.cpp
@@ -0,0 +1,642 @@
+#include "daemon/traffic_front.hpp"
+
+#include "daemon/content_hasher.hpp"
+#include "daemon/header_names.hpp"
+#include "daemon/importance_name.hpp"
+#include "daemon/request_parser.hpp"
+
+#include <charconv>
+
+namespace damaskladder::daemon {
+
+namespace {
+
+constexpr std::size_t max_kept_answer = std::size_t{64} * 1024;
+// While the decisions wait for something, they are asked at least this often.
+constexpr base::duration tick_interval = std::chrono::milliseconds(10);
+constexpr base::duration connect_timeout = std::chrono::milliseconds(500);
+
+std::string name(std::string_view header)
+{
+    return std::string(header);
+}
+
+std::optional<base::retry_count> read_allowance(const http::header_list& headers)
+{
+    const auto* value = headers.find(header_names::allowance_left);
+    if (value == nullptr) {
+        return std::nullopt;
+    }
+    std::int32_t count = 0;
+    const char* end = value->data() + value->size();
+    const auto parsed = std::from_chars(value->data(), end, count);
+    if (parsed.ec != std::errc() || parsed.ptr != end || count < 0) {
+        return std::nullopt;
+    }
+    return base::retry_count(count);
+}
+
+std::optional<base::importance> read_shed(const http::header_list& headers)
+{
+    const auto* value = headers.find(header_names::shed);
+    return value == nullptr ? std::nullopt : parse_importance(*value);
+}
+
+node::answer_class classify(int status)
+{
+    constexpr int too_many_requests = 429;
+    constexpr int service_unavailable = 503;
+    constexpr int first_server_error = 500;
+    if (status == too_many_requests || status == service_unavailable) {
+        return node::answer_class::overloaded;
+    }
+    return status >= first_server_error ? node::answer_class::failed : node::answer_class::served;
+}
+
+/// Headers that pass through the system: neither hop-by-hop nor its own.
+http::header_list end_to_end(http::header_list headers)
+{
+    headers.remove_hop_by_hop();
+    headers.remove_prefix(header_names::prefix);
+    return headers;
+}
+
+void add_node_fields(http::header_list& headers, const std::optional<base::retry_count>& allowance,
+                     const std::optional<base::importance>& shed)
+{
+    if (allowance) {
+        headers.add(name(header_names::allowance_left), std::to_string(allowance->value()));
+    }
+    if (shed) {
+        headers.add(name(header_names::shed), std::string(to_string(*shed)));
+    }
+}
+
+std::string_view word(node::outcome said)
+{
+    return said == node::outcome::not_run ? "not-run" : "unknown";
+}
+
+std::int64_t whole_seconds(base::duration time)
+{
+    return std::chrono::ceil<std::chrono::seconds>(time).count();
+}
+
+std::int64_t whole_ms(base::duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+} // namespace
+
+traffic_front::traffic_front(http::event_loop& loop, const wire::cluster_secret& secret,
+                             base::incarnation incarnation, http::server_limits limits,
+                             traffic_logic logic, traffic_hooks hooks)
+    : m_loop(loop),
+      m_contexts(secret),
+      m_keys(secret, wire::key_usage::key_hashes),
+      m_incarnation(incarnation),
+      m_limits(limits),
+      m_logic(std::move(logic)),
+      m_hooks(std::move(hooks)),
+      m_client(loop),
+      m_callers(loop, limits, [this](const auto& e) { arrived(e, inbound_side::caller); }),
+      m_peers(loop, limits, [this](const auto& e) { arrived(e, inbound_side::peer); }),
+      m_backend_servers(loop, limits,
+                        [this](const auto& e) { arrived(e, inbound_side::backend_server); })
+{
+    m_loop.each_round([this](base::time_point now) { return round(now); });
+}
+
+base::result<void> traffic_front::listen(const traffic_addresses& addresses)
+{
+    BOOST_LEAF_CHECK(m_peers.listen(addresses.peers));
+    BOOST_LEAF_CHECK(m_backend_servers.listen(addresses.backend_server));
+    return m_callers.listen(addresses.callers);
+}
+
+void traffic_front::stop()
+{
+    m_stopping = true;
+    m_callers.drain();
+    deliver(node::stop_requested{});
+}
+
+std::optional<base::time_point> traffic_front::round(base::time_point now)
+{
+    const auto deadline = m_logic.next_deadline();
+    if (!deadline) {
+        return std::nullopt;
+    }
+    if (now >= *deadline || now >= m_last_tick + tick_interval) {
+        m_last_tick = now;
+        deliver(node::tick{});
+    }
+    const auto next = m_logic.next_deadline();
+    return next ? std::optional(std::min(*next, m_last_tick + tick_interval)) : std::nullopt;
+}
+
+void traffic_front::deliver(const node::event& happened)
+{
+    m_pending.push_back(happened);
+    if (m_handling || !m_view) {
+        return;
+    }
+    m_handling = true;
+    std::vector<node::effect> effects;
+    for (std::size_t next = 0; next < m_pending.size(); ++next) {
+        const auto event = m_pending[next];
+        const auto view = m_view;
+        effects.clear();
+        m_logic.handle(event, *view->node, http::event_loop::now(), effects);
+        for (const auto& wanted : effects) {
+            std::visit([this](const auto& effect) { perform(effect); }, wanted);
+        }
+    }
+    m_pending.clear();
+    m_handling = false;
+}
+
+void traffic_front::arrived(const std::shared_ptr<http::exchange>& exchange, inbound_side side)
+{
+    const auto& head = exchange->head();
+    if (side == inbound_side::backend_server && head.target.substr(0, 3) == "/-/") {
+        m_hooks.local_api(exchange);
+        return;
+    }
+    const auto request = std::make_shared<inbound>();
+    request->id = node::exchange_id(++m_last_exchange);
+    request->side = side;
+    request->exchange = exchange;
+    request->arrived = http::event_loop::now();
+    request->forwarded = end_to_end(head.headers);
+    m_inbound[request->id] = request;
+    const auto id = request->id;
+    exchange->on_gone([this, id] {
+        if (const auto gone = find(id)) {
+            end(id);
+            if (gone->submitted) {
+                deliver(node::caller_gone{id});
+            }
+        }
+    });
+    const bool has_body = !head.body_size || head.body_size->value() > 0;
+    if (has_body) {
+        exchange->on_body([this, id] {
+            if (const auto receiving = find(id)) {
+                body_arrived(receiving);
+            }
+        });
+    }
+    if (!has_body || side == inbound_side::peer) {
+        request->body_kept = !has_body;
+        submit(request);
+    }
+}
+
+void traffic_front::body_arrived(const inbound_ptr& request)
+{
+    if (request->submitted) {
+        if (request->reader) {
+            if (const auto out = find(*request->reader)) {
+                out->transfer->resume();
+            }
+        }
+        return;
+    }
+    const auto& exchange = *request->exchange;
+    const auto limit = static_cast<std::size_t>(m_limits.buffer_size.value());
+    if (exchange.body_complete()) {
+        request->body_kept = true;
+        submit(request);
+    }
+    else if (exchange.body().size() >= limit) {
+        submit(request);
+    }
+}
+
+void traffic_front::submit(const inbound_ptr& request)
+{
+    request->submitted = true;
+    if (request->side == inbound_side::peer) {
+        submit_peer(request);
+    }
+    else {
+        submit_caller(request);
+    }
+}
+
+void traffic_front::submit_caller(const inbound_ptr& request)
+{
+    const auto& head = request->exchange->head();
+    base::handle_failure(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(parsed, parse_request(head));
+            if (parsed.key_in_authorization) {
+                request->forwarded.remove(header_names::authorization);
+            }
+            if (parsed.request) {
+                request->content = hash_content(head, request->exchange->body());
+            }
+            if (parsed.context && request->side == inbound_side::backend_server) {
+                submit_onward(request, parsed);
+                return {};
+            }
+            node::request_arrived event;
+            event.exchange = request->id;
+            event.path = parsed.path;
+            if (parsed.key) {
+                event.key = m_keys.hash(*parsed.key);
+            }
+            event.request = parsed.request;
+            event.wishes = parsed.wishes;
+            event.body_size = head.body_size;
+            event.content = request->content;
+            event.body_can_be_resent = request->body_kept;
+            deliver(event);
+            return {};
+        },
+        [&](const base::failure& error) { refuse_malformed(request, error); });
+}
+
+void traffic_front::submit_onward(const inbound_ptr& request, const parsed_request& parsed)
+{
+    base::handle_failure(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(sealed, m_contexts.open(*parsed.context));
+            if (sealed.purpose != wire::context_purpose::backend_server ||
+                sealed.receiver != m_view->node->self ||
+                sealed.issuer_incarnation != m_incarnation ||
+                sealed.expires_at <= http::event_loop::now()) {
+                return base::fail(base::failure_kind::permission_denied, "open request context", {},
+                                  "the context is not of a call that runs on this node");
+            }
+            node::onward_call_arrived event;
+            event.exchange = request->id;
+            event.path = parsed.path;
+            event.parent = sealed.call;
+            event.request = parsed.request;
+            event.wishes = parsed.wishes;
+            event.body_size = request->exchange->head().body_size;
+            event.content = request->content;
+            event.body_can_be_resent = request->body_kept;
+            deliver(event);
+            return {};
+        },
+        [&](const base::failure& error) { refuse_malformed(request, error); });
+}
+
+void traffic_front::submit_peer(const inbound_ptr& request)
+{
+    const auto& head = request->exchange->head();
+    base::handle_failure(
+        [&]() -> base::result<void> {
+            const auto* text = head.headers.find(header_names::context);
+            const auto* service = head.headers.find(header_names::service);
+            if (text == nullptr || service == nullptr) {
+                return base::fail(base::failure_kind::permission_denied, "receive call", {},
+                                  "a call between nodes carries a context and a service");
+            }
+            BOOST_LEAF_AUTO(sealed, m_contexts.open(*text));
+            if (sealed.purpose != wire::context_purpose::gatekeeper || !m_view ||
+                sealed.receiver != m_view->node->self) {
+                return base::fail(base::failure_kind::permission_denied, "receive call",
+                                  sealed.call.issuer.value(),
+                                  "the context is not for this node's gatekeeper");
+            }
+            node::call_arrived event;
+            event.exchange = request->id;
+            event.service = base::service_id(*service);
+            event.context = sealed.call;
+            event.body_size = head.body_size;
+            if (!sealed.content.value().empty()) {
+                event.content = sealed.content;
+            }
+            deliver(event);
+            return {};
+        },
+        [&](const base::failure& error) { refuse_malformed(request, error); });
+}
+
+void traffic_front::refuse_malformed(const inbound_ptr& request, const base::failure& error)
+{
+    constexpr int bad_request = 400;
+    constexpr int forbidden = 403;
+    const bool denied = error.kind == base::failure_kind::permission_denied;
+    http::response_head head;
+    head.status = denied ? forbidden : bad_request;
+    head.headers.add(name(header_names::outcome), "not-run");
+    head.headers.add(name(header_names::reason),
+                     std::string(to_string(node::refusal_reason::bad_request)));
+    request->exchange->respond(std::move(head), error.text + "\n");
+    m_metrics.refused(node::refusal_reason::bad_request, node::outcome::not_run);
+    end(request->id);
+}
+
+void traffic_front::end(node::exchange_id id)
+{
+    const auto found = m_inbound.find(id);
+    if (found != m_inbound.end()) {
+        m_metrics.request_ended(http::event_loop::now() - found->second->arrived);
+        m_inbound.erase(found);
+    }
+}
+
+traffic_front::inbound_ptr traffic_front::find(node::exchange_id id) const
+{
+    const auto found = m_inbound.find(id);
+    return found == m_inbound.end() ? nullptr : found->second;
+}
+
+traffic_front::outbound_ptr traffic_front::find(node::transfer_id id) const
+{
+    const auto found = m_outbound.find(id);
+    return found == m_outbound.end() ? nullptr : found->second;
+}
+
+void traffic_front::perform(const node::forward_to_gatekeeper& wanted)
+{
+    const auto request = find(wanted.exchange);
+    const auto address = m_view->gatekeepers.find(wanted.gatekeeper);
+    if (!request || address == m_view->gatekeepers.end()) {
+        deliver(node::connect_failed{wanted.transfer});
+        return;
+    }
+    wire::sealed_context sealed;
+    sealed.purpose = wire::context_purpose::gatekeeper;
+    sealed.call = wanted.context;
+    sealed.receiver = wanted.gatekeeper;
+    sealed.content = request->content.value_or(base::content_hash());
+    http::client_request call;
+    call.to = address->second;
+    call.head.headers = request->forwarded;
+    call.head.headers.add(name(header_names::context), m_contexts.seal(sealed));
+    call.head.headers.add(name(header_names::service), wanted.service.value());
+    // On a kept connection that the peer closes meanwhile the outcome would be unknown.
+    call.fresh_connection = !wanted.context.idempotent;
+    const auto out = std::make_shared<outbound>();
+    out->id = wanted.transfer;
+    out->exchange = wanted.exchange;
+    out->to_gatekeeper = true;
+    m_metrics.call_forwarded();
+    send(request, out, std::move(call));
+}
+
+void traffic_front::perform(const node::start_at_backend_server& wanted)
+{
+    const auto request = find(wanted.exchange);
+    const auto address = m_view->local.find(wanted.service);
+    if (!request || address == m_view->local.end()) {
+        deliver(node::connect_failed{wanted.transfer});
+        return;
+    }
+    wire::sealed_context sealed;
+    sealed.purpose = wire::context_purpose::backend_server;
+    sealed.call = wanted.context;
+    sealed.receiver = m_view->node->self;
+    sealed.issuer_incarnation = m_incarnation;
+    sealed.expires_at = wanted.deadline;
+    http::client_request call;
+    call.to = address->second;
+    call.head.headers = request->forwarded;
+    call.head.headers.add(name(header_names::context), m_contexts.seal(sealed));
+    call.head.headers.add(name(header_names::importance),
+                          std::string(to_string(wanted.context.importance)));
+    const auto left =
+        std::max<std::int64_t>(whole_ms(wanted.deadline - http::event_loop::now()), 1);
+    call.head.headers.add(name(header_names::timeout), std::to_string(left));
+    call.fresh_connection = wanted.fresh_connection;
+    const auto out = std::make_shared<outbound>();
+    out->id = wanted.transfer;
+    out->exchange = wanted.exchange;
+    m_metrics.run_started();
+    send(request, out, std::move(call));
+}
+
+void traffic_front::send(const inbound_ptr& request, const outbound_ptr& out,
+                         http::client_request call)
+{
+    const auto& head = request->exchange->head();
+    call.head.method = head.method;
+    call.head.target = head.target;
+    call.head.body_size = head.body_size;
+    if (request->body_kept) {
+        const auto size = static_cast<std::int64_t>(request->exchange->body().size());
+        call.head.body_size = base::byte_count(size);
+    }
+    call.connect_timeout = connect_timeout;
+    request->reader = out->id;
+    m_outbound[out->id] = out;
+    http::transfer::hooks hooks;
+    hooks.on_connected = [this, id = out->id] { deliver(node::transfer_connected{id}); };
+    hooks.on_head = [this, out](http::response_head answer) {
+        head_arrived(out, std::move(answer));
+    };
+    hooks.on_body = [this, out](std::string_view data) { return body_received(out, data); };
+    hooks.read_body = [this, request, out](char* data, std::size_t size) {
+        return read_body(*request, *out, data, size);
+    };
+    hooks.body_pending = [request] {
+        return !request->body_kept && !request->exchange->body_complete();
+    };
+    hooks.on_end = [this, out](const http::transfer_end& how) { transfer_ended(out, how); };
+    out->transfer = m_client.send(std::move(call), std::move(hooks));
+}
+
+std::size_t traffic_front::read_body(inbound& request, outbound& out, char* data,
+                                     std::size_t size) const
+{
+    auto& exchange = *request.exchange;
+    if (request.body_kept) {
+        const auto taken = exchange.body().copy(data, size, out.body_position);
+        out.body_position += taken;
+        return taken;
+    }
+    if (request.reader != out.id) {
+        return 0;
+    }
+    const auto taken = exchange.body().copy(data, size);
+    exchange.consume_body(taken);
+    return taken;
+}
+
+void traffic_front::head_arrived(const outbound_ptr& out, http::response_head head)
+{
+    out->head = std::move(head);
+    if (out->settled) {
+        return;
+    }
+    if (out->to_gatekeeper && out->head->headers.find(header_names::outcome) != nullptr) {
+        gatekeeper_refused(out);
+        return;
+    }
+    node::answer_started event;
+    event.transfer = out->id;
+    event.answer = classify(out->head->status);
+    if (out->to_gatekeeper) {
+        event.allowance_left = read_allowance(out->head->headers);
+        event.shed = read_shed(out->head->headers);
+    }
+    deliver(event);
+}
+
+void traffic_front::gatekeeper_refused(const outbound_ptr& out)
+{
+    const auto& headers = out->head->headers;
+    node::gatekeeper_refused event;
+    event.transfer = out->id;
+    const auto* said = headers.find(header_names::outcome);
+    event.said =
+        *said == word(node::outcome::not_run) ? node::outcome::not_run : node::outcome::unknown;
+    if (const auto* reason = headers.find(header_names::reason)) {
+        event.reason =
+            node::parse_refusal_reason(*reason).value_or(node::refusal_reason::backend_failed);
+    }
+    event.allowance_left = read_allowance(headers);
+    event.shed = read_shed(headers);
+    out->settled = true;
+    deliver(event);
+}
+
+void traffic_front::perform(const node::relay_answer& wanted)
+{
+    const auto request = find(wanted.exchange);
+    const auto out = find(wanted.transfer);
+    if (!request || !out || !out->head) {
+        return;
+    }
+    http::response_head answer;
+    answer.status = out->head->status;
+    answer.headers = end_to_end(out->head->headers);
+    answer.body_size = out->head->body_size;
+    if (wanted.keep_copy) {
+        out->copy = std::make_shared<node::kept_answer>();
+        out->copy->status = node::status_code(static_cast<std::uint16_t>(answer.status));
+        for (const auto& field : answer.headers) {
+            out->copy->headers += field.name + ": " + field.value + "\n";
+        }
+    }
+    add_node_fields(answer.headers, wanted.allowance_left, wanted.shed);
+    request->exchange->on_writable([this, id = out->id] {
+        if (const auto relayed = find(id)) {
+            relayed->transfer->resume();
+        }
+    });
+    request->exchange->start(std::move(answer));
+    out->relaying = true;
+    // Bytes that came before this effect was carried out are held back by libcurl.
+    m_loop.post([transfer = out->transfer] { transfer->resume(); });
+}
+
+bool traffic_front::body_received(const outbound_ptr& out, std::string_view data)
+{
+    if (out->settled) {
+        return true;
+    }
+    const auto request = find(out->exchange);
+    if (!out->relaying || (request && !request->exchange->writable())) {
+        return false;
+    }
+    if (!request) {
+        return true;
+    }
+    if (out->copy) {
+        if (out->copy->body.size() + data.size() <= max_kept_answer) {
+            out->copy->body += data;
+        }
+        else {
+            out->copy.reset();
+        }
+    }
+    request->exchange->write(data);
+    return true;
+}
+
+void traffic_front::transfer_ended(const outbound_ptr& out, const http::transfer_end& how)
+{
+    m_outbound.erase(out->id);
+    if (out->settled) {
+        return;
+    }
+    out->settled = true;
+    switch (how.how) {
+    case http::transfer_end::kind::complete:
+        if (!out->relaying) {
+            deliver(node::transfer_broke{out->id});
+            return;
+        }
+        if (const auto request = find(out->exchange)) {
+            request->exchange->finish();
+            end(out->exchange);
+        }
+        deliver(node::answer_finished{out->id, out->copy});
+        return;
+    case http::transfer_end::kind::not_sent:
+        deliver(node::connect_failed{out->id});
+        return;
+    case http::transfer_end::kind::broken:
+    case http::transfer_end::kind::cancelled:
+        deliver(node::transfer_broke{out->id});
+        return;
+    }
+}
+
+void traffic_front::perform(const node::refuse& wanted)
+{
+    const auto request = find(wanted.exchange);
+    if (!request) {
+        return;
+    }
+    http::response_head head;
+    head.status = wanted.status.value();
+    const std::string reason(to_string(wanted.reason));
+    head.headers.add(name(header_names::outcome), std::string(word(wanted.said)));
+    head.headers.add(name(header_names::reason), reason);
+    if (wanted.retry_after) {
+        head.headers.add(name(header_names::retry_after),
+                         std::to_string(whole_seconds(*wanted.retry_after)));
+    }
+    add_node_fields(head.headers, wanted.allowance_left, wanted.shed);
+    m_metrics.refused(wanted.reason, wanted.said);
+    request->exchange->respond(std::move(head), "request refused (" + reason + "), outcome: " +
+                                                    std::string(word(wanted.said)) + "\n");
+    end(wanted.exchange);
+}
+
+void traffic_front::perform(const node::replay_answer& wanted)
+{
+    const auto request = find(wanted.exchange);
+    if (!request) {
+        return;
+    }
+    http::response_head head;
+    head.status = wanted.answer->status.value();
+    std::string_view rest = wanted.answer->headers;
+    while (!rest.empty()) {
+        const auto line = rest.substr(0, rest.find('\n'));
+        rest.remove_prefix(line.size() + 1);
+        const auto colon = line.find(": ");
+        head.headers.add(std::string(line.substr(0, colon)), std::string(line.substr(colon + 2)));
+    }
+    request->exchange->respond(std::move(head), wanted.answer->body);
+    end(wanted.exchange);
+}
+
+void traffic_front::perform(const node::cut_answer& wanted)
+{
+    if (const auto request = find(wanted.exchange)) {
+        request->exchange->abort();
+        end(wanted.exchange);
+    }
+}
+
+void traffic_front::perform(const node::cancel_transfer& wanted)
+{
+    if (const auto out = find(wanted.transfer)) {
+        out->settled = true;
+        m_outbound.erase(wanted.transfer);
+        out->transfer->cancel();
+    }
+}
+
+} // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/traffic_front.hpp
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "base/incarnation.hpp"
+#include "daemon/inbound.hpp"
+#include "daemon/outbound.hpp"
+#include "daemon/parsed_request.hpp"
+#include "daemon/traffic_addresses.hpp"
+#include "daemon/traffic_hooks.hpp"
+#include "daemon/traffic_logic.hpp"
+#include "daemon/traffic_metrics.hpp"
+#include "daemon/traffic_view.hpp"
+#include "http/client.hpp"
+#include "http/server.hpp"
+#include "wire/context_codec.hpp"
+#include "wire/key_hasher.hpp"
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace damaskladder::daemon {
+
+/// The HTTP side of a node, on the thread of one event loop: turns requests and answers into events
+/// of the decisions and carries out their effects. It decides nothing about a request itself, other
+/// than refusing malformed input.
+class traffic_front {
+public:
+    traffic_front(http::event_loop& loop, const wire::cluster_secret& secret,
+                  base::incarnation incarnation, http::server_limits limits, traffic_logic logic,
+                  traffic_hooks hooks);
+
+    /// Starts to listen. Fails with io.
+    base::result<void> listen(const traffic_addresses& addresses);
+    std::uint16_t callers_port() const { return m_callers.port(); }
+    std::uint16_t peers_port() const { return m_peers.port(); }
+    std::uint16_t backend_server_port() const { return m_backend_servers.port(); }
+
+    /// Replaces the view. On the loop's thread.
+    void set_view(std::shared_ptr<const traffic_view> view) { m_view = std::move(view); }
+
+    /// Gives an event to the decisions and carries out what follows. On the loop's thread.
+    void deliver(const node::event& happened);
+
+    /// Begins the graceful stop; stopped() tells when nothing runs any more.
+    void stop();
+    bool stopped() const { return m_stopping && m_inbound.empty(); }
+    std::size_t running() const { return m_inbound.size(); }
+
+    traffic_metrics& metrics() { return m_metrics; }
+
+private:
+    using inbound_ptr = std::shared_ptr<inbound>;
+    using outbound_ptr = std::shared_ptr<outbound>;
+
+    void arrived(const std::shared_ptr<http::exchange>& exchange, inbound_side side);
+    void body_arrived(const inbound_ptr& request);
+    void submit(const inbound_ptr& request);
+    void submit_caller(const inbound_ptr& request);
+    void submit_onward(const inbound_ptr& request, const parsed_request& parsed);
+    void submit_peer(const inbound_ptr& request);
+    void end(node::exchange_id id);
+
+    void perform(const node::ask_tokens& wanted) { m_hooks.ask_tokens(wanted); }
+    void perform(const node::give_token_back& wanted) { m_hooks.give_token_back(wanted); }
+    void perform(const node::ask_claim& wanted) { m_hooks.ask_claim(wanted); }
+    void perform(const node::release_claim& wanted) { m_hooks.release_claim(wanted); }
+    void perform(const node::complete_claim& wanted) { m_hooks.complete_claim(wanted); }
+    void perform(const node::forward_to_gatekeeper& wanted);
+    void perform(const node::start_at_backend_server& wanted);
+    void perform(const node::refuse& wanted);
+    void perform(const node::relay_answer& wanted);
+    void perform(const node::replay_answer& wanted);
+    void perform(const node::cut_answer& wanted);
+    void perform(const node::cancel_transfer& wanted);
+
+    void send(const inbound_ptr& request, const outbound_ptr& out, http::client_request call);
+    std::size_t read_body(inbound& request, outbound& out, char* data, std::size_t size) const;
+    void head_arrived(const outbound_ptr& out, http::response_head head);
+    void gatekeeper_refused(const outbound_ptr& out);
+    bool body_received(const outbound_ptr& out, std::string_view data);
+    void transfer_ended(const outbound_ptr& out, const http::transfer_end& how);
+    void refuse_malformed(const inbound_ptr& request, const base::failure& error);
+    std::optional<base::time_point> round(base::time_point now);
+    inbound_ptr find(node::exchange_id id) const;
+    outbound_ptr find(node::transfer_id id) const;
+
+    http::event_loop& m_loop;
+    wire::context_codec m_contexts;
+    wire::key_hasher m_keys;
+    base::incarnation m_incarnation;
+    http::server_limits m_limits;
+    traffic_logic m_logic;
+    traffic_hooks m_hooks;
+    std::shared_ptr<const traffic_view> m_view;
+    traffic_metrics m_metrics;
+
+    std::unordered_map<node::exchange_id, inbound_ptr> m_inbound;
+    std::unordered_map<node::transfer_id, outbound_ptr> m_outbound;
+    std::uint64_t m_last_exchange = 0;
+    base::time_point m_last_tick;
+    bool m_stopping = false;
+    /// Events that arise while effects are carried out wait here, so that the decisions see them
+    /// one after the other.
+    std::vector<node::event> m_pending;
+    bool m_handling = false;
+
+    http::client m_client;
+    http::server m_callers;
+    http::server m_peers;
+    http::server m_backend_servers;
+};
+
+} // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/traffic_hooks.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "http/exchange.hpp"
+#include "node/ask_claim.hpp"
+#include "node/ask_tokens.hpp"
+#include "node/complete_claim.hpp"
+#include "node/give_token_back.hpp"
+#include "node/release_claim.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace damaskladder::daemon {
+
+/// What a traffic front end asks of the rest of the process. All of it returns without waiting;
+/// answers come as events through traffic_front::deliver().
+struct traffic_hooks {
+    std::function<void(const node::ask_tokens&)> ask_tokens;
+    std::function<void(const node::give_token_back&)> give_token_back;
+    std::function<void(const node::ask_claim&)> ask_claim;
+    std::function<void(const node::release_claim&)> release_claim;
+    std::function<void(const node::complete_claim&)> complete_claim;
+    /// Serves the local API (targets that begin with "/-/" on the backend server's port).
+    std::function<void(const std::shared_ptr<http::exchange>&)> local_api;
+};
+
+} // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/traffic_metrics.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/time.hpp"
+#include "node/outcome.hpp"
+#include "node/refusal_reason.hpp"
+
+#include <boost/histogram.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace damaskladder::daemon {
+
+/// Counts and times of the traffic thread. Belongs to that thread.
+class traffic_metrics {
+public:
+    traffic_metrics();
+
+    /// An inbound request ended after so long.
+    void request_ended(base::duration took);
+    void refused(node::refusal_reason reason, node::outcome said);
+    void call_forwarded() { ++m_forwarded; }
+    void run_started() { ++m_runs; }
+
+    /// Text in the exposition format that common collectors read.
+    std::string text() const;
+
+private:
+    using time_axis =
+        boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+
+    boost::histogram::histogram<std::tuple<time_axis>> m_times;
+    double m_time_sum_s = 0;
+    std::uint64_t m_ended = 0;
+    std::uint64_t m_forwarded = 0;
+    std::uint64_t m_runs = 0;
+    std::map<node::refusal_reason, std::uint64_t> m_refused_not_run;
+    std::map<node::refusal_reason, std::uint64_t> m_refused_unknown;
+};
+
+} // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/traffic_view.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "base/node_id.hpp"
+#include "base/service_id.hpp"
+#include "http/address.hpp"
+#include "node/node_view.hpp"
+
+#include <memory>
+#include <unordered_map>
+
+namespace damaskladder::daemon {
+
+/// What the control thread publishes to the traffic thread: the decisions' view and the addresses
+/// that only the front end needs. Immutable.
+struct traffic_view {
+    std::shared_ptr<const node::node_view> node;
+    /// Peer address of each node that guards a backend server.
+    std::unordered_map<base::node_id, http::address> gatekeepers;
+    /// Loopback address of the backend server of each service on this VM.
+    std::unordered_map<base::service_id, http::address> local;
+};
+
+} // namespace damaskladder::daemon
