Consensus: lay down message types, events, effects and the storage hooks

Transport, threads and the state machine are written at the same time and need the interface before the replica exists. This adds the typed messages, events and effects, the replica's options and status, the storage hooks, and the public header with the contract and the rule for forming a cluster.

Nothing runs yet; the headers compile on their own.

--- /dev/null
+++ b/include/damaskladder/consensus.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+/// \file
+/// consensus: a replicated log for the control replicas.
+///
+///     auto storage = consensus::file_storage::open(folder_options, consensus::posix_file_layer());
+///     consensus::replica replica(options, storage->take_recovered_state(), random);
+///     consensus::persistence_queue disk(storage->hooks());
+///     std::vector<consensus::effect> effects = replica.start(now());
+///     for (;;) {
+///         for (auto& effect : effects) {
+///             // send_message -> transport; persist_* -> disk.add(effect);
+///             // apply_committed, install_snapshot -> state machine; ...
+///         }
+///         consensus::event next = disk.empty() ? next_event() : disk.flush();
+///         effects = replica.handle(next, now());
+///     }
+///
+/// Contract
+///   - An entry is given to the state machine (apply_committed) once a majority of the voters has
+///     synced it; all replicas apply the same entries in the same order.
+///   - The caller carries out effects in order. Persist effects may be gathered: write several,
+///     sync once, and feed one sync_completed with the last token. Sends need not wait for the
+///     sync; the replica holds back every message that does have to.
+///   - A read is linearizable if it is served from the state machine after read_confirmed.
+///   - A proposal ends with apply_committed carrying its id, or with refused; refusal_reason says
+///     whether it certainly did not happen. Apply is at least once across restarts: the state
+///     machine is rebuilt from the snapshot and the entries after it.
+///   - After storage_failed the replica is halted: it sends nothing and refuses everything.
+///
+/// Identity and forming a cluster
+///   - An identity is the configured id plus a nonce drawn when the data folder is created. Votes
+///     and acknowledgements count only if the whole identity is a voter of the configuration.
+///   - The first configuration entry records the nonces. Until a replica has an entry or a
+///     snapshot, it campaigns only if it is in initial_replicas, and wins only with the votes of
+///     all of initial_replicas, each with an empty log. So two first configurations cannot both
+///     come about: the second unanimous vote proves that no replica holds the first.
+///   - A replica whose folder was wiped has a new nonce. It cannot vote, and reports
+///     awaiting_admission, until an operator replaces the old identity (add_replica with the new
+///     one). It then joins as a learner.
+///   - Never start wiped replicas of an existing cluster as a complete initial_replicas list: they
+///     would form a new cluster. Leave the list empty on replicas that join later.
+///
+/// Units: indexes count entries from 1; sizes are bytes; times are base::duration.
+///
+/// Errors: base::failure from file_storage (kind corrupt names file, offset and remedy; io names
+/// the call that failed). Decisions of a replica are effects, never failures.
+///
+/// Limits: replica_options and file_storage_options; passing one gives refused (too_large,
+/// overloaded, too_many_members), snapshot_rejected, or a failure of kind too_large.
+
+#include "consensus/effect.hpp"
+#include "consensus/event.hpp"
+#include "consensus/log_storage.hpp"
+#include "consensus/message.hpp"
+#include "consensus/recovered_state.hpp"
+#include "consensus/replica.hpp"
+#include "consensus/replica_options.hpp"
+#include "consensus/replica_status.hpp"
--- /dev/null
+++ b/src/consensus/install_snapshot.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "consensus/snapshot.hpp"
+
+#include <memory>
+
+namespace damaskladder::consensus {
+
+/// Replace the state machine's state.
+struct install_snapshot {
+    std::shared_ptr<const snapshot> content;
+};
+
+} // namespace damaskladder::consensus
--- /dev/null
+++ b/src/consensus/log_storage.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "base/result.hpp"
+#include "consensus/persist_entries.hpp"
+#include "consensus/persist_snapshot.hpp"
+#include "consensus/persist_vote.hpp"
+
+#include <functional>
+
+namespace damaskladder::consensus {
+
+/// Where the persist effects of a replica go. Called from one thread, in the order of the effects.
+/// After a failed call no further call may be made.
+struct log_storage {
+    std::function<base::result<void>(const persist_vote&)> write_vote;
+    std::function<base::result<void>(const persist_entries&)> write_entries;
+    std::function<base::result<void>(const persist_snapshot&)> write_snapshot;
+    /// Returns once everything written before survives a crash of the VM.
+    std::function<base::result<void>()> sync;
+};
+
+} // namespace damaskladder::consensus
--- /dev/null
+++ b/src/consensus/persist_entries.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "consensus/entry.hpp"
+#include "consensus/persist_token.hpp"
+
+#include <vector>
+
+namespace damaskladder::consensus {
+
+/// Store these entries, which replace all stored entries from the first one's index on;
+/// acknowledge with sync_completed. Never empty.
+struct persist_entries {
+    persist_token token;
+    std::vector<entry> entries;
+};
+
+} // namespace damaskladder::consensus
--- /dev/null
+++ b/src/consensus/replica_status.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "consensus/configuration.hpp"
+#include "consensus/log_index.hpp"
+#include "consensus/replica_identity.hpp"
+#include "consensus/replica_role.hpp"
+#include "consensus/term_number.hpp"
+
+#include <optional>
+
+namespace damaskladder::consensus {
+
+/// What a replica knows about itself, for status pages.
+struct replica_status {
+    replica_identity identity;
+    replica_role role = replica_role::follower;
+    term_number term;
+    std::optional<replica_id> known_leader;
+    log_index commit_index;
+    log_index last_index;
+    log_index snapshot_index;
+    configuration members;
+    /// A cluster exists that does not know this identity. An operator has to add it.
+    bool awaiting_admission = false;
+};
+
+} // namespace damaskladder::consensus
--- /dev/null
+++ b/src/consensus/term_number.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "base/strong_id.hpp"
+
+#include <cstdint>
+
+namespace damaskladder::consensus {
+
+/// Numbers the periods of leadership; at most one replica leads in a term. 0 precedes all terms.
+using term_number = base::strong_id<struct term_number_tag, std::uint64_t>;
+
+constexpr term_number next_term(term_number term)
+{
+    return term_number(term.value() + 1);
+}
+
+} // namespace damaskladder::consensus
--- /dev/null
+++ b/src/consensus/vote_request.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "consensus/log_index.hpp"
+#include "consensus/term_number.hpp"
+
+namespace damaskladder::consensus {
+
+/// Asks for the receiver's vote in a term.
+struct vote_request {
+    term_number term;
+    log_index last_index;
+    term_number last_term;
+    /// The sender knows no configuration and wants to form the cluster.
+    bool bootstrap = false;
+    /// The leader asked the sender to take over, so contact with that leader is no reason to
+    /// refuse.
+    bool transfer = false;
+
+    friend bool operator==(const vote_request&, const vote_request&) = default;
+};
+
+} // namespace damaskladder::consensus
