--- a/include/damaskladder/consensus.hpp
+++ b/include/damaskladder/consensus.hpp
@@ -3,7 +3,8 @@
 /// \file
 /// consensus: a replicated log for the control replicas.
 ///
-///     auto storage = consensus::file_storage::open(folder_options, consensus::posix_file_layer());
+///     BOOST_LEAF_AUTO(storage, consensus::file_storage::open(
+///         {replica_id}, consensus::posix_file_layer(folder), random));
 ///     consensus::replica replica(options, storage->take_recovered_state(), random);
 ///     consensus::persistence_queue disk(storage->hooks());
 ///     std::vector<consensus::effect> effects = replica.start(now());
@@ -51,8 +52,11 @@
 
 #include "consensus/effect.hpp"
 #include "consensus/event.hpp"
+#include "consensus/file_storage.hpp"
 #include "consensus/log_storage.hpp"
 #include "consensus/message.hpp"
+#include "consensus/persistence_queue.hpp"
+#include "consensus/posix_file_layer.hpp"
 #include "consensus/recovered_state.hpp"
 #include "consensus/replica.hpp"
 #include "consensus/replica_options.hpp"
--- /dev/null
+++ b/src/consensus/atomic_write.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "base/result.hpp"
+#include "consensus/file_layer.hpp"
+
+#include <string_view>
+
+namespace damaskladder::consensus {
+
+/// Replaces a file as a whole: temporary file, sync, rename, sync of the folder. After a crash the
+/// file has its old or its new content.
+base::result<void> write_atomically(const file_layer& files, const file_name& name,
+                                    std::string_view content);
+
+} // namespace damaskladder::consensus
--- /dev/null
+++ b/src/consensus/byte_writer.cpp
@@ -0,0 +1,46 @@
+#include "consensus/byte_writer.hpp"
+
+namespace damaskladder::consensus {
+
+namespace {
+
+template <class Integer>
+void put(std::string& bytes, Integer value)
+{
+    for (std::size_t i = 0; i < sizeof(value); ++i) {
+        bytes.push_back(static_cast<char>((value >> (8 * i)) & 0xff));
+    }
+}
+
+} // namespace
+
+byte_writer& byte_writer::u8(std::uint8_t value)
+{
+    m_bytes.push_back(static_cast<char>(value));
+    return *this;
+}
+
+byte_writer& byte_writer::u32(std::uint32_t value)
+{
+    put(m_bytes, value);
+    return *this;
+}
+
+byte_writer& byte_writer::u64(std::uint64_t value)
+{
+    put(m_bytes, value);
+    return *this;
+}
+
+byte_writer& byte_writer::raw(std::string_view bytes)
+{
+    m_bytes.append(bytes);
+    return *this;
+}
+
+byte_writer& byte_writer::text(std::string_view bytes)
+{
+    return u32(static_cast<std::uint32_t>(bytes.size())).raw(bytes);
+}
+
+} // namespace damaskladder::consensus
--- /dev/null
+++ b/src/consensus/byte_writer.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace damaskladder::consensus {
+
+/// Builds the content of a file: integers in little-endian order, strings with their length first.
+class byte_writer {
+public:
+    byte_writer& u8(std::uint8_t value);
+    byte_writer& u32(std::uint32_t value);
+    byte_writer& u64(std::uint64_t value);
+    byte_writer& raw(std::string_view bytes);
+    byte_writer& text(std::string_view bytes);
+    const std::string& bytes() const { return m_bytes; }
+    std::string take() { return std::move(m_bytes); }
+
+private:
+    std::string m_bytes;
+};
+
+} // namespace damaskladder::consensus
--- /dev/null
+++ b/src/consensus/checksum.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <initializer_list>
+#include <string_view>
+
+namespace damaskladder::consensus {
+
+/// BLAKE2b, 128 bits: finds damage, not tampering.
+using checksum = std::array<char, 16>;
+
+/// Checksum over the parts in this order.
+checksum checksum_of(std::initializer_list<std::string_view> parts);
+
+} // namespace damaskladder::consensus
--- /dev/null
+++ b/src/consensus/fake_disk.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "consensus/crash_tail.hpp"
+#include "consensus/file_layer.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace damaskladder::consensus {
+
+/// A folder in memory for tests: a crash keeps only what was synced, and any operation that changes
+/// or syncs something can be made to fail. Must outlive its layers.
+class fake_disk {
+public:
+    file_layer layer();
+
+    /// Operations so far that changed or synced something.
+    std::uint64_t operations() const { return m_operations; }
+    /// The operation with this number, and with stop all later ones, fails. A failed append has
+    /// written half of its bytes.
+    void fail_at(std::uint64_t operation, bool stop);
+    /// Ends all failures and drops what was not synced.
+    void crash(crash_tail tail);
+
+    /// For tests that damage files: the content now, which counts as synced afterwards.
+    std::string read_content(const file_name& name) const;
+    void write_content(const file_name& name, std::string content);
+    std::vector<file_name> names() const;
+
+private:
+    struct fake_file {
+        std::string content;
+        std::string durable;
+    };
+    using directory = std::map<file_name, std::shared_ptr<fake_file>>;
+
+    bool next_fails();
+    base::result<void> change(std::string_view step);
+    base::result<file_handle> open(const file_name& name);
+    base::result<void> append(file_handle handle, std::string_view bytes);
+    base::result<void> rename(const file_name& from, const file_name& to);
+
+    directory m_names;
+    directory m_durable_names;
+    std::map<file_handle, std::shared_ptr<fake_file>> m_open;
+    int m_next_handle = 1;
+    std::uint64_t m_operations = 0;
+    std::optional<std::uint64_t> m_fail_at;
+    bool m_stop = false;
+};
+
+} // namespace damaskladder::consensus
--- /dev/null
+++ b/src/consensus/file_encoding.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "consensus/entry.hpp"
+#include "consensus/hard_state.hpp"
+#include "consensus/replica_identity.hpp"
+#include "consensus/stored_snapshot.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace damaskladder::consensus {
+
+/// Contents of the files in the data folder. Decoding gives nothing if the bytes are not exactly
+/// what encoding writes. Messages between replicas are encoded elsewhere.
+std::string encode_entry(const entry& value);
+std::optional<entry> decode_entry(std::string_view bytes);
+
+std::string encode_votes(const hard_state& value);
+std::optional<hard_state> decode_votes(std::string_view bytes);
+
+std::string encode_identity(const replica_identity& value);
+std::optional<replica_identity> decode_identity(std::string_view bytes);
+
+std::string encode_snapshot(const stored_snapshot& value);
+std::optional<stored_snapshot> decode_snapshot(std::string_view bytes);
+
+} // namespace damaskladder::consensus
--- /dev/null
+++ b/src/consensus/file_storage.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "base/random_source.hpp"
+#include "base/result.hpp"
+#include "consensus/file_layer.hpp"
+#include "consensus/file_storage_options.hpp"
+#include "consensus/log_storage.hpp"
+#include "consensus/recovered_folder.hpp"
+#include "consensus/segment_writer.hpp"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace damaskladder::consensus {
+
+/// Keeps the state of one replica in a data folder:
+///   identity            id and nonce
+///   vote                term and vote, replaced as a whole
+///   segment-NUMBER      entries as checksummed frames
+///   snapshot-INDEX      newest snapshot, replaced as a whole
+/// Use from one thread at a time. After a failure every further call fails.
+class file_storage {
+public:
+    /// Locks and reads the folder, which must exist. Fails with kind corrupt if something that had
+    /// been synced is damaged, conflict if the folder is in use or belongs to another replica.
+    /// random draws the nonce of a new folder and must be unpredictable across VMs.
+    static base::result<std::unique_ptr<file_storage>>
+    open(file_storage_options options, file_layer files, const base::random_source& random);
+
+    ~file_storage();
+    file_storage(const file_storage&) = delete;
+    file_storage& operator=(const file_storage&) = delete;
+    file_storage(file_storage&&) = delete;
+    file_storage& operator=(file_storage&&) = delete;
+
+    /// What the folder held; once.
+    recovered_state take_recovered_state() { return std::move(m_folder.state); }
+
+    /// Term and vote are synced on return.
+    base::result<void> write_vote(const persist_vote& write);
+    /// Gathers the entries in memory until sync.
+    base::result<void> write_entries(const persist_entries& write);
+    /// The snapshot and everything before it is synced on return; blocks for as long as the disk
+    /// takes for the whole snapshot.
+    base::result<void> write_snapshot(const persist_snapshot& write);
+    base::result<void> sync();
+
+    /// The same functions as hooks; valid as long as this object.
+    log_storage hooks();
+
+private:
+    file_storage(file_storage_options options, file_layer files);
+
+    base::result<void> check_usable() const;
+    base::result<void> note(base::result<void> outcome);
+    base::result<void> append_entries(const persist_entries& write);
+    base::result<void> sync_segment();
+    base::result<void> begin_segment(segment_number number);
+    base::result<void> store_snapshot(const persist_snapshot& write);
+    base::result<void> remove_void_files(log_index previous_snapshot);
+
+    file_storage_options m_options;
+    file_layer m_files;
+    recovered_folder m_folder;
+    log_index m_snapshot_index;
+    std::optional<segment_writer> m_writer;
+    bool m_failed = false;
+};
+
+} // namespace damaskladder::consensus
--- /dev/null
+++ b/src/consensus/persist_tracker.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "consensus/log_index.hpp"
+#include "consensus/persist_token.hpp"
+#include "consensus/unsynced_write.hpp"
+
+#include <deque>
+
+namespace damaskladder::consensus {
+
+/// Issues persist tokens and knows up to where the log is durable.
+class persist_tracker {
+public:
+    explicit persist_tracker(log_index durable) : m_synced_index(durable) {}
+
+    /// Token for a write that does not extend the log.
+    persist_token issue();
+    /// Token for entries first..last, which replace everything from first on.
+    persist_token issue_entries(log_index first, log_index last);
+    /// Token for a snapshot of the leader that replaces the log up to last.
+    persist_token issue_snapshot(log_index last);
+    /// Nothing after this index counts as durable any more.
+    void discard_after(log_index last);
+
+    void complete(persist_token token);
+
+    persist_token last_issued() const { return m_issued; }
+    persist_token last_synced() const { return m_synced; }
+    log_index synced_index() const { return m_synced_index; }
+
+private:
+    persist_token m_issued;
+    persist_token m_synced;
+    log_index m_synced_index;
+    std::deque<unsynced_write> m_unsynced;
+};
+
+} // namespace damaskladder::consensus
--- /dev/null
+++ b/src/consensus/replica_core.hpp
@@ -0,0 +1,157 @@
+#pragma once
+
+#include "base/random_source.hpp"
+#include "base/time.hpp"
+#include "consensus/effect.hpp"
+#include "consensus/entry_log.hpp"
+#include "consensus/event.hpp"
+#include "consensus/held_envelope.hpp"
+#include "consensus/leadership.hpp"
+#include "consensus/persist_tracker.hpp"
+#include "consensus/recovered_state.hpp"
+#include "consensus/replica_options.hpp"
+#include "consensus/replica_status.hpp"
+#include "consensus/snapshot_receiver.hpp"
+#include "consensus/vote_tally.hpp"
+
+#include <deque>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace damaskladder::consensus {
+
+/// The state machine behind `replica`. Split over replica_core.cpp (events, persistence, sending,
+/// applying), replica_election.cpp, replica_follower.cpp, replica_leader.cpp,
+/// replica_membership.cpp and replica_snapshot.cpp.
+class replica_core {
+public:
+    replica_core(replica_options options, recovered_state state, base::random_source random);
+
+    std::vector<effect> start(base::time_point now);
+    std::vector<effect> handle(event happened, base::time_point now);
+    replica_status status() const;
+
+private:
+    // Events.
+    void on(message_received& received);
+    void on(propose& request);
+    void on(const read_requested& request);
+    void on(const membership_change_requested& request);
+    void on(const tick& passed);
+    void on(const sync_completed& completed);
+    void on(const storage_failed& failed);
+    void on(snapshot_taken& taken);
+    void on(const transfer_requested& request);
+
+    // Messages.
+    void receive(const replica_identity& from, const pre_vote_request& request);
+    void receive(const replica_identity& from, const pre_vote_reply& reply);
+    void receive(const replica_identity& from, const vote_request& request);
+    void receive(const replica_identity& from, const vote_reply& reply);
+    void receive(const replica_identity& from, append_request& request);
+    void receive(const replica_identity& from, const append_reply& reply);
+    void receive(const replica_identity& from, const snapshot_chunk& chunk);
+    void receive(const replica_identity& from, const snapshot_reply& reply);
+    void receive(const replica_identity& from, const timeout_now& request);
+
+    // Persistence and sending. Nothing leaves before term and vote are synced.
+    void persist_dirty_vote();
+    void post(const replica_identity& to, message body, persist_token after = {});
+    void release_held();
+    void append_own(std::vector<entry> added);
+    void announce_configuration();
+
+    // Committing and applying.
+    void commit_up_to(log_index index);
+    void apply_committed_entries();
+    void want_snapshot_if_due();
+
+    // Elections.
+    bool is_bootstrapping() const;
+    bool can_campaign() const;
+    bool leader_is_alive() const;
+    bool is_up_to_date(log_index last_index, term_number last_term) const;
+    bool accepts_bootstrap(const replica_identity& from, bool bootstrap) const;
+    void reset_election_deadline();
+    void adopt_term(term_number term);
+    void become_follower(term_number term);
+    void start_pre_vote();
+    void start_election(bool transfer);
+    void ask_for_votes(const message& request);
+    void count_vote(const replica_identity& voter);
+    bool tally_wins() const;
+    void become_leader();
+    configuration first_configuration() const;
+    void step_down();
+
+    // Following.
+    void accept_leader(const replica_identity& from, term_number term);
+    bool log_meets(const append_request& request) const;
+    log_index conflict_hint(log_index previous) const;
+    void store_new_entries(std::vector<entry>& received);
+
+    // Leading.
+    void lead_tick();
+    bool heard_quorum() const;
+    follower_progress* heard_from(const replica_identity& from, term_number term,
+                                  round_number round);
+    void begin_round();
+    void begin_round_if_wanted();
+    void send_heartbeat(follower_progress& follower);
+    void send_entries(follower_progress& follower);
+    void send_append(follower_progress& follower, log_index previous, std::vector<entry> entries);
+    void back_up(follower_progress& follower, const append_reply& reply);
+    void replicate();
+    void send_commit_index();
+    void advance_commit();
+    void confirm_reads();
+    void refuse(std::variant<proposal_id, read_id> request, refusal_reason reason);
+    std::optional<replica_id> known_leader() const;
+    void check_transfer();
+
+    // Membership.
+    bool own_term_committed() const;
+    std::optional<refusal_reason> check_change(const membership_change& change) const;
+    void append_configuration(configuration changed);
+    void refresh_followers();
+    void promote_learner_if_due();
+    void leave_if_removed();
+
+    // Snapshot transfer.
+    void begin_transfer(follower_progress& follower);
+    void send_chunk(follower_progress& follower);
+    void install_received();
+
+    replica_options m_options;
+    base::random_source m_random;
+    replica_identity m_self;
+    base::time_point m_now;
+
+    replica_role m_role = replica_role::follower;
+    hard_state m_votes;
+    bool m_vote_dirty = false;
+    persist_token m_vote_token;
+
+    entry_log m_log;
+    log_index m_commit;
+    log_index m_applied;
+    log_index m_snapshot_asked_at;
+    persist_tracker m_persist;
+    std::deque<held_envelope> m_held;
+    std::vector<effect> m_effects;
+    configuration m_announced;
+
+    std::optional<replica_identity> m_leader;
+    base::time_point m_last_contact;
+    base::time_point m_election_deadline;
+    vote_tally m_tally;
+    bool m_own_vote_counted = false;
+    bool m_awaiting_admission = false;
+
+    snapshot_receiver m_receiver;
+    /// Set exactly while m_role is leader.
+    std::optional<leadership> m_lead;
+};
+
+} // namespace damaskladder::consensus
--- /dev/null
+++ b/src/consensus/replica_election.cpp
@@ -0,0 +1,261 @@
+#include "consensus/replica_core.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace damaskladder::consensus {
+
+bool replica_core::is_bootstrapping() const
+{
+    const auto& initial = m_options.initial_replicas;
+    return m_log.empty() && std::find(initial.begin(), initial.end(), m_self.id) != initial.end();
+}
+
+bool replica_core::can_campaign() const
+{
+    return is_bootstrapping() || m_log.members().is_voter(m_self);
+}
+
+bool replica_core::leader_is_alive() const
+{
+    if (m_role == replica_role::leader) {
+        return true;
+    }
+    return m_leader && m_now - m_last_contact < m_options.election_timeout;
+}
+
+bool replica_core::is_up_to_date(log_index last_index, term_number last_term) const
+{
+    if (last_term != m_log.last_term()) {
+        return last_term > m_log.last_term();
+    }
+    return last_index >= m_log.last_index();
+}
+
+bool replica_core::accepts_bootstrap(const replica_identity& from, bool bootstrap) const
+{
+    if (!bootstrap) {
+        return true;
+    }
+    const auto& initial = m_options.initial_replicas;
+    return is_bootstrapping() &&
+           std::find(initial.begin(), initial.end(), from.id) != initial.end();
+}
+
+void replica_core::reset_election_deadline()
+{
+    const auto timeout = m_options.election_timeout;
+    const auto spread = static_cast<std::uint64_t>(std::max<std::int64_t>(timeout.count(), 1));
+    m_election_deadline =
+        m_now + timeout + base::duration(static_cast<std::int64_t>(m_random() % spread));
+}
+
+void replica_core::adopt_term(term_number term)
+{
+    if (term > m_votes.term) {
+        m_votes = {term, std::nullopt};
+        m_vote_dirty = true;
+        m_leader.reset();
+    }
+}
+
+void replica_core::become_follower(term_number term)
+{
+    if (m_lead) {
+        step_down();
+    }
+    if (m_role != replica_role::follower) {
+        m_role = replica_role::follower;
+        reset_election_deadline();
+    }
+    adopt_term(term);
+}
+
+void replica_core::start_pre_vote()
+{
+    m_role = replica_role::pre_candidate;
+    m_leader.reset();
+    m_tally.clear();
+    count_vote(m_self);
+    if (m_role == replica_role::pre_candidate) {
+        ask_for_votes(pre_vote_request{next_term(m_votes.term), m_log.last_index(),
+                                       m_log.last_term(), is_bootstrapping()});
+    }
+}
+
+void replica_core::start_election(bool transfer)
+{
+    m_role = replica_role::candidate;
+    m_leader.reset();
+    m_tally.clear();
+    m_own_vote_counted = false;
+    m_votes = {next_term(m_votes.term), m_self};
+    m_vote_dirty = true;
+    reset_election_deadline();
+    persist_dirty_vote();
+    ask_for_votes(vote_request{m_votes.term, m_log.last_index(), m_log.last_term(),
+                               is_bootstrapping(), transfer});
+}
+
+void replica_core::ask_for_votes(const message& request)
+{
+    if (is_bootstrapping()) {
+        for (const replica_id& id : m_options.initial_replicas) {
+            if (id != m_self.id) {
+                post({id, unknown_nonce}, request);
+            }
+        }
+        return;
+    }
+    for (const member& each : m_log.members().members) {
+        if (each.role == member_role::voter && each.identity != m_self) {
+            post(each.identity, request);
+        }
+    }
+}
+
+void replica_core::count_vote(const replica_identity& voter)
+{
+    m_tally.add(voter);
+    if (!tally_wins()) {
+        return;
+    }
+    if (m_role == replica_role::pre_candidate) {
+        start_election(false);
+    }
+    else {
+        become_leader();
+    }
+}
+
+bool replica_core::tally_wins() const
+{
+    const auto& granted = m_tally.granted();
+    if (is_bootstrapping()) {
+        const auto& initial = m_options.initial_replicas;
+        return std::all_of(initial.begin(), initial.end(), [&](const replica_id& id) {
+            return std::any_of(granted.begin(), granted.end(),
+                               [&](const replica_identity& each) { return each.id == id; });
+        });
+    }
+    const configuration& members = m_log.members();
+    const auto votes =
+        std::count_if(granted.begin(), granted.end(),
+                      [&](const replica_identity& each) { return members.is_voter(each); });
+    return static_cast<std::size_t>(votes) >= members.quorum();
+}
+
+configuration replica_core::first_configuration() const
+{
+    configuration first{config_id(1), {}};
+    for (const replica_id& id : m_options.initial_replicas) {
+        for (const replica_identity& each : m_tally.granted()) {
+            if (each.id == id && first.find(id) == nullptr) {
+                first.members.push_back({each, member_role::voter});
+            }
+        }
+    }
+    return first;
+}
+
+void replica_core::become_leader()
+{
+    entry_payload opening = no_operation{};
+    if (is_bootstrapping()) {
+        opening = first_configuration();
+    }
+    m_role = replica_role::leader;
+    m_leader = m_self;
+    m_lead.emplace();
+    m_lead->first_own_index = index_after(m_log.last_index());
+    for (log_index i = index_after(m_commit); i <= m_log.last_index(); i = index_after(i)) {
+        m_lead->uncommitted += size_of(m_log.at(i));
+    }
+    m_effects.emplace_back(became_leader{m_votes.term});
+    append_own({entry{m_lead->first_own_index, m_votes.term, std::move(opening)}});
+    refresh_followers();
+    begin_round();
+}
+
+void replica_core::step_down()
+{
+    const auto ended = std::exchange(m_lead, std::nullopt);
+    m_role = replica_role::follower;
+    m_leader.reset();
+    reset_election_deadline();
+    m_effects.emplace_back(stepped_down{m_votes.term, std::nullopt});
+    for (const pending_proposal& each : ended->proposals) {
+        refuse(each.id, refusal_reason::leadership_lost);
+    }
+    for (const pending_read& each : ended->reads) {
+        refuse(each.id, refusal_reason::leadership_lost);
+    }
+}
+
+void replica_core::receive(const replica_identity& from, const pre_vote_request& request)
+{
+    const bool granted = !leader_is_alive() && request.term > m_votes.term &&
+                         is_up_to_date(request.last_index, request.last_term) &&
+                         accepts_bootstrap(from, request.bootstrap);
+    post(from, pre_vote_reply{m_votes.term, request.term, granted, !m_log.empty()});
+}
+
+void replica_core::receive(const replica_identity& from, const pre_vote_reply& reply)
+{
+    if (is_bootstrapping() && reply.cluster_exists) {
+        m_awaiting_admission = true;
+    }
+    if (reply.term > m_votes.term) {
+        become_follower(reply.term);
+        return;
+    }
+    if (m_role == replica_role::pre_candidate && reply.granted &&
+        reply.requested_term == next_term(m_votes.term)) {
+        count_vote(from);
+    }
+}
+
+void replica_core::receive(const replica_identity& from, const vote_request& request)
+{
+    // A replica that hears its leader does not help to replace it: otherwise one with a broken
+    // link, or one that was removed, could disturb a working cluster.
+    if (leader_is_alive() && !request.transfer) {
+        post(from, vote_reply{m_votes.term, false});
+        return;
+    }
+    if (request.term > m_votes.term) {
+        become_follower(request.term);
+    }
+    const bool free_vote = !m_votes.vote || *m_votes.vote == from;
+    const bool granted = request.term == m_votes.term && free_vote &&
+                         is_up_to_date(request.last_index, request.last_term) &&
+                         accepts_bootstrap(from, request.bootstrap);
+    if (granted) {
+        become_follower(request.term);
+        m_vote_dirty = m_vote_dirty || !m_votes.vote;
+        m_votes.vote = from;
+        reset_election_deadline();
+    }
+    post(from, vote_reply{m_votes.term, granted});
+}
+
+void replica_core::receive(const replica_identity& from, const vote_reply& reply)
+{
+    if (reply.term > m_votes.term) {
+        become_follower(reply.term);
+        return;
+    }
+    if (m_role == replica_role::candidate && reply.term == m_votes.term && reply.granted) {
+        count_vote(from);
+    }
+}
+
+void replica_core::receive(const replica_identity& from, const timeout_now& request)
+{
+    const bool asked_by_leader = m_leader && *m_leader == from && request.term == m_votes.term;
+    if (asked_by_leader && m_role == replica_role::follower && m_log.members().is_voter(m_self)) {
+        start_election(true);
+    }
+}
+
+} // namespace damaskladder::consensus
--- /dev/null
+++ b/src/consensus/replica_follower.cpp
@@ -0,0 +1,108 @@
+#include "consensus/replica_core.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace damaskladder::consensus {
+
+namespace {
+
+bool is_contiguous(const append_request& request)
+{
+    log_index expected = request.previous_index;
+    for (const entry& each : request.entries) {
+        expected = index_after(expected);
+        if (each.index != expected) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+void replica_core::accept_leader(const replica_identity& from, term_number term)
+{
+    become_follower(term);
+    m_leader = from;
+    m_last_contact = m_now;
+    reset_election_deadline();
+}
+
+bool replica_core::log_meets(const append_request& request) const
+{
+    // A leader holds every committed entry, so the logs meet at any committed index.
+    return request.previous_index <= m_commit ||
+           m_log.term_at(request.previous_index) == request.previous_term;
+}
+
+log_index replica_core::conflict_hint(log_index previous) const
+{
+    if (previous > m_log.last_index()) {
+        return index_after(m_log.last_index());
+    }
+    // Skips the whole conflicting term at once.
+    const auto term = m_log.term_at(previous);
+    log_index hint = previous;
+    while (index_before(hint) > m_commit && m_log.term_at(index_before(hint)) == term) {
+        hint = index_before(hint);
+    }
+    return hint;
+}
+
+void replica_core::receive(const replica_identity& from, append_request& request)
+{
+    append_reply reply{m_votes.term, false, {}, request.previous_index, {}, request.round};
+    if (request.term < m_votes.term) {
+        post(from, reply);
+        return;
+    }
+    const bool own_term = m_lead && request.term == m_votes.term;
+    if (own_term || !is_contiguous(request)) {
+        return;
+    }
+    accept_leader(from, request.term);
+    reply.term = m_votes.term;
+    if (!log_meets(request)) {
+        reply.next_hint = conflict_hint(request.previous_index);
+        post(from, reply);
+        return;
+    }
+    const log_index known = index_after(request.previous_index, request.entries.size());
+    store_new_entries(request.entries);
+    commit_up_to(std::min(request.commit_index, known));
+    reply.accepted = true;
+    const log_index durable = std::min(known, m_persist.synced_index());
+    if (durable == known || request.entries.empty()) {
+        // Answers a heartbeat without waiting for a slow disk, so that the leader keeps its quorum.
+        reply.match_index = durable;
+        post(from, reply);
+    }
+    if (durable < known) {
+        reply.match_index = known;
+        post(from, reply, m_persist.last_issued());
+    }
+}
+
+void replica_core::store_new_entries(std::vector<entry>& received)
+{
+    auto first_new = received.begin();
+    while (first_new != received.end() &&
+           (first_new->index <= m_commit || m_log.term_at(first_new->index) == first_new->term)) {
+        ++first_new;
+    }
+    if (first_new == received.end()) {
+        return;
+    }
+    std::vector<entry> added(std::make_move_iterator(first_new),
+                             std::make_move_iterator(received.end()));
+    m_log.truncate_from(added.front().index);
+    for (const entry& each : added) {
+        m_log.append(each);
+    }
+    persist_dirty_vote();
+    const persist_token token = m_persist.issue_entries(added.front().index, added.back().index);
+    m_effects.emplace_back(persist_entries{token, std::move(added)});
+}
+
+} // namespace damaskladder::consensus
--- /dev/null
+++ b/src/consensus/segment_scan.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "base/byte_count.hpp"
+#include "consensus/entry.hpp"
+#include "consensus/segment_number.hpp"
+#include "consensus/segment_verdict.hpp"
+
+#include <string_view>
+#include <vector>
+
+namespace damaskladder::consensus {
+
+/// What a segment file holds.
+struct segment_scan {
+    segment_verdict verdict = segment_verdict::whole;
+    /// Entries before the first invalid byte, in the order of writing.
+    std::vector<entry> entries;
+    /// Offset of the first invalid byte; the size of the file if there is none.
+    base::byte_count valid_size;
+};
+
+/// Reads the content of a segment file.
+segment_scan scan_segment(segment_number segment, std::string_view content,
+                          base::byte_count max_payload);
+
+} // namespace damaskladder::consensus
--- /dev/null
+++ b/src/consensus/segment_writer.cpp
@@ -0,0 +1,54 @@
+#include "consensus/segment_writer.hpp"
+
+#include "consensus/folder_names.hpp"
+#include "consensus/frame.hpp"
+
+namespace damaskladder::consensus {
+
+segment_writer::segment_writer(const file_layer& files, segment_number number, file_handle handle,
+                               base::byte_count synced)
+    : m_files(&files), m_number(number), m_handle(handle), m_written(synced), m_synced(synced)
+{
+}
+
+base::result<segment_writer> segment_writer::open(const file_layer& files, segment_number number,
+                                                  base::byte_count synced)
+{
+    BOOST_LEAF_AUTO(handle, files.open(segment_file(number)));
+    BOOST_LEAF_CHECK(files.sync_folder());
+    return segment_writer(files, number, handle, synced);
+}
+
+void segment_writer::append(std::string_view payload)
+{
+    m_gathered += encode_frame(m_number, size(), m_synced, payload);
+}
+
+base::byte_count segment_writer::size() const
+{
+    return m_written + base::byte_count(static_cast<std::int64_t>(m_gathered.size()));
+}
+
+base::result<void> segment_writer::sync()
+{
+    if (!has_unsynced()) {
+        return {};
+    }
+    BOOST_LEAF_CHECK(write_gathered());
+    BOOST_LEAF_CHECK(m_files->sync(m_handle));
+    m_synced = m_written;
+    // Says that the records before it were synced, so that damage to the last of them is not taken
+    // for a torn write. Needs no sync of its own: it goes to the disk with the next one.
+    append({});
+    return write_gathered();
+}
+
+base::result<void> segment_writer::write_gathered()
+{
+    BOOST_LEAF_CHECK(m_files->append(m_handle, m_gathered));
+    m_written = size();
+    m_gathered.clear();
+    return {};
+}
+
+} // namespace damaskladder::consensus
--- /dev/null
+++ b/src/consensus/segment_writer.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "base/byte_count.hpp"
+#include "base/result.hpp"
+#include "consensus/file_layer.hpp"
+#include "consensus/segment_number.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace damaskladder::consensus {
+
+/// Appends frames to one segment file.
+class segment_writer {
+public:
+    /// Continues the segment, of which `synced` bytes exist and are synced; creates it if needed.
+    static base::result<segment_writer> open(const file_layer& files, segment_number number,
+                                             base::byte_count synced);
+
+    /// Gathers a record; it reaches the file with the next sync.
+    void append(std::string_view payload);
+    /// Writes and syncs everything gathered.
+    base::result<void> sync();
+    void close() const { m_files->close(m_handle); }
+
+    bool has_unsynced() const { return !m_gathered.empty(); }
+    base::byte_count size() const;
+    segment_number number() const { return m_number; }
+
+private:
+    segment_writer(const file_layer& files, segment_number number, file_handle handle,
+                   base::byte_count synced);
+    base::result<void> write_gathered();
+
+    const file_layer* m_files;
+    segment_number m_number;
+    file_handle m_handle;
+    base::byte_count m_written;
+    base::byte_count m_synced;
+    std::string m_gathered;
+};
+
+} // namespace damaskladder::consensus
--- /dev/null
+++ b/src/consensus/stored_snapshot.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "consensus/segment_number.hpp"
+#include "consensus/snapshot.hpp"
+
+#include <memory>
+
+namespace damaskladder::consensus {
+
+/// Content of a snapshot file.
+struct stored_snapshot {
+    std::shared_ptr<const snapshot> content;
+    /// Segments before this one are void. Written with the snapshot, so that the snapshot and the
+    /// end of the old segments take effect together.
+    segment_number first_segment;
+};
+
+} // namespace damaskladder::consensus
