Admission: concurrency limit, fair queue by importance, and shed feedback

A gatekeeper needs to run, queue or shed each call, and an entry node to know what would be shed anyway.

Announced slots that are too low are corrected in most cases only.

--- /dev/null
+++ b/src/admission/controller.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "admission/call_outcome.hpp"
+#include "admission/call_request.hpp"
+#include "admission/concurrency_limit.hpp"
+#include "admission/controller_options.hpp"
+#include "admission/fair_queue.hpp"
+#include "admission/shed_meter.hpp"
+#include "admission/verdict.hpp"
+#include "base/slot_count.hpp"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace damaskladder::admission {
+
+/// Admission of calls to one backend server: runs, queues or sheds each offered call.
+class controller {
+public:
+    explicit controller(controller_options options);
+
+    /// New or renewed announcement. Calls wait or are shed until the first one.
+    void announce(base::slot_count slots, bool cold, base::time_point now,
+                  std::vector<verdict>& out);
+
+    /// A call asks to run. Its verdict may come later.
+    void offer(const call_request& request, base::time_point now, std::vector<verdict>& out);
+
+    /// A started call ended and frees its slot. own_latency leaves out the time in which the call
+    /// waited for its onward calls, since their slowness says nothing about this backend server.
+    void finished(ticket id, call_outcome outcome, base::duration own_latency, base::time_point now,
+                  std::vector<verdict>& out);
+
+    /// The caller of a call has gone. A call that waits is taken out without a verdict; one that
+    /// runs keeps its slot until finished().
+    void caller_gone(ticket id);
+
+    /// Time has passed: calls that waited too long get their verdict.
+    void expire(base::time_point now, std::vector<verdict>& out);
+
+    /// The backend server drains or leaves: calls that wait are refused, and so are later ones
+    /// until reopen().
+    void close(std::vector<verdict>& out);
+    void reopen() { m_closed = false; }
+
+    /// When expire() is needed next; nothing while no call waits.
+    std::optional<base::time_point> next_deadline() const;
+
+    /// Importance level of which nearly all calls are shed now.
+    std::optional<base::importance> shed_level(base::time_point now) const;
+
+    base::slot_count running() const;
+    base::slot_count limit() const { return m_limit.current(); }
+    std::int64_t queued() const;
+    base::duration typical_latency() const { return m_limit.typical_latency(); }
+
+private:
+    struct place {
+        base::importance level = base::importance::background;
+        base::workspace_id workspace;
+        bool open = false;
+        bool running = false;
+    };
+
+    fair_queue& level_queue(base::importance level);
+    bool fits(const call_request& request, base::time_point now, verdict_kind& why) const;
+    base::duration expected_wait(const call_request& request) const;
+    std::int64_t longest_queue() const;
+    std::int64_t open_slots() const;
+    void make_room(base::time_point now, std::vector<verdict>& out);
+    void dispatch(base::time_point now, std::vector<verdict>& out);
+    std::optional<queued_call> pop_next(base::importance& level);
+    void start(const queued_call& call, base::importance level, base::time_point now,
+               std::vector<verdict>& out);
+    void shed(ticket id, base::importance level, verdict_kind kind, base::time_point now,
+              std::vector<verdict>& out);
+
+    controller_options m_options;
+    concurrency_limit m_limit;
+    shed_meter m_meter;
+    std::array<fair_queue, base::importance_levels> m_queues;
+    std::unordered_map<ticket, place> m_places;
+    std::int64_t m_running = 0;
+    std::int64_t m_running_open = 0;
+    base::time_point m_next_expiry;
+    bool m_announced = false;
+    bool m_closed = false;
+};
+
+} // namespace damaskladder::admission
--- /dev/null
+++ b/src/admission/queued_call.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "admission/ticket.hpp"
+#include "base/time.hpp"
+
+namespace damaskladder::admission {
+
+/// A call that waits for its turn.
+struct queued_call {
+    ticket id;
+    base::time_point queued_at;
+    base::time_point deadline;
+    bool open = false;
+};
+
+} // namespace damaskladder::admission
--- /dev/null
+++ b/src/admission/ticket.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/strong_id.hpp"
+
+#include <cstdint>
+
+namespace damaskladder::admission {
+
+/// Identifies one call offered to a controller; given by its user, never reused.
+using ticket = base::strong_id<struct ticket_tag, std::uint64_t>;
+
+} // namespace damaskladder::admission
--- /dev/null
+++ b/src/admission/workspace_flow.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "admission/queued_call.hpp"
+#include "base/share_weight.hpp"
+
+#include <list>
+
+namespace damaskladder::admission {
+
+/// The waiting calls of one workspace at one importance level, and its position in virtual time.
+struct workspace_flow {
+    base::share_weight weight{1};
+    /// Virtual time at which its next call is due.
+    double next_due = 0;
+    std::list<queued_call> calls;
+};
+
+} // namespace damaskladder::admission
