Wire: encode the decision libraries' messages generically as CBOR

A struct becomes an array of its fields (Boost.PFR), so message types need no code of their own and no names travel.

--- a/src/wire/context_codec.cpp
+++ b/src/wire/context_codec.cpp
@@ -1,16 +1,14 @@
 #include "wire/context_codec.hpp"
 
-#include <nlohmann/json.hpp>
+#include "wire/message_codec.hpp"
+
 #include <sodium.h>
 
 namespace damaskladder::wire {
 
 namespace {
 
-using nlohmann::json;
-
 constexpr int base64_variant = sodium_base64_VARIANT_URLSAFE_NO_PADDING;
-constexpr std::size_t field_count = 16;
 
 std::string to_base64(std::string_view data)
 {
@@ -36,60 +34,11 @@
     return data;
 }
 
-// An array rather than an object: no field names travel with each call.
-json encode(const sealed_context& context)
-{
-    const auto& call = context.call;
-    return json::array({static_cast<int>(context.purpose), context.receiver.value(),
-                        context.issuer_incarnation.value(),
-                        context.expires_at.time_since_epoch().count(), call.workspace.value(),
-                        call.key.value(), call.request.value(), call.chain.value(),
-                        call.call.value(), call.depth.value(), call.budget.count(),
-                        static_cast<int>(call.importance), call.allowance.value(), call.idempotent,
-                        call.issuer.value(), 0});
-}
-
-sealed_context decode(const json& fields)
-{
-    sealed_context context;
-    auto& call = context.call;
-    std::size_t next = 0;
-    const auto read = [&]<class T>(T& into) { fields.at(next++).get_to(into); };
-    const auto text = [&] { return fields.at(next++).get<std::string>(); };
-    const auto number = [&] { return fields.at(next++).get<std::uint64_t>(); };
-    const auto level = [&](int lowest, int highest) {
-        const int value = fields.at(next++).get<int>();
-        if (value < lowest || value > highest) {
-            throw std::out_of_range("enumerated field");
-        }
-        return value;
-    };
-    context.purpose = static_cast<context_purpose>(level(1, 2));
-    context.receiver = base::node_id(text());
-    context.issuer_incarnation = base::incarnation(number());
-    context.expires_at = base::time_point(base::duration(fields.at(next++).get<std::int64_t>()));
-    call.workspace = base::workspace_id(text());
-    call.key = base::key_id(text());
-    call.request = base::request_id(text());
-    call.chain = base::chain_id(number());
-    call.call = base::call_id(number());
-    call.depth = base::call_depth(fields.at(next++).get<std::int32_t>());
-    call.budget = base::duration(fields.at(next++).get<std::int64_t>());
-    call.importance = static_cast<base::importance>(level(0, base::importance_levels - 1));
-    call.allowance = base::retry_count(fields.at(next++).get<std::int32_t>());
-    read(call.idempotent);
-    call.issuer = base::node_id(text());
-    context.content = base::content_hash(text());
-    return context;
-}
-
 } // namespace
 
 std::string context_codec::seal(const sealed_context& context) const
 {
-    const auto fields = json::to_cbor(encode(context));
-    return to_base64(
-        m_box.seal(std::string_view(reinterpret_cast<const char*>(fields.data()), fields.size())));
+    return to_base64(m_box.seal(encode(context)));
 }
 
 base::result<sealed_context> context_codec::open(std::string_view text) const
@@ -106,17 +55,7 @@
     if (!plain) {
         return not_sealed();
     }
-    try {
-        const auto fields = json::from_cbor(*plain);
-        if (fields.is_array() && fields.size() == field_count) {
-            return decode(fields);
-        }
-    }
-    catch (const std::exception&) {
-        // Reported below: which field failed does not help an operator.
-    }
-    return base::fail(base::failure_kind::corrupt, "open request context", {},
-                      "sealed by another version of the program");
+    return decode<sealed_context>(*plain);
 }
 
 } // namespace damaskladder::wire
--- /dev/null
+++ b/src/wire/enum_limit.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "base/importance.hpp"
+#include "consensus/member_role.hpp"
+#include "membership/load_level.hpp"
+#include "membership/member_status.hpp"
+#include "membership/observer_verdict.hpp"
+#include "wire/context_purpose.hpp"
+#include "wire/message_kind.hpp"
+
+namespace damaskladder::wire {
+
+template <auto Last>
+struct last_enumerator {
+    static constexpr auto last = Last;
+};
+
+/// Largest value of each enumeration that travels between processes, so that a value that another
+/// program version may know is refused rather than misread. Specialised for each of them.
+template <class Enum>
+struct enum_limit;
+
+template <>
+struct enum_limit<base::importance> : last_enumerator<base::importance::critical> {
+};
+template <>
+struct enum_limit<consensus::member_role> : last_enumerator<consensus::member_role::voter> {
+};
+template <>
+struct enum_limit<membership::load_level> : last_enumerator<membership::load_level::full> {
+};
+template <>
+struct enum_limit<membership::member_status> : last_enumerator<membership::member_status::left> {
+};
+template <>
+struct enum_limit<membership::observer_verdict>
+    : last_enumerator<membership::observer_verdict::suspects> {
+};
+template <>
+struct enum_limit<context_purpose> : last_enumerator<context_purpose::backend_server> {
+};
+template <>
+struct enum_limit<message_kind> : last_enumerator<message_kind::claims> {
+};
+
+} // namespace damaskladder::wire
--- /dev/null
+++ b/src/wire/message_codec.cpp
@@ -0,0 +1,38 @@
+#include "wire/message_codec.hpp"
+
+#include "consensus/envelope.hpp"
+#include "membership/message.hpp"
+#include "wire/envelope.hpp"
+#include "wire/sealed_context.hpp"
+#include "wire/value_codec.hpp"
+
+namespace damaskladder::wire {
+
+template <class Message>
+std::string encode(const Message& message)
+{
+    const auto bytes = nlohmann::json::to_cbor(value_codec::write(message));
+    return {bytes.begin(), bytes.end()};
+}
+
+template <class Message>
+base::result<Message> decode(std::string_view bytes)
+{
+    try {
+        return value_codec::read<Message>(nlohmann::json::from_cbor(bytes));
+    }
+    catch (const std::exception& error) {
+        return base::fail(base::failure_kind::corrupt, "decode message", {}, error.what());
+    }
+}
+
+template std::string encode(const envelope&);
+template base::result<envelope> decode(std::string_view);
+template std::string encode(const sealed_context&);
+template base::result<sealed_context> decode(std::string_view);
+template std::string encode(const consensus::envelope&);
+template base::result<consensus::envelope> decode(std::string_view);
+template std::string encode(const membership::message&);
+template base::result<membership::message> decode(std::string_view);
+
+} // namespace damaskladder::wire
