Consensus: test random schedules against a slow reference

Cause: nothing checked the replica and the data folder together.

The schedules found and this commit mends: - A finished segment could end with a torn sync report, which the next start took for damage. The report is now synced before the next segment begins. - A replica whose removal was not committed did not campaign although it alone had the newest log, so nobody could win. It now campaigns, also after a restart, which forgets the commit index. - A leader accepted a removal that the remaining live voters could not commit. It now refuses with would_lose_quorum.

--- a/src/consensus/entry_log.cpp
+++ b/src/consensus/entry_log.cpp
@@ -107,6 +107,20 @@
     return m_configurations.front().members;
 }
 
+bool entry_log::may_be_voter(const replica_identity& identity, log_index commit_index) const
+{
+    for (std::size_t i = m_configurations.size(); i > 0; --i) {
+        const placed_configuration& each = m_configurations[i - 1];
+        if (each.members.is_voter(identity)) {
+            return true;
+        }
+        if (each.index <= commit_index) {
+            return false;
+        }
+    }
+    return false;
+}
+
 void entry_log::drop_front(log_index new_base, term_number base_term)
 {
     while (!m_entries.empty() && m_entries.front().index <= new_base) {
--- a/src/consensus/entry_log.hpp
+++ b/src/consensus/entry_log.hpp
@@ -50,6 +50,11 @@
     log_index members_index() const { return m_configurations.back().index; }
     /// The configuration in force at an index that is not before the snapshot.
     const configuration& members_at(log_index index) const;
+    /// True if the identity is a voter of the newest configuration, or of an earlier one that is
+    /// not known to be replaced at the commit index. A replica whose removal is not committed may
+    /// be the only one with the newest log; if it did not campaign, no other could win. Since the
+    /// commit index is forgotten in a restart, all configurations in the log have to be looked at.
+    bool may_be_voter(const replica_identity& identity, log_index commit_index) const;
 
 private:
     void drop_front(log_index new_base, term_number base_term);
--- a/src/consensus/fake_disk.cpp
+++ b/src/consensus/fake_disk.cpp
@@ -87,7 +87,7 @@
     return found == m_names.end() ? std::string() : found->second->content;
 }
 
-void fake_disk::write_content(const file_name& name, std::string content)
+void fake_disk::write_content(const file_name& name, const std::string& content)
 {
     m_names[name] = std::make_shared<fake_file>(fake_file{content, content});
     m_durable_names = m_names;
--- a/src/consensus/fake_disk.hpp
+++ b/src/consensus/fake_disk.hpp
@@ -29,7 +29,7 @@
 
     /// For tests that damage files: the content now, which counts as synced afterwards.
     std::string read_content(const file_name& name) const;
-    void write_content(const file_name& name, std::string content);
+    void write_content(const file_name& name, const std::string& content);
     std::vector<file_name> names() const;
 
 private:
--- a/src/consensus/file_storage.cpp
+++ b/src/consensus/file_storage.cpp
@@ -131,6 +131,7 @@
 base::result<void> file_storage::begin_segment(segment_number number)
 {
     if (m_writer) {
+        BOOST_LEAF_CHECK(m_writer->finish());
         m_writer->close();
         m_writer.reset();
     }
--- a/src/consensus/refusal_reason.cpp
+++ b/src/consensus/refusal_reason.cpp
@@ -23,6 +23,8 @@
         return "already_a_member";
     case refusal_reason::last_voter:
         return "last_voter";
+    case refusal_reason::would_lose_quorum:
+        return "would_lose_quorum";
     case refusal_reason::too_many_members:
         return "too_many_members";
     case refusal_reason::invalid_identity:
--- a/src/consensus/refusal_reason.hpp
+++ b/src/consensus/refusal_reason.hpp
@@ -25,6 +25,8 @@
     already_a_member,
     /// Did not happen; the last voter cannot be removed or replaced.
     last_voter,
+    /// Did not happen; too few voters of the changed configuration were heard lately to commit it.
+    would_lose_quorum,
     /// Did not happen; the cluster has replica_options::max_members members.
     too_many_members,
     /// Did not happen; the identity has no id or no nonce.
--- a/src/consensus/replica_core.cpp
+++ b/src/consensus/replica_core.cpp
@@ -5,31 +5,17 @@
 
 namespace damaskladder::consensus {
 
-namespace {
-
-log_index snapshot_index_of(const recovered_state& state)
-{
-    return state.newest_snapshot ? state.newest_snapshot->last_index : log_index();
-}
-
-log_index last_index_of(const recovered_state& state)
-{
-    return index_after(snapshot_index_of(state), state.entries.size());
-}
-
-} // namespace
-
 replica_core::replica_core(replica_options options, recovered_state state,
                            base::random_source random)
     : m_options(std::move(options)),
       m_random(std::move(random)),
-      m_self(state.identity),
-      m_votes(state.votes),
-      m_log(state.newest_snapshot, state.entries),
-      m_commit(snapshot_index_of(state)),
+      m_self(std::move(state.identity)),
+      m_votes(std::move(state.votes)),
+      m_log(std::move(state.newest_snapshot), std::move(state.entries)),
+      m_commit(m_log.snapshot_index()),
       m_applied(m_commit),
       m_snapshot_asked_at(m_commit),
-      m_persist(last_index_of(state)),
+      m_persist(m_log.last_index()),
       m_receiver(m_options.max_snapshot)
 {
 }
--- a/src/consensus/replica_core.hpp
+++ b/src/consensus/replica_core.hpp
@@ -93,7 +93,7 @@
 
     // Leading.
     void lead_tick();
-    bool heard_quorum() const;
+    bool heard_quorum(const configuration& members) const;
     follower_progress* heard_from(const replica_identity& from, term_number term,
                                   round_number round);
     void begin_round();
--- a/src/consensus/replica_election.cpp
+++ b/src/consensus/replica_election.cpp
@@ -13,7 +13,7 @@
 
 bool replica_core::can_campaign() const
 {
-    return is_bootstrapping() || m_log.members().is_voter(m_self);
+    return is_bootstrapping() || m_log.may_be_voter(m_self, m_commit);
 }
 
 bool replica_core::leader_is_alive() const
--- a/src/consensus/replica_leader.cpp
+++ b/src/consensus/replica_leader.cpp
@@ -100,7 +100,7 @@
 
 void replica_core::lead_tick()
 {
-    if (!heard_quorum()) {
+    if (!heard_quorum(m_log.members())) {
         step_down();
         return;
     }
@@ -111,9 +111,8 @@
     }
 }
 
-bool replica_core::heard_quorum() const
+bool replica_core::heard_quorum(const configuration& members) const
 {
-    const configuration& members = m_log.members();
     std::size_t heard = members.is_voter(m_self) ? 1 : 0;
     for (const auto& [id, follower] : m_lead->followers) {
         const bool recent = m_now - follower.last_heard < m_options.election_timeout;
--- a/src/consensus/replica_membership.cpp
+++ b/src/consensus/replica_membership.cpp
@@ -78,6 +78,10 @@
     if (loses_voter && members.voter_count() == 1) {
         return refusal_reason::last_voter;
     }
+    // A change is in force once written: one that cannot be committed would stop the cluster.
+    if (!heard_quorum(with_change(members, change))) {
+        return refusal_reason::would_lose_quorum;
+    }
     return std::nullopt;
 }
 
--- /dev/null
+++ b/src/consensus/schedule_test.cpp
@@ -0,0 +1,245 @@
+#include "consensus/test_cluster.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace damaskladder::consensus {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct schedule_case {
+    std::size_t replicas;
+    std::uint64_t first_seed;
+    std::uint64_t schedules;
+};
+
+void PrintTo(const schedule_case& value, std::ostream* out)
+{
+    *out << value.replicas << " replicas, " << value.schedules << " schedules from seed "
+         << value.first_seed;
+}
+
+/// One random schedule: crashes, partitions, lost, doubled and reordered messages, delayed and
+/// failed syncs, snapshots, hand-overs, wiped folders and membership changes.
+class random_schedule {
+public:
+    random_schedule(std::size_t replicas, std::uint64_t seed)
+        : m_random(seed), m_cluster(replicas, seed, options())
+    {
+        m_cluster.delay_syncs = true;
+    }
+
+    void run()
+    {
+        // Some schedules begin with a working cluster, the others with its formation.
+        if (m_random() % 4 != 0) {
+            settle();
+        }
+        constexpr int steps = 400;
+        for (int i = 0; i < steps && m_cluster.violation().empty(); ++i) {
+            one_step();
+        }
+        settle();
+    }
+
+    test_cluster& cluster() { return m_cluster; }
+
+private:
+    static replica_options options()
+    {
+        replica_options small;
+        small.snapshot_after_entries = 12;
+        small.entries_kept_behind_snapshot = 3;
+        small.snapshot_chunk = base::byte_count(50);
+        small.max_append = base::byte_count(150);
+        small.promotion_lag_entries = 2;
+        return small;
+    }
+
+    std::size_t any() { return m_random() % m_cluster.size(); }
+
+    void one_step()
+    {
+        const std::uint64_t choice = m_random() % 1000;
+        if (choice < 500) {
+            deliver_any();
+        }
+        else if (choice < 650) {
+            m_cluster.pass_time(std::chrono::milliseconds(m_random() % 60));
+            m_cluster.tick(any());
+        }
+        else if (choice < 800) {
+            m_cluster.flush(any());
+        }
+        else if (choice < 900) {
+            m_cluster.propose(m_cluster.leader().value_or(any()));
+        }
+        else if (choice < 950) {
+            m_cluster.read(m_random() % 2 == 0 ? any() : m_cluster.leader().value_or(any()));
+        }
+        else {
+            disturb();
+        }
+    }
+
+    void deliver_any()
+    {
+        if (m_cluster.under_way() == 0) {
+            return;
+        }
+        const std::size_t position = m_random() % std::min<std::size_t>(m_cluster.under_way(), 8);
+        const std::uint64_t fate = m_random() % 20;
+        if (fate == 0) {
+            m_cluster.drop(position);
+        }
+        else if (fate == 1) {
+            m_cluster.deliver_copy(position);
+        }
+        else {
+            m_cluster.deliver(position);
+        }
+    }
+
+    void disturb()
+    {
+        const std::size_t number = any();
+        switch (m_random() % 9) {
+        case 0:
+        case 1:
+            m_cluster.crash(number, static_cast<crash_tail>(m_random() % 4));
+            break;
+        case 2:
+        case 3:
+            if (!m_cluster.is_up(number)) {
+                m_cluster.start(number);
+            }
+            break;
+        case 4:
+            m_cluster.set_group(number, static_cast<int>(m_random() % 2));
+            break;
+        case 5:
+            m_cluster.heal();
+            break;
+        case 6:
+            m_cluster.disk(number).fail_at(m_cluster.disk(number).operations() + m_random() % 5,
+                                           true);
+            break;
+        case 7:
+            m_cluster.transfer(m_cluster.leader().value_or(number));
+            break;
+        default:
+            change_members(number);
+        }
+    }
+
+    void change_members(std::size_t number)
+    {
+        const auto leader = m_cluster.leader();
+        if (!leader) {
+            return;
+        }
+        if (m_random() % 3 == 0 && may_lose(number)) {
+            m_cluster.wipe(number);
+            m_wiped = number;
+        }
+        else if (m_random() % 3 == 0 && !m_wiped) {
+            m_cluster.change(*leader, remove_replica{test_cluster::id_of(number)});
+        }
+        readmit(*leader);
+    }
+
+    /// A folder may be lost only while every other one holds a voter of the committed
+    /// configuration and no removal is under way, which is in force as soon as it is written: more
+    /// is beyond what the protocol promises to survive.
+    bool may_lose(std::size_t number)
+    {
+        bool all_voters = m_cluster.members().voter_count() == m_cluster.size();
+        for (std::size_t i = 0; i < m_cluster.size(); ++i) {
+            all_voters = all_voters && m_cluster.is_up(i) &&
+                         m_cluster.members().is_voter(m_cluster.status(i).identity) &&
+                         m_cluster.status(i).members.voter_count() == m_cluster.size();
+        }
+        return all_voters && m_cluster.leader() != number;
+    }
+
+    void readmit(std::size_t leader)
+    {
+        const configuration members = m_cluster.status(leader).members;
+        if (m_wiped && m_cluster.is_up(*m_wiped) &&
+            m_cluster.members().is_voter(m_cluster.status(*m_wiped).identity)) {
+            m_wiped.reset();
+        }
+        for (std::size_t i = 0; i < m_cluster.size(); ++i) {
+            const member* known = members.find(test_cluster::id_of(i));
+            const bool missing =
+                m_cluster.is_up(i) &&
+                (known == nullptr || known->identity != m_cluster.status(i).identity);
+            if (missing) {
+                m_cluster.change(leader, add_replica{m_cluster.status(i).identity});
+            }
+        }
+    }
+
+    /// Ends all failures and lets the cluster come to rest.
+    void settle()
+    {
+        m_cluster.delay_syncs = false;
+        m_cluster.heal();
+        for (std::size_t i = 0; i < m_cluster.size(); ++i) {
+            m_cluster.crash(i, static_cast<crash_tail>(m_random() % 4));
+            m_cluster.start(i);
+        }
+        bool calm = m_cluster.converges(30s);
+        const auto whole = [&] {
+            if (const auto leader = m_cluster.leader()) {
+                readmit(*leader);
+            }
+            return m_cluster.members().voter_count() == m_cluster.size();
+        };
+        calm = calm && m_cluster.run_until(whole, 30s) && m_cluster.converges(30s);
+        EXPECT_TRUE(calm) << "the cluster does not come to rest\n" << m_cluster.describe();
+        m_cluster.delay_syncs = true;
+    }
+
+    std::mt19937_64 m_random;
+    test_cluster m_cluster;
+    /// The replica whose folder was lost and that is not a voter again.
+    std::optional<std::size_t> m_wiped;
+};
+
+class random_schedules : public testing::TestWithParam<schedule_case> {};
+
+// Guards against diverging logs, lost entries, two leaders in a term, stale reads, and clusters
+// that stay without a leader after the failures end.
+TEST_P(random_schedules, agree_with_the_reference)
+{
+    std::size_t committed = 0;
+    std::size_t reads = 0;
+    std::size_t transfers = 0;
+    const schedule_case& range = GetParam();
+    for (std::uint64_t seed = range.first_seed; seed < range.first_seed + range.schedules; ++seed) {
+        random_schedule schedule(range.replicas, seed);
+        schedule.run();
+        ASSERT_EQ(schedule.cluster().violation(), "") << "seed " << seed;
+        ASSERT_FALSE(testing::Test::HasFailure()) << "seed " << seed;
+        committed += schedule.cluster().committed();
+        reads += schedule.cluster().reads_confirmed;
+        transfers += schedule.cluster().snapshots_installed;
+    }
+    // A schedule that commits nothing would check nothing.
+    EXPECT_GT(committed, range.schedules);
+    EXPECT_GT(reads, range.schedules / 10);
+    EXPECT_GT(transfers, range.schedules / 10);
+    RecordProperty("committed", static_cast<int>(committed));
+    RecordProperty("reads", static_cast<int>(reads));
+    RecordProperty("snapshots", static_cast<int>(transfers));
+}
+
+INSTANTIATE_TEST_SUITE_P(table, random_schedules,
+                         testing::Values(schedule_case{1, 1, 1000}, schedule_case{3, 10000, 10000},
+                                         schedule_case{5, 100000, 4000}));
+
+} // namespace
+} // namespace damaskladder::consensus
--- a/src/consensus/segment_writer.cpp
+++ b/src/consensus/segment_writer.cpp
@@ -43,6 +43,12 @@
     return write_gathered();
 }
 
+base::result<void> segment_writer::finish()
+{
+    BOOST_LEAF_CHECK(sync());
+    return m_files->sync(m_handle);
+}
+
 base::result<void> segment_writer::write_gathered()
 {
     BOOST_LEAF_CHECK(m_files->append(m_handle, m_gathered));
--- a/src/consensus/segment_writer.hpp
+++ b/src/consensus/segment_writer.hpp
@@ -21,6 +21,9 @@
     void append(std::string_view payload);
     /// Writes and syncs everything gathered.
     base::result<void> sync();
+    /// Syncs the report of the last sync too, so that a segment with successors is valid to its
+    /// end.
+    base::result<void> finish();
     void close() const { m_files->close(m_handle); }
 
     bool has_unsynced() const { return !m_gathered.empty(); }
--- /dev/null
+++ b/src/consensus/test_cluster.hpp
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "consensus/fake_disk.hpp"
+#include "consensus/file_storage.hpp"
+#include "consensus/persistence_queue.hpp"
+#include "consensus/replica.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace damaskladder::consensus {
+
+/// For tests: replicas on fake disks, a list of messages under way, and a slow reference of what
+/// was committed. Every apply, snapshot, election and read is checked against the reference; the
+/// first violation is kept as text.
+class test_cluster {
+public:
+    test_cluster(std::size_t count, std::uint64_t seed, const replica_options& options = {});
+
+    static replica_id id_of(std::size_t number);
+
+    // One event or message each.
+    void tick(std::size_t number);
+    std::uint64_t propose(std::size_t number);
+    void read(std::size_t number);
+    void change(std::size_t number, membership_change change);
+    void transfer(std::size_t number);
+    void flush(std::size_t number);
+    void deliver(std::size_t position);
+    /// Delivers the message and leaves it under way.
+    void deliver_copy(std::size_t position);
+    void drop(std::size_t position);
+    void pass_time(base::duration amount) { m_now += amount; }
+
+    // Failures.
+    void crash(std::size_t number, crash_tail tail);
+    void start(std::size_t number);
+    void wipe(std::size_t number);
+    /// Only replicas of the same group hear each other.
+    void set_group(std::size_t number, int group) { m_nodes[number].group = group; }
+    void heal();
+
+    /// Passes time in small steps; delivers everything in order and syncs at once.
+    void run(base::duration amount);
+    /// Runs until the condition holds; false if it does not within the time.
+    bool run_until(const std::function<bool()>& condition, base::duration limit);
+    /// Runs until every member that is up has applied everything, and one more command.
+    bool converges(base::duration limit);
+
+    std::optional<std::size_t> leader() const;
+    /// True if the committed configuration knows the replica, which must be up, by its identity.
+    bool is_member(std::size_t number) const;
+    bool is_up(std::size_t number) const { return m_nodes[number].core.has_value(); }
+    replica_status status(std::size_t number) const { return m_nodes[number].core->status(); }
+    log_index applied(std::size_t number) const { return m_nodes[number].applied; }
+    fake_disk& disk(std::size_t number) { return *m_nodes[number].disk; }
+    std::size_t size() const { return m_nodes.size(); }
+    std::size_t under_way() const { return m_messages.size(); }
+    const std::vector<envelope>& messages() const { return m_messages; }
+    std::size_t committed() const { return m_reference.size(); }
+    /// Newest configuration that was applied anywhere.
+    const configuration& members() const { return m_members; }
+    /// One line of state for each replica, for messages.
+    std::string describe() const;
+    const std::string& violation() const { return m_violation; }
+
+    /// Outcomes by proposal number; a proposal without outcome is in neither.
+    std::map<std::uint64_t, log_index> accepted;
+    std::map<std::uint64_t, refusal_reason> refusals;
+    std::size_t reads_confirmed = 0;
+    std::size_t snapshots_installed = 0;
+    /// Keeps persist effects until flush() is called.
+    bool delay_syncs = false;
+    /// Loses messages while run() delivers, by the cluster's random numbers.
+    int loss_percent = 0;
+    /// run() delivers every message twice.
+    bool duplicate = false;
+    /// run() delivers the newest message first.
+    bool reverse = false;
+
+private:
+    struct node {
+        std::unique_ptr<fake_disk> disk;
+        std::unique_ptr<file_storage> storage;
+        std::optional<persistence_queue> queue;
+        std::optional<replica> core;
+        int group = 0;
+        log_index applied;
+        std::uint64_t hash = 0;
+        std::optional<log_index> wanted_snapshot;
+        std::map<read_id, std::size_t> reads;
+    };
+
+    void step(std::size_t number, event happened);
+    void carry_out(std::size_t number, std::vector<effect> effects);
+    void on(std::size_t number, send_message& sent);
+    void on(std::size_t number, apply_committed& applied);
+    void on(std::size_t number, install_snapshot& installed);
+    void on(std::size_t number, read_confirmed& confirmed);
+    void on(std::size_t number, became_leader& elected);
+    void on(std::size_t number, refused& request);
+    void on(std::size_t number, snapshot_wanted& wanted);
+    template <class Other>
+    void on(std::size_t /*number*/, Other& /*other*/)
+    {
+    }
+    void take_snapshot(std::size_t number);
+    void deliver_all();
+    void expect(bool condition, const std::string& text);
+
+    replica_options m_options;
+    std::mt19937_64 m_random;
+    base::time_point m_now;
+    std::vector<node> m_nodes;
+    std::vector<envelope> m_messages;
+    /// Hash of the state machine after each committed entry.
+    std::vector<std::uint64_t> m_reference;
+    configuration m_members;
+    std::map<term_number, replica_identity> m_leaders;
+    std::uint64_t m_next_request = 1;
+    std::string m_violation;
+};
+
+} // namespace damaskladder::consensus
