--- /dev/null
+++ b/src/daemon/node_settings.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "base/service_id.hpp"
+#include "base/time.hpp"
+#include "daemon/traffic_addresses.hpp"
+
+#include <string>
+#include <vector>
+
+namespace damaskladder::daemon {
+
+/// Settings of the node part of a process.
+struct node_settings {
+    traffic_addresses listen;
+    /// Connections of callers at a time.
+    unsigned connections = 2000;
+    /// Longest time for running requests to finish at a graceful stop.
+    base::duration stop_limit = std::chrono::seconds(30);
+    /// Credential of the backend server on this VM and the services that it may announce.
+    std::string credential;
+    std::vector<base::service_id> services;
+};
+
+} // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/process_settings.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "base/failure_domain_id.hpp"
+#include "base/node_id.hpp"
+#include "base/operator_id.hpp"
+#include "base/service_id.hpp"
+#include "daemon/log_settings.hpp"
+#include "daemon/node_settings.hpp"
+#include "daemon/replica_settings.hpp"
+#include "http/address.hpp"
+#include "settings/settings_problem.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace damaskladder::daemon {
+
+/// Settings file of one process (INI). A VM with a disk may run a node and a control replica in one
+/// process.
+///
+///     [process]       name, failure_domain, secret_file, messages (IP:PORT for other processes)
+///     [seeds]         addresses (list of IP:PORT; messages addresses of a few nodes)
+///     [replicas/NAME] messages (IP:PORT), one section for each control replica of the cluster
+///     [node]          callers, peers, backend_server (IP:PORT each), connections, stop_limit
+///     [announce]      credential, services (what the backend server on this VM may announce)
+///     [control]       operators (IP:PORT), data (folder), admin, admin_token_hash
+///     [log]           level (debug, info, warn, error), format (text, json)
+///
+/// [node], [control] or both are present.
+struct process_settings {
+    base::node_id name;
+    base::failure_domain_id domain;
+    std::string secret_file;
+    http::address messages;
+    std::vector<http::address> seeds;
+    /// Messages address of each control replica, by process name.
+    std::map<base::node_id, http::address> replicas;
+    std::optional<node_settings> node;
+    std::optional<replica_settings> replica;
+    log_settings log;
+};
+
+/// Settings read from a text, usable only if there are no problems.
+struct process_settings_document {
+    process_settings settings;
+    settings::settings_problems problems;
+};
+
+/// Reads and checks the whole text; each problem names file, line, section, key and what was
+/// expected.
+process_settings_document read_process_settings(std::string_view text, const std::string& file);
+
+} // namespace damaskladder::daemon
