Routing: choice among announced backend servers with bounded ejection

Entry nodes need to keep work in the own failure domain, spread it by load, and avoid servers that fail although they claim health.

router prefers the own failure domain while it has room, then takes the better of two random servers by own outstanding and reported load. Failing or hanging servers are ejected for 0.5 s to 10 s, tested by one request, and ramp up over 2 s; at most half of the announced ones are left out, and none if all are ejected. A first version also passed over servers after a single failure; with little load they then got no request that could eject or clear them, so only ejected servers are passed over now.

The cost is linear in the servers of one service; 200 in one service would need an index.

--- /dev/null
+++ b/src/routing/router.cpp
@@ -0,0 +1,239 @@
+#include "routing/router.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace damaskladder::routing {
+namespace {
+
+/// Least part of its load that a server on its ramp gets.
+constexpr double ramp_start = 0.1;
+/// Factor on the load of a server that fails but may not be ejected, so that it is chosen only
+/// when the others are much fuller.
+constexpr double failing_penalty = 8;
+/// Attempts of late fade by this factor.
+constexpr double fade = 0.9;
+constexpr base::duration forget_after = std::chrono::minutes(1);
+
+} // namespace
+
+router::router(router_options options) : m_options(std::move(options)) {}
+
+std::optional<base::node_id> router::choose(const std::vector<backend_server>& servers,
+                                            const choice_request& request, base::time_point now)
+{
+    std::vector<candidate> options = usable(servers, request, now);
+    if (options.empty()) {
+        return std::nullopt;
+    }
+    if (request.may_probe) {
+        if (const auto probe = due_probe(options, now)) {
+            probe->state->probing = true;
+            return take(*probe, now);
+        }
+    }
+    drop_ejected(options, servers.size());
+    if (options.empty()) {
+        return std::nullopt;
+    }
+    std::vector<candidate> near;
+    for (const auto& option : options) {
+        if (option.server->domain == request.own_domain && has_room(option, now)) {
+            near.push_back(option);
+        }
+    }
+    return take(choose_among(near.empty() ? options : near, now), now);
+}
+
+void router::ended(const base::node_id& node, attempt_result result, base::time_point now)
+{
+    auto found = m_states.find(node);
+    if (found == m_states.end()) {
+        return;
+    }
+    server_state& state = found->second;
+    state.outstanding = std::max<std::int64_t>(0, state.outstanding - 1);
+    switch (result) {
+    case attempt_result::answered:
+        state.attempts = state.attempts * fade + 1;
+        state.failed *= fade;
+        [[fallthrough]];
+    case attempt_result::shed:
+        state.failures_in_row = 0;
+        state.unreachable_in_row = 0;
+        if (std::exchange(state.ejected, false)) {
+            state.ramp_from = now;
+            state.attempts = 0;
+            state.failed = 0;
+        }
+        if (result == attempt_result::shed) {
+            state.full_until = now + m_options.full_time;
+        }
+        else {
+            state.last_ejection = base::duration::zero();
+        }
+        break;
+    case attempt_result::failed:
+    case attempt_result::timed_out:
+        count_failure(state, false, now);
+        break;
+    case attempt_result::unreachable:
+        count_failure(state, true, now);
+        break;
+    case attempt_result::draining:
+        state.draining_until = now + m_options.draining_time;
+        break;
+    case attempt_result::cancelled:
+        break;
+    }
+    state.probing = false;
+}
+
+std::int64_t router::outstanding(const base::node_id& node) const
+{
+    auto found = m_states.find(node);
+    return found == m_states.end() ? 0 : found->second.outstanding;
+}
+
+bool router::is_ejected(const base::node_id& node) const
+{
+    auto found = m_states.find(node);
+    return found != m_states.end() && found->second.ejected;
+}
+
+void router::forget_old(base::time_point now)
+{
+    std::erase_if(m_states, [&](const auto& item) {
+        return item.second.outstanding == 0 && now - item.second.last_used > forget_after;
+    });
+}
+
+std::vector<router::candidate> router::usable(const std::vector<backend_server>& servers,
+                                              const choice_request& request, base::time_point now)
+{
+    if (!m_first_seen && !servers.empty()) {
+        m_first_seen = now;
+    }
+    std::vector<candidate> options;
+    options.reserve(servers.size());
+    for (const auto& server : servers) {
+        server_state& state = state_of(server, now);
+        const bool excluded = std::find(request.excluded.begin(), request.excluded.end(),
+                                        server.node) != request.excluded.end();
+        if (!server.draining && !excluded && now >= state.draining_until) {
+            options.push_back({&server, &state});
+        }
+    }
+    return options;
+}
+
+server_state& router::state_of(const backend_server& server, base::time_point now)
+{
+    auto [found, is_new] = m_states.try_emplace(server.node);
+    server_state& state = found->second;
+    if (!is_new && state.incarnation == server.incarnation) {
+        return state;
+    }
+    const auto outstanding = state.outstanding;
+    state = server_state{};
+    state.incarnation = server.incarnation;
+    state.outstanding = outstanding;
+    state.last_used = now;
+    if (now > *m_first_seen) {
+        state.ramp_from = now;
+    }
+    return state;
+}
+
+router::candidate router::choose_among(const std::vector<candidate>& from, base::time_point now)
+{
+    const auto first = m_options.random() % from.size();
+    if (from.size() == 1) {
+        return from.front();
+    }
+    auto second = m_options.random() % (from.size() - 1);
+    second += second >= first ? 1 : 0;
+    const bool first_is_better = score(from[first], now) <= score(from[second], now);
+    return from[first_is_better ? first : second];
+}
+
+void router::drop_ejected(std::vector<candidate>& from, std::size_t announced) const
+{
+    const auto is_out = [](const candidate& option) { return option.state->ejected; };
+    const auto out = static_cast<std::size_t>(std::count_if(from.begin(), from.end(), is_out));
+    if (out == from.size()) {
+        return;
+    }
+    const std::size_t may_be_out = std::min(out, announced / 2);
+    std::stable_sort(from.begin(), from.end(), [](const candidate& a, const candidate& b) {
+        return std::pair(a.state->ejected, a.state->last_ejection) <
+               std::pair(b.state->ejected, b.state->last_ejection);
+    });
+    from.resize(from.size() - may_be_out);
+}
+
+std::optional<router::candidate> router::due_probe(const std::vector<candidate>& from,
+                                                   base::time_point now) const
+{
+    auto found = std::find_if(from.begin(), from.end(), [&](const candidate& option) {
+        return option.state->ejected && !option.state->probing &&
+               now >= option.state->ejected_until;
+    });
+    return found == from.end() ? std::nullopt : std::optional(*found);
+}
+
+bool router::has_room(const candidate& option, base::time_point now) const
+{
+    return !option.state->ejected && now >= option.state->full_until &&
+           score(option, now) < m_options.room;
+}
+
+double router::score(const candidate& option, base::time_point now) const
+{
+    const server_state& state = *option.state;
+    const auto slots = std::max<std::int64_t>(1, option.server->slots.value());
+    const auto reported = std::clamp<std::int64_t>(option.server->reported_load.value(), 0, slots);
+    double load =
+        static_cast<double>(state.outstanding + reported + 1) / static_cast<double>(slots);
+    if (state.ramp_from) {
+        const double grown = static_cast<double>((now - *state.ramp_from).count()) /
+                             static_cast<double>(m_options.ramp.count());
+        load /= std::clamp(grown, ramp_start, 1.0);
+    }
+    return state.ejected ? load * failing_penalty : load;
+}
+
+void router::count_failure(server_state& state, bool unreachable, base::time_point now) const
+{
+    state.attempts = state.attempts * fade + 1;
+    state.failed = state.failed * fade + 1;
+    ++state.failures_in_row;
+    state.unreachable_in_row = unreachable ? state.unreachable_in_row + 1 : 0;
+    const bool failed_probe = state.ejected && state.probing;
+    const bool in_row = state.failures_in_row >= m_options.failures_to_eject ||
+                        state.unreachable_in_row >= m_options.unreachable_to_eject;
+    const bool by_part = state.attempts >= m_options.attempts_to_judge &&
+                         state.failed >= m_options.failed_part * state.attempts;
+    if (failed_probe || (!state.ejected && (in_row || by_part))) {
+        eject(state, now);
+    }
+}
+
+void router::eject(server_state& state, base::time_point now) const
+{
+    const auto twice = state.last_ejection + state.last_ejection;
+    state.last_ejection =
+        std::clamp(twice, m_options.shortest_ejection, m_options.longest_ejection);
+    state.ejected = true;
+    state.ejected_until = now + state.last_ejection;
+    state.ramp_from.reset();
+}
+
+base::node_id router::take(const candidate& chosen, base::time_point now)
+{
+    ++chosen.state->outstanding;
+    chosen.state->last_used = now;
+    return chosen.server->node;
+}
+
+} // namespace damaskladder::routing
--- /dev/null
+++ b/src/routing/router.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "routing/attempt_result.hpp"
+#include "routing/backend_server.hpp"
+#include "routing/choice_request.hpp"
+#include "routing/router_options.hpp"
+#include "routing/server_state.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace damaskladder::routing {
+
+/// Chooses a backend server of one service for each attempt.
+class router {
+public:
+    explicit router(router_options options);
+
+    /// Chooses one of the announced servers and counts the attempt as outstanding until ended() is
+    /// called for it. Nothing if no server may be used.
+    std::optional<base::node_id> choose(const std::vector<backend_server>& servers,
+                                        const choice_request& request, base::time_point now);
+
+    /// A chosen attempt ended. Unknown servers are ignored.
+    void ended(const base::node_id& node, attempt_result result, base::time_point now);
+
+    /// Attempts under way at a server.
+    std::int64_t outstanding(const base::node_id& node) const;
+
+    /// A server is ejected now.
+    bool is_ejected(const base::node_id& node) const;
+
+    /// Forgets servers that have not been used for a minute and have no outstanding calls.
+    void forget_old(base::time_point now);
+
+private:
+    struct candidate {
+        const backend_server* server;
+        server_state* state;
+    };
+
+    std::vector<candidate> usable(const std::vector<backend_server>& servers,
+                                  const choice_request& request, base::time_point now);
+    server_state& state_of(const backend_server& server, base::time_point now);
+    candidate choose_among(const std::vector<candidate>& from, base::time_point now);
+    void drop_ejected(std::vector<candidate>& from, std::size_t announced) const;
+    std::optional<candidate> due_probe(const std::vector<candidate>& from,
+                                       base::time_point now) const;
+    bool has_room(const candidate& option, base::time_point now) const;
+    double score(const candidate& option, base::time_point now) const;
+    void count_failure(server_state& state, bool unreachable, base::time_point now) const;
+    void eject(server_state& state, base::time_point now) const;
+    static base::node_id take(const candidate& chosen, base::time_point now);
+
+    router_options m_options;
+    std::unordered_map<base::node_id, server_state> m_states;
+    /// When the first server was seen. Servers seen at that time are not new among known ones.
+    std::optional<base::time_point> m_first_seen;
+};
+
+} // namespace damaskladder::routing
--- /dev/null
+++ b/src/routing/router_test.cpp
@@ -0,0 +1,211 @@
+#include "routing/router.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+#include <set>
+
+namespace damaskladder::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+base::time_point at_ms(std::int64_t value)
+{
+    return base::time_point(milliseconds(value));
+}
+
+router_options seeded(std::uint64_t seed)
+{
+    router_options options;
+    options.random = [random = std::mt19937_64(seed)]() mutable { return random(); };
+    return options;
+}
+
+backend_server server_of(const std::string& node, const std::string& domain,
+                         std::int64_t reported = 0, bool draining = false)
+{
+    return {base::node_id(node),  base::incarnation(1),       base::failure_domain_id(domain),
+            base::slot_count(40), base::slot_count(reported), draining};
+}
+
+choice_request from_domain(const std::string& domain)
+{
+    return {base::failure_domain_id(domain), {}, true};
+}
+
+struct choice_case {
+    const char* name;
+    std::vector<backend_server> servers;
+    std::vector<base::node_id> excluded;
+    /// Nodes among which all choices of 200 must fall; each must be chosen.
+    std::set<std::string> chosen;
+};
+
+void PrintTo(const choice_case& row, std::ostream* out)
+{
+    *out << row.name;
+}
+
+class choices : public testing::TestWithParam<choice_case> {};
+
+// Guards against work for servers that drain, and against leaving the own failure domain while it
+// has room.
+TEST_P(choices, fall_on_allowed_servers)
+{
+    const auto& row = GetParam();
+    router chooser(seeded(1));
+    std::set<std::string> chosen;
+    auto request = from_domain("a");
+    request.excluded = row.excluded;
+    for (int n = 0; n < 200; ++n) {
+        if (auto node = chooser.choose(row.servers, request, at_ms(n))) {
+            chosen.insert(node->value());
+            chooser.ended(*node, attempt_result::answered, at_ms(n));
+        }
+    }
+    EXPECT_EQ(chosen, row.chosen);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, choices,
+    testing::Values(
+        choice_case{"none announced", {}, {}, {}},
+        choice_case{"own domain", {server_of("1", "a"), server_of("2", "b")}, {}, {"1"}},
+        choice_case{
+            "both in own domain", {server_of("1", "a"), server_of("2", "a")}, {}, {"1", "2"}},
+        choice_case{
+            "own domain is full", {server_of("1", "a", 38), server_of("2", "b")}, {}, {"2"}},
+        choice_case{
+            "all are full", {server_of("1", "a", 40), server_of("2", "b", 40)}, {}, {"1", "2"}},
+        choice_case{"draining", {server_of("1", "a", 0, true), server_of("2", "b")}, {}, {"2"}},
+        choice_case{"all drain", {server_of("1", "a", 0, true)}, {}, {}},
+        choice_case{
+            "excluded", {server_of("1", "a"), server_of("2", "b")}, {base::node_id("1")}, {"2"}}));
+
+struct ejection_case {
+    const char* name;
+    int servers;
+    /// The first so many servers end each attempt with the result; the others answer.
+    int bad;
+    attempt_result result;
+    int ejected;
+    /// Largest part of the late attempts that falls on bad servers.
+    double most_on_bad;
+};
+
+void PrintTo(const ejection_case& row, std::ostream* out)
+{
+    *out << row.name;
+}
+
+class ejections : public testing::TestWithParam<ejection_case> {};
+
+// Guards against a server that fails while it claims health, and against ejections that empty a
+// service.
+TEST_P(ejections, are_bounded)
+{
+    const auto& row = GetParam();
+    std::vector<backend_server> servers;
+    servers.reserve(static_cast<std::size_t>(row.servers));
+    for (int n = 0; n < row.servers; ++n) {
+        servers.push_back(server_of(std::to_string(n), "a"));
+    }
+    router chooser(seeded(7));
+    int late = 0;
+    int late_on_bad = 0;
+    for (int n = 0; n < 4'000; ++n) {
+        const auto now = at_ms(n);
+        const auto node = chooser.choose(servers, from_domain("a"), now);
+        ASSERT_TRUE(node) << "a service was emptied";
+        const bool is_bad = std::stoi(node->value()) < row.bad;
+        chooser.ended(*node, is_bad ? row.result : attempt_result::answered, now);
+        late += n >= 2'000 ? 1 : 0;
+        late_on_bad += n >= 2'000 && is_bad ? 1 : 0;
+    }
+    int ejected = 0;
+    for (const auto& server : servers) {
+        ejected += chooser.is_ejected(server.node) ? 1 : 0;
+    }
+    EXPECT_EQ(ejected, row.ejected);
+    EXPECT_LE(late_on_bad, row.most_on_bad * late);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, ejections,
+    testing::Values(ejection_case{"one fails", 3, 1, attempt_result::failed, 1, 0.01},
+                    ejection_case{"one hangs", 3, 1, attempt_result::timed_out, 1, 0.01},
+                    ejection_case{"one is unreachable", 2, 1, attempt_result::unreachable, 1, 0.01},
+                    ejection_case{"two of three fail", 3, 2, attempt_result::failed, 2, 0.05},
+                    ejection_case{"all fail", 3, 3, attempt_result::failed, 3, 1.0},
+                    ejection_case{"shedding is no failure", 3, 1, attempt_result::shed, 0, 1.0},
+                    ejection_case{"one alone", 1, 1, attempt_result::failed, 1, 1.0}));
+
+// Guards against a server that comes back at once to its full part.
+TEST(router, returned_server_ramps_up)
+{
+    const std::vector<backend_server> servers{server_of("bad", "a"), server_of("1", "a"),
+                                              server_of("2", "a")};
+    router chooser(seeded(3));
+    std::vector<base::node_id> running;
+    std::map<std::int64_t, int> on_returned;
+    for (std::int64_t n = 0; n < 6'000; ++n) {
+        const auto node = *chooser.choose(servers, from_domain("a"), at_ms(n));
+        const bool fails = node == servers.front().node && n < 1'000;
+        if (fails) {
+            chooser.ended(node, attempt_result::failed, at_ms(n));
+            continue;
+        }
+        on_returned[n / 500] += node == servers.front().node ? 1 : 0;
+        running.push_back(node);
+        if (running.size() > 30) {
+            chooser.ended(running.front(), attempt_result::answered, at_ms(n));
+            running.erase(running.begin());
+        }
+    }
+    int first_on = 0;
+    while (on_returned[first_on] == 0) {
+        ++first_on;
+    }
+    EXPECT_LT(on_returned[first_on], 60);
+    EXPECT_GT(on_returned[11], 120);
+}
+
+// Guards against further attempts at a server whose gatekeeper said that it drains, and against
+// leaving it out after it was announced again.
+TEST(router, draining_verdict_holds_until_next_incarnation)
+{
+    std::vector<backend_server> servers{server_of("1", "a")};
+    router chooser(seeded(3));
+    EXPECT_EQ(chooser.choose(servers, from_domain("a"), at_ms(0)), base::node_id("1"));
+    chooser.ended(base::node_id("1"), attempt_result::draining, at_ms(1));
+    EXPECT_EQ(chooser.choose(servers, from_domain("a"), at_ms(2)), std::nullopt);
+    servers.front().incarnation = base::incarnation(2);
+    EXPECT_EQ(chooser.choose(servers, from_domain("a"), at_ms(3)), base::node_id("1"));
+}
+
+// Guards against testing an ejected server with a request that must not run twice.
+TEST(router, non_idempotent_requests_do_not_probe)
+{
+    const std::vector<backend_server> servers{server_of("1", "a"), server_of("2", "a")};
+    router chooser(seeded(3));
+    auto request = from_domain("a");
+    for (int n = 0; n < 50; ++n) {
+        const auto node = *chooser.choose(servers, request, at_ms(n));
+        const bool is_bad = node == servers.front().node;
+        chooser.ended(node, is_bad ? attempt_result::unreachable : attempt_result::answered,
+                      at_ms(n));
+    }
+    ASSERT_TRUE(chooser.is_ejected(servers.front().node));
+    request.may_probe = false;
+    for (int n = 0; n < 100; ++n) {
+        const auto node = chooser.choose(servers, request, at_ms(20'000 + n));
+        EXPECT_EQ(node, servers.back().node);
+        chooser.ended(*node, attempt_result::answered, at_ms(20'000 + n));
+    }
+}
+
+} // namespace
+} // namespace damaskladder::routing
--- /dev/null
+++ b/src/routing/server_state.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "base/incarnation.hpp"
+#include "base/time.hpp"
+
+#include <cstdint>
+#include <optional>
+
+namespace damaskladder::routing {
+
+/// What a router has seen of one backend server itself.
+struct server_state {
+    base::incarnation incarnation;
+    /// Calls sent and not ended.
+    std::int64_t outstanding = 0;
+    int failures_in_row = 0;
+    int unreachable_in_row = 0;
+    /// Attempts of late and the failed ones among them; both fade by 10% an attempt.
+    double attempts = 0;
+    double failed = 0;
+    bool ejected = false;
+    base::time_point ejected_until;
+    base::duration last_ejection{};
+    /// A test request is under way.
+    bool probing = false;
+    base::time_point full_until;
+    base::time_point draining_until;
+    /// Start of the ramp; nothing after it ended.
+    std::optional<base::time_point> ramp_from;
+    base::time_point last_used;
+};
+
+} // namespace damaskladder::routing
