Retry: allowance of the call tree, budget, decision and table of repeats

Retries multiply per level of a call chain unless one bound holds for the whole tree, and a caller's own repeat must not run a second time.

allowance_ledger lends parts of a call's allowance to onward attempts and takes each back once, by identity; lost answers count as spent. budget permits a tenth of recent successes with a floor of 5 a second. decide_retry permits only what did not run or is idempotent, within the deadline. repeat_table joins repeats to the running request or gives the kept answer, within 64 KiB an answer, 30 s and 8 MiB together. kept_answer and status_code move from node to retry and base; node keeps the names.

4,000 seeded random call trees (allowances 0, 1, 3 and 8) with lost, repeated, late and exaggerated returns never exceed the allowance and do use it up; 800 trees without failures return all of it (retry_test).

--- a/include/damaskladder/base.hpp
+++ b/include/damaskladder/base.hpp
@@ -37,6 +37,7 @@
 #include "base/settings_version.hpp"
 #include "base/share_weight.hpp"
 #include "base/slot_count.hpp"
+#include "base/status_code.hpp"
 #include "base/strong_id.hpp"
 #include "base/team_id.hpp"
 #include "base/time.hpp"
--- /dev/null
+++ b/src/base/status_code.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/strong_id.hpp"
+
+#include <cstdint>
+
+namespace damaskladder::base {
+
+/// Three-digit status of an answer, with the meanings of HTTP.
+using status_code = strong_id<struct status_code_tag, std::uint16_t>;
+
+} // namespace damaskladder::base
--- a/src/node/status_code.hpp
+++ b/src/node/status_code.hpp
@@ -1,12 +1,9 @@
 #pragma once
 
-#include "base/strong_id.hpp"
-
-#include <cstdint>
+#include "base/status_code.hpp"
 
 namespace damaskladder::node {
 
-/// Three-digit status of an answer, with the meanings of HTTP.
-using status_code = base::strong_id<struct status_code_tag, std::uint16_t>;
+using base::status_code;
 
 } // namespace damaskladder::node
--- /dev/null
+++ b/src/retry/allowance_ledger_test.cpp
@@ -0,0 +1,207 @@
+#include "retry/allowance_ledger.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <vector>
+
+namespace damaskladder::retry {
+namespace {
+
+constexpr base::call_id root(1);
+
+enum class step_kind { lend, lend_all_but_one, give_back, lost, spend, close };
+
+struct step {
+    step_kind kind;
+    std::uint64_t onward = 0;
+    int amount = 0;
+    /// What the step returns, or what is left after steps that return nothing.
+    int expected = 0;
+};
+
+struct ledger_case {
+    const char* name;
+    int allowance;
+    std::vector<step> steps;
+};
+
+void PrintTo(const ledger_case& row, std::ostream* out)
+{
+    *out << row.name;
+}
+
+int perform(allowance_ledger& ledger, const step& next)
+{
+    const base::call_id onward(next.onward);
+    switch (next.kind) {
+    case step_kind::lend:
+        return ledger.lend(root, onward).value();
+    case step_kind::lend_all_but_one:
+        return ledger.lend_all_but(root, onward, base::retry_count(1)).value();
+    case step_kind::give_back:
+        ledger.give_back(root, onward, base::retry_count(next.amount));
+        return ledger.left(root).value();
+    case step_kind::lost:
+        ledger.lost(root, onward);
+        return ledger.left(root).value();
+    case step_kind::spend:
+        return ledger.spend(root) ? 1 : 0;
+    case step_kind::close:
+        return ledger.close(root).value();
+    }
+    return -1;
+}
+
+class ledger_sessions : public testing::TestWithParam<ledger_case> {};
+
+// Guards against loans that come back twice, too large, too late, or not at all.
+TEST_P(ledger_sessions, account_for_each_extra_attempt)
+{
+    allowance_ledger ledger;
+    ledger.open(root, base::retry_count(GetParam().allowance));
+    int number = 0;
+    for (const auto& next : GetParam().steps) {
+        EXPECT_EQ(perform(ledger, next), next.expected) << "step " << number;
+        ++number;
+    }
+}
+
+using kind = step_kind;
+
+INSTANTIATE_TEST_SUITE_P(
+    table, ledger_sessions,
+    testing::Values(
+        ledger_case{"returned in full", 3, {{kind::lend, 2, 0, 2}, {kind::give_back, 2, 2, 3}}},
+        ledger_case{"parallel onward calls share",
+                    3,
+                    {{kind::lend, 2, 0, 2}, {kind::lend, 3, 0, 1}, {kind::lend, 4, 0, 0}}},
+        ledger_case{
+            "returned once",
+            3,
+            {{kind::lend, 2, 0, 2}, {kind::give_back, 2, 1, 2}, {kind::give_back, 2, 1, 2}}},
+        ledger_case{
+            "returned more than lent", 3, {{kind::lend, 2, 0, 2}, {kind::give_back, 2, 9, 3}}},
+        ledger_case{"negative return", 3, {{kind::lend, 2, 0, 2}, {kind::give_back, 2, -5, 1}}},
+        ledger_case{"lost answer is spent",
+                    3,
+                    {{kind::lend, 2, 0, 2}, {kind::lost, 2, 0, 1}, {kind::give_back, 2, 2, 1}}},
+        ledger_case{"one attempt has one loan", 3, {{kind::lend, 2, 0, 2}, {kind::lend, 2, 0, 0}}},
+        ledger_case{"closed with a loan out",
+                    3,
+                    {{kind::lend, 2, 0, 2},
+                     {kind::close, 0, 0, 1},
+                     {kind::give_back, 2, 2, 0},
+                     {kind::lend, 3, 0, 0}}},
+        ledger_case{
+            "one kept back", 3, {{kind::lend_all_but_one, 2, 0, 2}, {kind::spend, 0, 0, 1}}},
+        ledger_case{"nothing to spend", 0, {{kind::spend, 0, 0, 0}, {kind::lend, 2, 0, 0}}}));
+
+/// Runs one random call tree over ledgers as nodes do, with failed attempts, lost, repeated, late
+/// and exaggerated answers, and counts the extra attempts.
+class random_tree {
+public:
+    explicit random_tree(std::uint64_t seed) : m_random(seed) {}
+
+    int run(int allowance, bool everything_works)
+    {
+        m_works = everything_works;
+        m_unused = run_call(base::call_id(++m_last_call), allowance, 0);
+        return m_extra;
+    }
+
+    int unused() const { return m_unused; }
+
+private:
+    struct onward_call {
+        base::call_id attempt;
+        base::retry_count lent;
+    };
+
+    int run_call(base::call_id call, int lent, int depth)
+    {
+        m_ledger.open(call, base::retry_count(lent));
+        std::vector<onward_call> running;
+        const auto onward_calls = depth < 6 ? m_random() % 4 : 0;
+        for (std::uint64_t n = 0; n < onward_calls; ++n) {
+            running.push_back(start(call));
+            while (!running.empty() && m_random() % 2 == 0) {
+                end_one(call, running, depth);
+            }
+        }
+        while (!running.empty() && (m_works || m_random() % 8 != 0)) {
+            end_one(call, running, depth);
+        }
+        return m_ledger.close(call).value();
+    }
+
+    onward_call start(base::call_id call)
+    {
+        const base::call_id attempt(++m_last_call);
+        const auto lent = m_random() % 2 == 0
+                              ? m_ledger.lend(call, attempt)
+                              : m_ledger.lend_all_but(call, attempt, base::retry_count(1));
+        return {attempt, lent};
+    }
+
+    void end_one(base::call_id call, std::vector<onward_call>& running, int depth)
+    {
+        const auto which = running.begin() + static_cast<std::int64_t>(m_random() % running.size());
+        const onward_call ended = *which;
+        running.erase(which);
+        const int unused = run_call(ended.attempt, ended.lent.value(), depth + 1);
+        const auto fate = m_works ? 9 : m_random() % 10;
+        if (fate < 2) {
+            m_ledger.lost(call, ended.attempt);
+        }
+        else {
+            m_ledger.give_back(call, ended.attempt, base::retry_count(unused));
+        }
+        if (fate == 3 || fate == 1) {
+            m_ledger.give_back(call, ended.attempt, base::retry_count(unused + 5));
+        }
+        if (fate < 6 && m_ledger.spend(call)) {
+            ++m_extra;
+            running.push_back(start(call));
+        }
+    }
+
+    std::mt19937_64 m_random;
+    allowance_ledger m_ledger;
+    std::uint64_t m_last_call = 0;
+    int m_extra = 0;
+    int m_unused = 0;
+    bool m_works = false;
+};
+
+class call_trees : public testing::TestWithParam<int> {};
+
+// Guards against retries that multiply per level: 4,000 seeded call trees, up to 7 deep.
+TEST_P(call_trees, never_exceed_the_allowance)
+{
+    const int allowance = GetParam();
+    int most = 0;
+    for (std::uint64_t seed = 1; seed <= 1'000; ++seed) {
+        random_tree tree(seed);
+        const int extra = tree.run(allowance, false);
+        ASSERT_LE(extra, allowance) << "seed " << seed;
+        ASSERT_LE(extra + tree.unused(), allowance) << "seed " << seed;
+        most = std::max(most, extra);
+    }
+    EXPECT_EQ(most, allowance) << "no schedule used the allowance up; the test shows nothing";
+}
+
+// Guards against an allowance that shrinks although no attempt failed.
+TEST_P(call_trees, lose_nothing_when_all_works)
+{
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        random_tree tree(seed);
+        EXPECT_EQ(tree.run(GetParam(), true), 0);
+        ASSERT_EQ(tree.unused(), GetParam()) << "seed " << seed;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(allowances, call_trees, testing::Values(0, 1, 3, 8));
+
+} // namespace
+} // namespace damaskladder::retry
--- /dev/null
+++ b/src/retry/decide_retry_test.cpp
@@ -0,0 +1,117 @@
+#include "retry/budget.hpp"
+#include "retry/decide_retry.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace damaskladder::retry {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct decision_case {
+    const char* name;
+    failed_attempt failed;
+    /// Longest pause in milliseconds; negative if there must be no other attempt.
+    int longest_pause_ms;
+};
+
+void PrintTo(const decision_case& row, std::ostream* out)
+{
+    *out << row.name;
+}
+
+class retry_decisions : public testing::TestWithParam<decision_case> {};
+
+// Guards against repeating what may have run, and against attempts that cannot end in time.
+TEST_P(retry_decisions, follow_table)
+{
+    const auto& row = GetParam();
+    retry_options options;
+    options.random = [random = std::mt19937_64(5)]() mutable { return random(); };
+    for (int draw = 0; draw < 100; ++draw) {
+        const auto pause = decide_retry(row.failed, options);
+        ASSERT_EQ(pause.has_value(), row.longest_pause_ms >= 0);
+        if (pause) {
+            EXPECT_LE(*pause, milliseconds(row.longest_pause_ms));
+        }
+    }
+}
+
+constexpr base::duration second = std::chrono::seconds(1);
+
+INSTANTIATE_TEST_SUITE_P(
+    table, retry_decisions,
+    testing::Values(
+        decision_case{
+            "elsewhere at once", {failure_class::not_run_elsewhere, false, true, 1, second, {}}, 0},
+        decision_case{"shed pauses", {failure_class::not_run_shed, false, true, 1, second, {}}, 10},
+        decision_case{"third shed pauses longer",
+                      {failure_class::not_run_shed, false, true, 3, second, {}},
+                      40},
+        decision_case{
+            "pause is bounded", {failure_class::not_run_shed, false, true, 60, second, {}}, 200},
+        decision_case{"idempotent may run twice",
+                      {failure_class::may_have_run, true, true, 1, second, {}},
+                      10},
+        decision_case{"non-idempotent must not run twice",
+                      {failure_class::may_have_run, false, true, 1, second, {}},
+                      -1},
+        decision_case{"permanent", {failure_class::permanent, true, true, 1, second, {}}, -1},
+        decision_case{
+            "body is gone", {failure_class::not_run_elsewhere, true, false, 1, second, {}}, -1},
+        decision_case{"no time", {failure_class::not_run_elsewhere, true, true, 1, {}, {}}, -1},
+        decision_case{"too little time",
+                      {failure_class::not_run_elsewhere, true, true, 1, second, second},
+                      -1}));
+
+struct budget_case {
+    const char* name;
+    int successes;
+    std::int64_t wait_ms;
+    int permitted;
+};
+
+void PrintTo(const budget_case& row, std::ostream* out)
+{
+    *out << row.name;
+}
+
+class budgets : public testing::TestWithParam<budget_case> {};
+
+// Guards against retries that hold an overload up, and against a node without traffic that can
+// never retry.
+TEST_P(budgets, permit_a_part_of_successes)
+{
+    const auto& row = GetParam();
+    budget retries{budget_options{}};
+    for (int n = 0; n < row.successes; ++n) {
+        retries.success(base::time_point{});
+    }
+    int permitted = 0;
+    while (retries.try_spend(base::time_point(milliseconds(row.wait_ms)))) {
+        ++permitted;
+    }
+    EXPECT_EQ(permitted, row.permitted);
+}
+
+INSTANTIATE_TEST_SUITE_P(table, budgets,
+                         testing::Values(budget_case{"floor", 0, 0, 5},
+                                         budget_case{"tenth and floor", 1'005, 0, 105},
+                                         budget_case{"old successes fade", 1'000, 60'000, 5}));
+
+// Guards against a floor that permits more than its rate: 5 at once and 5 a second.
+TEST(budget, floor_refills_at_its_rate)
+{
+    budget retries{budget_options{}};
+    int permitted = 0;
+    for (std::int64_t ms = 0; ms <= 10'000; ++ms) {
+        permitted += retries.try_spend(base::time_point(milliseconds(ms))) ? 1 : 0;
+    }
+    EXPECT_GE(permitted, 54);
+    EXPECT_LE(permitted, 55);
+}
+
+} // namespace
+} // namespace damaskladder::retry
--- /dev/null
+++ b/src/retry/kept_answer.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "base/status_code.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace damaskladder::retry {
+
+/// Copy of a whole answer, kept for repeats of the request. Headers are in the form that the front
+/// end needs to send them again; no decision reads them.
+struct kept_answer {
+    base::status_code status;
+    std::string headers;
+    std::string body;
+
+    std::int64_t size() const { return static_cast<std::int64_t>(headers.size() + body.size()); }
+};
+
+} // namespace damaskladder::retry
--- /dev/null
+++ b/src/retry/repeat_entry.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "base/content_hash.hpp"
+#include "base/time.hpp"
+#include "retry/kept_answer.hpp"
+#include "retry/waiter_id.hpp"
+
+#include <memory>
+#include <vector>
+
+namespace damaskladder::retry {
+
+/// One request with a request id that runs or whose answer is kept.
+struct repeat_entry {
+    base::content_hash content;
+    /// Callers that wait; the first one's request runs. Empty once answered.
+    std::vector<waiter_id> waiting;
+    std::shared_ptr<const kept_answer> answer;
+    base::time_point expires;
+};
+
+} // namespace damaskladder::retry
