--- /dev/null
+++ b/src/cli/operator_answer_text.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+namespace damaskladder::cli {
+
+/// Answer of a control replica to one request over HTTP.
+struct operator_answer_text {
+    int status = 0;
+    std::string body;
+};
+
+} // namespace damaskladder::cli
--- /dev/null
+++ b/src/cli/operator_commands.cpp
@@ -0,0 +1,430 @@
+#include "cli/operator_commands.hpp"
+
+#include "cli/operator_client.hpp"
+#include "cli/operator_options.hpp"
+#include "cli/option_parser.hpp"
+#include "cli/text_file.hpp"
+
+#include <nlohmann/json.hpp>
+#include <sodium.h>
+
+#include <iostream>
+#include <thread>
+
+namespace damaskladder::cli {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int first_error_status = 400;
+constexpr int forbidden = 403;
+constexpr int unauthorized = 401;
+
+// First line of an exported subtree; apply takes path and version from it.
+constexpr std::string_view version_mark = "# damaskladder subtree ";
+
+std::string draw_change_id()
+{
+    return "change-" + std::to_string(randombytes_random()) + std::to_string(randombytes_random());
+}
+
+exit_code code_of(const std::string& verdict)
+{
+    if (verdict == "accepted" || verdict == "unchanged" || verdict == "pending") {
+        return exit_code::ok;
+    }
+    if (verdict == "conflict") {
+        return exit_code::conflict;
+    }
+    return verdict == "permission_denied" ? exit_code::permission : exit_code::refused;
+}
+
+void print_reply(const json& reply)
+{
+    std::cout << reply.value("verdict", "") << " version " << reply.value("version", 0ULL);
+    if (const auto proposal = reply.value("proposal", 0ULL); proposal != 0) {
+        std::cout << " proposal " << proposal;
+    }
+    std::cout << '\n';
+    if (reply.contains("conflict")) {
+        const auto& conflict = reply["conflict"];
+        std::cout << "The subtree is at version " << conflict.value("version", 0ULL)
+                  << ", changed by " << conflict.value("author", "") << " at "
+                  << conflict.value("when", "") << ":\n"
+                  << conflict.value("difference", "");
+    }
+    for (const auto& problem : reply.value("problems", json::array())) {
+        std::cout << problem.get<std::string>() << '\n';
+    }
+}
+
+/// One verb: its options, and the request that follows from them.
+class verb {
+public:
+    verb(const std::string& name, const std::string& usage) : m_parser(name, usage), m_common(m_parser)
+    {
+    }
+
+    option_parser& parser() { return m_parser; }
+    const std::vector<std::string>& positional() const { return m_parser.positional(); }
+
+    /// False after an error, which has been printed.
+    bool parse(const std::vector<std::string>& arguments, std::size_t expected)
+    {
+        if (!m_parser.parse(arguments)) {
+            return false;
+        }
+        if (positional().size() != expected) {
+            std::cerr << "expected " << expected << " arguments, see --help\n";
+            return false;
+        }
+        return true;
+    }
+
+    exit_code run_query(const std::string& target)
+    {
+        const auto answer = ask({target, {}});
+        if (!answer) {
+            return m_failure;
+        }
+        std::cout << answer->body;
+        return exit_code::ok;
+    }
+
+    std::optional<std::string> fetch(const std::string& target)
+    {
+        const auto answer = ask({target, {}});
+        return answer ? std::optional(answer->body) : std::nullopt;
+    }
+
+    exit_code run_command(const json& command)
+    {
+        const auto answer = ask({"/v1/command", command.dump()});
+        if (!answer) {
+            if (m_failure == exit_code::unknown) {
+                std::cerr << "No answer came. To learn what became of the change: damaskladder "
+                             "answer "
+                          << command.value("change", "") << '\n';
+            }
+            return m_failure;
+        }
+        const auto reply = json::parse(answer->body, nullptr, false);
+        if (!reply.is_object()) {
+            std::cerr << answer->body;
+            return exit_code::failed;
+        }
+        print_reply(reply);
+        return code_of(reply.value("verdict", ""));
+    }
+
+    exit_code failure() const { return m_failure; }
+
+private:
+    std::optional<operator_answer_text> ask(const operator_client::request& wanted)
+    {
+        const auto replicas = m_common.replicas();
+        const auto token = m_common.token();
+        if (!replicas || !token) {
+            m_failure = exit_code::usage;
+            return std::nullopt;
+        }
+        operator_client client(*replicas, *token);
+        const auto answer = client.ask(wanted);
+        if (!answer) {
+            const bool unknown = client.maybe_done() && !wanted.body.empty();
+            m_failure = unknown ? exit_code::unknown : exit_code::unavailable;
+            std::cerr << "no control replica that leads could be reached\n";
+            return std::nullopt;
+        }
+        if (answer->status >= first_error_status) {
+            const bool denied = answer->status == forbidden || answer->status == unauthorized;
+            m_failure = denied ? exit_code::permission : exit_code::refused;
+            std::cerr << answer->body;
+            return std::nullopt;
+        }
+        return answer;
+    }
+
+    option_parser m_parser;
+    operator_options m_common;
+    exit_code m_failure = exit_code::failed;
+};
+
+/// Path and version from the first line of an exported subtree, where options do not give them.
+void read_version_mark(const std::string& text, std::string& path, long long& version)
+{
+    if (text.compare(0, version_mark.size(), version_mark) != 0) {
+        return;
+    }
+    std::istringstream line(text.substr(version_mark.size(), text.find('\n')));
+    std::string marked_path;
+    std::string word;
+    long long marked_version = 0;
+    if (line >> marked_path >> word >> marked_version) {
+        path = path.empty() ? marked_path : path;
+        version = version < 0 ? marked_version : version;
+    }
+}
+
+exit_code run_edit(const std::string& name, const std::vector<std::string>& arguments)
+{
+    std::string path;
+    long long based_on = -1;
+    std::string change = draw_change_id();
+    long long lifetime_s = 7LL * 24 * 3600;
+    verb edit(name, "FILE");
+    edit.parser().add("path", path, "subtree that the file replaces", "PATH");
+    edit.parser().add("based-on", based_on, "version of the subtree that the change starts from",
+                      "VERSION");
+    edit.parser().add("id", change, "change id; give the same one when sending again", "ID");
+    edit.parser().add("lifetime", lifetime_s, "seconds after which a proposal expires", "SECONDS");
+    if (!edit.parse(arguments, 1)) {
+        return exit_code::usage;
+    }
+    const auto text = read_text_file(edit.positional().front());
+    if (!text) {
+        std::cerr << "the file cannot be read: " << edit.positional().front() << '\n';
+        return exit_code::usage;
+    }
+    read_version_mark(*text, path, based_on);
+    if (path.empty() || based_on < 0) {
+        std::cerr << "--path and --based-on are needed, unless the file begins with the line that "
+                     "export writes\n";
+        return exit_code::usage;
+    }
+    json command = {{"verb", name}, {"change", change}, {"path", path},
+                    {"based_on", static_cast<std::uint64_t>(based_on)}, {"ini", *text}};
+    if (name == "propose") {
+        command["lifetime_s"] = static_cast<std::uint64_t>(std::max(lifetime_s, 0LL));
+    }
+    return edit.run_command(command);
+}
+
+exit_code run_approve(const std::vector<std::string>& arguments)
+{
+    std::string change = draw_change_id();
+    long long proposal = 0;
+    verb review("approve", "");
+    review.parser().add("proposal", proposal, "number of the proposal, see pending", "NUMBER");
+    review.parser().add("id", change, "change id", "ID");
+    if (!review.parse(arguments, 0) || proposal <= 0) {
+        return exit_code::usage;
+    }
+    return review.run_command({{"verb", "approve"},
+                               {"change", change},
+                               {"proposal", static_cast<std::uint64_t>(proposal)}});
+}
+
+exit_code run_refuse(const std::vector<std::string>& arguments)
+{
+    std::string change = draw_change_id();
+    std::string reason;
+    long long proposal = 0;
+    verb review("refuse", "");
+    review.parser().add("proposal", proposal, "number of the proposal, see pending", "NUMBER");
+    review.parser().add("reason", reason, "why, for the proposer", "TEXT");
+    review.parser().add("id", change, "change id", "ID");
+    if (!review.parse(arguments, 0) || proposal <= 0) {
+        return exit_code::usage;
+    }
+    return review.run_command({{"verb", "refuse"},
+                               {"change", change},
+                               {"proposal", static_cast<std::uint64_t>(proposal)},
+                               {"reason", reason}});
+}
+
+exit_code run_withdraw(const std::vector<std::string>& arguments)
+{
+    std::string change = draw_change_id();
+    verb withdraw("withdraw-key", "KEY-NAME");
+    withdraw.parser().add("id", change, "change id", "ID");
+    if (!withdraw.parse(arguments, 1)) {
+        return exit_code::usage;
+    }
+    return withdraw.run_command(
+        {{"verb", "withdraw-key"}, {"change", change}, {"key", withdraw.positional().front()}});
+}
+
+exit_code run_create_credential(const std::vector<std::string>& arguments)
+{
+    std::string change = draw_change_id();
+    std::string role = "team";
+    std::string path;
+    std::string hash;
+    verb create("create-credential", "NAME");
+    create.parser().add("role", role, "admin, team or reviewer", "ROLE");
+    create.parser().add("path", path, "subtree", "PATH");
+    create.parser().add("token-hash", hash, "printed by hash-token", "HEX");
+    create.parser().add("id", change, "change id", "ID");
+    if (!create.parse(arguments, 1)) {
+        return exit_code::usage;
+    }
+    return create.run_command({{"verb", "create-credential"},
+                               {"change", change},
+                               {"name", create.positional().front()},
+                               {"role", role},
+                               {"path", path},
+                               {"token_hash", hash}});
+}
+
+exit_code run_remove_credential(const std::vector<std::string>& arguments)
+{
+    std::string change = draw_change_id();
+    verb remove("remove-credential", "NAME");
+    remove.parser().add("id", change, "change id", "ID");
+    if (!remove.parse(arguments, 1)) {
+        return exit_code::usage;
+    }
+    return remove.run_command({{"verb", "remove-credential"},
+                               {"change", change},
+                               {"name", remove.positional().front()}});
+}
+
+/// A query of one path, which may be left out for all settings.
+exit_code run_path_query(const std::string& name, const std::string& query,
+                         const std::vector<std::string>& arguments)
+{
+    std::string path;
+    verb ask(name, "");
+    ask.parser().add("path", path, "subtree; all settings if left out", "PATH");
+    if (!ask.parse(arguments, 0)) {
+        return exit_code::usage;
+    }
+    return ask.run_query("/v1/" + query + "?path=" + path);
+}
+
+exit_code run_export(const std::vector<std::string>& arguments)
+{
+    std::string path;
+    verb ask("export", "");
+    ask.parser().add("path", path, "subtree", "PATH");
+    if (!ask.parse(arguments, 0)) {
+        return exit_code::usage;
+    }
+    const auto version = ask.fetch("/v1/version?path=" + path);
+    const auto text = version ? ask.fetch("/v1/export?path=" + path) : std::nullopt;
+    if (!text) {
+        return ask.failure();
+    }
+    std::cout << version_mark << (path.empty() ? "/" : path) << " version " << *version << *text;
+    return exit_code::ok;
+}
+
+exit_code run_get(const std::vector<std::string>& arguments)
+{
+    verb ask("get", "PATH");
+    if (!ask.parse(arguments, 1)) {
+        return exit_code::usage;
+    }
+    return ask.run_query("/v1/export?path=" + ask.positional().front());
+}
+
+exit_code run_diff(const std::vector<std::string>& arguments)
+{
+    std::string path;
+    long long from = 0;
+    long long to = 0;
+    verb ask("diff", "");
+    ask.parser().add("path", path, "subtree; all settings if left out", "PATH");
+    ask.parser().add("from", from, "older version", "VERSION");
+    ask.parser().add("to", to, "newer version", "VERSION");
+    if (!ask.parse(arguments, 0)) {
+        return exit_code::usage;
+    }
+    return ask.run_query("/v1/diff?path=" + path + "&from=" + std::to_string(from) +
+                         "&to=" + std::to_string(to));
+}
+
+exit_code run_answer(const std::vector<std::string>& arguments)
+{
+    verb ask("answer", "CHANGE-ID");
+    if (!ask.parse(arguments, 1)) {
+        return exit_code::usage;
+    }
+    return ask.run_query("/v1/answer?change=" + ask.positional().front());
+}
+
+exit_code run_audit(const std::vector<std::string>& arguments)
+{
+    std::string path;
+    std::string who;
+    long long after = 0;
+    verb ask("audit", "");
+    ask.parser().add("path", path, "subtree; all settings if left out", "PATH");
+    ask.parser().add("who", who, "only this operator", "NAME");
+    ask.parser().add("after", after, "only records after this one", "SEQUENCE");
+    if (!ask.parse(arguments, 0)) {
+        return exit_code::usage;
+    }
+    return ask.run_query("/v1/audit?path=" + path + "&who=" + who +
+                         "&after=" + std::to_string(after));
+}
+
+exit_code run_status(const std::vector<std::string>& arguments)
+{
+    verb ask("status", "");
+    return ask.parse(arguments, 0) ? ask.run_query("/v1/status") : exit_code::usage;
+}
+
+exit_code run_watch(const std::vector<std::string>& arguments)
+{
+    constexpr base::duration poll_interval = std::chrono::seconds(1);
+    std::string path;
+    long long seconds = 60;
+    verb ask("watch", "");
+    ask.parser().add("path", path, "subtree", "PATH");
+    ask.parser().add("for", seconds, "stop after so many seconds", "SECONDS");
+    if (!ask.parse(arguments, 0)) {
+        return exit_code::usage;
+    }
+    std::string last;
+    const auto end = http::event_loop::now() + std::chrono::seconds(seconds);
+    while (http::event_loop::now() < end) {
+        const auto version = ask.fetch("/v1/version?path=" + path);
+        if (!version) {
+            return ask.failure();
+        }
+        if (*version != last) {
+            std::cout << "version " << *version << std::flush;
+            last = *version;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return exit_code::ok;
+}
+
+sub_command path_query(const std::string& name, const std::string& summary)
+{
+    return {name, summary,
+            [name](const auto& arguments) { return run_path_query(name, name, arguments); }};
+}
+
+} // namespace
+
+std::vector<sub_command> operator_commands()
+{
+    return {
+        {"apply", "put a subtree into force",
+         [](const auto& arguments) { return run_edit("apply", arguments); }},
+        {"propose", "propose a subtree for review",
+         [](const auto& arguments) { return run_edit("propose", arguments); }},
+        {"approve", "put a proposal into force", run_approve},
+        {"refuse", "close a proposal", run_refuse},
+        {"withdraw-key", "withdraw a workspace's key", run_withdraw},
+        {"create-credential", "create an operator's credential", run_create_credential},
+        {"remove-credential", "remove an operator's credential", run_remove_credential},
+        {"export", "print a subtree as INI, with its version", run_export},
+        {"get", "print one path as INI", run_get},
+        path_query("list", "list paths"),
+        path_query("history", "list accepted changes, newest first"),
+        path_query("pending", "list proposals"),
+        {"diff", "print what changed between two versions", run_diff},
+        {"answer", "print what became of a change", run_answer},
+        {"audit", "print audit records", run_audit},
+        {"status", "print the state of a control replica", run_status},
+        {"watch", "print new versions of a subtree", run_watch},
+    };
+}
+
+} // namespace damaskladder::cli
--- /dev/null
+++ b/src/cli/operator_commands.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "cli/sub_command.hpp"
+
+#include <vector>
+
+namespace damaskladder::cli {
+
+/// The operators' verbs: apply, propose, approve, refuse, withdraw-key, create-credential,
+/// remove-credential, get, list, export, diff, history, pending, answer, audit, status, watch.
+std::vector<sub_command> operator_commands();
+
+} // namespace damaskladder::cli
--- /dev/null
+++ b/src/control/control_replica.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "consensus/replica.hpp"
+#include "control/replica_effect.hpp"
+#include "control/state_machine.hpp"
+
+#include <optional>
+#include <vector>
+
+namespace damaskladder::control {
+
+/// A whole control replica, driven event by event: the replicated log and the state machine on it.
+///
+///     control_replica replica(log_options, recovered, state_options, random);
+///     auto effects = replica.start(now);
+///     effects = replica.handle(consensus::tick{}, now);
+///     effects = replica.submit(id, command, wall_now, now);   // ends with answered or refused
+///     effects = replica.query(id, now);                       // ends with confirmed or refused
+///
+/// Holds no thread, clock, file or socket. Carry out the effects in order; persist effects are
+/// acknowledged with consensus::sync_completed or storage_failed. One replica steps in one thread.
+class control_replica {
+public:
+    using effects = std::vector<replica_effect>;
+
+    control_replica(consensus::replica_options log, consensus::recovered_state recovered,
+                    const state_options& options, base::random_source random);
+
+    effects start(base::time_point now);
+    effects handle(consensus::event happened, base::time_point now);
+
+    /// Replicates a command. wall_now becomes log time, unless that is later already.
+    effects submit(submission_id id, const command& entry, base::wall_time wall_now,
+                   base::time_point now);
+    /// Asks for proof that state() is up to date.
+    effects query(submission_id id, base::time_point now);
+
+    const state_machine& state() const { return m_state; }
+    /// For pre_check, which leaves the state as it is.
+    state_machine& state() { return m_state; }
+    consensus::replica_status status() const { return m_log.status(); }
+    bool leads() const { return m_leads; }
+    /// Committed entries that could not be read; they change nothing. More than 0 means that
+    /// replicas of different program versions run together.
+    std::uint64_t unreadable_entries() const { return m_unreadable; }
+
+private:
+    void carry_out(std::vector<consensus::effect> wanted, effects& out, base::time_point now);
+    void carry_out(consensus::apply_committed& wanted, effects& out);
+    void carry_out(const consensus::install_snapshot& wanted, effects& out);
+    void carry_out(const consensus::refused& wanted, effects& out);
+    void set_leads(bool leads, effects& out);
+    void note_version(effects& out);
+
+    consensus::replica m_log;
+    state_machine m_state;
+    base::settings_version m_version;
+    bool m_leads = false;
+    std::uint64_t m_unreadable = 0;
+};
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/replica_effect.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "consensus/persist_entries.hpp"
+#include "consensus/persist_snapshot.hpp"
+#include "consensus/persist_vote.hpp"
+#include "consensus/send_message.hpp"
+#include "control/leadership_changed.hpp"
+#include "control/query_confirmed.hpp"
+#include "control/state_changed.hpp"
+#include "control/submission_answered.hpp"
+#include "control/submission_refused.hpp"
+
+#include <variant>
+
+namespace damaskladder::control {
+
+/// Everything that a control replica asks its caller to do, in this order.
+using replica_effect =
+    std::variant<consensus::send_message, consensus::persist_vote, consensus::persist_entries,
+                 consensus::persist_snapshot, submission_answered, submission_refused,
+                 query_confirmed, state_changed, leadership_changed>;
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/state_changed.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/settings_version.hpp"
+
+namespace damaskladder::control {
+
+/// Effect: the settings have another version than after the previous event.
+struct state_changed {
+    base::settings_version version;
+};
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/daemon/local_api.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "http/exchange.hpp"
+#include "membership/announce_verdict.hpp"
+#include "membership/announcement.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace damaskladder::daemon {
+
+/// The HTTP calls of the backend server on this VM, and of collectors of metrics:
+///     PUT /-/announce, DELETE /-/announce, PUT /-/drain  with JSON {service, port, slots,
+///         connections, cold, credential}; the last two need service, port and credential
+///     GET /-/health  200 while the process runs
+///     GET /-/ready   200 while the node takes requests, else 503
+///     GET /-/metrics text
+/// Runs on the traffic thread; announcements are passed to the control thread and answered when it
+/// has decided.
+class local_api {
+public:
+    enum class action { announce, withdraw, drain };
+    using done = std::function<void(membership::announce_verdict)>;
+
+    struct hooks {
+        /// Calls done on the traffic thread.
+        std::function<void(action, const membership::announcement&, done)> announce;
+        std::function<bool()> ready;
+        std::function<std::string()> metrics;
+    };
+
+    explicit local_api(hooks calls) : m_hooks(std::move(calls)) {}
+
+    void serve(const std::shared_ptr<http::exchange>& exchange);
+
+private:
+    void serve_announcement(const std::shared_ptr<http::exchange>& exchange, action wanted);
+
+    hooks m_hooks;
+};
+
+} // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/messenger.cpp
@@ -0,0 +1,56 @@
+#include "daemon/messenger.hpp"
+
+#include "daemon/log.hpp"
+
+namespace damaskladder::daemon {
+
+namespace {
+
+// A peer with another secret could otherwise fill the log.
+constexpr base::duration warning_interval = std::chrono::seconds(1);
+
+} // namespace
+
+messenger::messenger(http::event_loop& loop, const wire::cluster_secret& secret,
+                     base::node_id self, base::incarnation incarnation)
+    : m_loop(loop), m_codec(secret, std::move(self), incarnation),
+      m_bus([this](std::string sealed) {
+          m_loop.post([this, sealed = std::move(sealed)] { received(sealed); });
+      })
+{
+}
+
+void messenger::send_encoded(const base::node_id& receiver, const std::string& endpoint,
+                             wire::message_kind kind, std::string body)
+{
+    const auto sealed = m_codec.seal(receiver, kind, std::move(body));
+    m_bytes_sent += sealed.size();
+    m_bus.send(endpoint, sealed);
+}
+
+void messenger::received(const std::string& sealed)
+{
+    m_bytes_received += sealed.size();
+    base::handle_failure(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(message, m_codec.open(sealed));
+            const auto found = m_handlers.find(message.kind);
+            if (found != m_handlers.end()) {
+                found->second(message.sender, message.body);
+            }
+            return {};
+        },
+        [&](const base::failure& error) { note_refused(error); });
+}
+
+void messenger::note_refused(const base::failure& error)
+{
+    ++m_refused;
+    const auto now = http::event_loop::now();
+    if (now >= m_next_warning) {
+        m_next_warning = now + warning_interval;
+        log_failure(log_level::warn, "message_refused", error);
+    }
+}
+
+} // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/operator_api.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "daemon/replica_host.hpp"
+#include "http/server.hpp"
+#include "wire/key_hasher.hpp"
+
+namespace damaskladder::daemon {
+
+/// The operators' side of a control replica, over HTTP: commands as POST /v1/command (see
+/// operator_command.hpp) and queries as GET (see operator_query.hpp), with the operator's token as
+/// bearer authorization. Only the leader answers; others name it.
+class operator_api {
+public:
+    operator_api(http::event_loop& loop, replica_host& host, const wire::cluster_secret& secret);
+
+    /// Fails with io.
+    base::result<void> listen(const http::address& endpoint) { return m_server.listen(endpoint); }
+    void drain() { m_server.drain(); }
+
+private:
+    using exchange_ptr = std::shared_ptr<http::exchange>;
+
+    void arrived(const exchange_ptr& exchange);
+    void run_command(const exchange_ptr& exchange, const base::operator_id& author);
+    void run_query(const exchange_ptr& exchange, const base::operator_id& author);
+    /// Nothing if the token is missing or unknown.
+    std::optional<base::operator_id> authenticate(const http::request_head& head) const;
+
+    replica_host& m_host;
+    wire::key_hasher m_tokens;
+    http::server m_server;
+};
+
+} // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/operator_command.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "base/result.hpp"
+#include "control/command.hpp"
+
+#include <string_view>
+
+namespace damaskladder::daemon {
+
+/// Reads an operator's command from the JSON of the operators' API. Fails with invalid_argument;
+/// the text names the member and what was expected.
+///
+///     {"verb": "apply", "change": ID, "path": PATH, "based_on": VERSION, "ini": TEXT}
+///     {"verb": "propose", ... as apply, "lifetime_s": SECONDS}
+///     {"verb": "approve" | "refuse", "change": ID, "proposal": NUMBER, "reason": TEXT}
+///     {"verb": "withdraw-key", "change": ID, "key": NAME}
+///     {"verb": "create-credential", "change": ID, "name": NAME, "role": ROLE, "path": PATH,
+///      "token_hash": HEX}
+///     {"verb": "remove-credential", "change": ID, "name": NAME}
+base::result<control::command> parse_operator_command(std::string_view text,
+                                                      const base::operator_id& author,
+                                                      base::wall_time now);
+
+} // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/replica_host.cpp
@@ -0,0 +1,188 @@
+#include "daemon/replica_host.hpp"
+
+#include "consensus/posix_file_layer.hpp"
+#include "daemon/log.hpp"
+#include "daemon/secure_random.hpp"
+#include "daemon/wall_clock_now.hpp"
+
+namespace damaskladder::daemon {
+
+namespace {
+
+constexpr base::duration tick_interval = std::chrono::milliseconds(20);
+// Proposals and claims expire by log time, which moves on with each entry.
+constexpr base::duration log_time_interval = std::chrono::seconds(60);
+
+consensus::replica_options make_options(const process_settings& settings)
+{
+    consensus::replica_options options;
+    for (const auto& [name, address] : settings.replicas) {
+        options.initial_replicas.emplace_back(name.value());
+    }
+    options.tick_interval = tick_interval;
+    return options;
+}
+
+} // namespace
+
+replica_host::replica_host(http::event_loop& loop, const process_settings& settings, hooks calls)
+    : m_loop(loop), m_settings(settings), m_hooks(std::move(calls))
+{
+}
+
+base::result<void> replica_host::start()
+{
+    consensus::file_storage_options options;
+    options.id = consensus::replica_id(m_settings.name.value());
+    BOOST_LEAF_AUTO(storage, consensus::file_storage::open(
+                                 options, consensus::posix_file_layer(m_settings.replica->data),
+                                 secure_random()));
+    auto recovered = storage->take_recovered_state();
+    m_replica = std::make_unique<control::control_replica>(
+        make_options(m_settings), std::move(recovered), control::state_options{}, secure_random());
+    m_storage =
+        std::make_unique<storage_thread>(std::move(storage), [this](consensus::event happened) {
+            m_loop.post([this, happened = std::move(happened)] { step(happened); });
+        });
+    carry_out(m_replica->start(http::event_loop::now()));
+    tick();
+    return {};
+}
+
+void replica_host::tick()
+{
+    const auto now = http::event_loop::now();
+    step(consensus::tick{});
+    keep_log_time();
+    m_loop.call_at(now + tick_interval, [this] { tick(); });
+}
+
+void replica_host::keep_log_time()
+{
+    const auto now = http::event_loop::now();
+    if (leads() && now >= m_next_log_time) {
+        m_next_log_time = now + log_time_interval;
+        submit(control::advance_time{}, [](const auto&) {});
+    }
+}
+
+void replica_host::receive(consensus::envelope message)
+{
+    step(consensus::message_received{std::move(message)});
+}
+
+void replica_host::submit(const control::command& entry, submit_done done)
+{
+    const control::submission_id id(++m_last_submission);
+    m_submissions[id] = std::move(done);
+    carry_out(m_replica->submit(id, entry, wall_clock_now(), http::event_loop::now()));
+}
+
+void replica_host::query(query_done done)
+{
+    const control::submission_id id(++m_last_submission);
+    m_queries[id] = std::move(done);
+    carry_out(m_replica->query(id, http::event_loop::now()));
+}
+
+void replica_host::hand_over()
+{
+    if (leads()) {
+        step(consensus::transfer_requested{});
+    }
+}
+
+void replica_host::step(consensus::event happened)
+{
+    if (const auto* failed = std::get_if<consensus::storage_failed>(&happened)) {
+        log_failure(log_level::error, "storage_failed", failed->cause);
+    }
+    carry_out(m_replica->handle(std::move(happened), http::event_loop::now()));
+}
+
+void replica_host::carry_out(control::control_replica::effects effects)
+{
+    for (auto& next : effects) {
+        std::visit(
+            [&](auto& effect) {
+                using kind = std::decay_t<decltype(effect)>;
+                if constexpr (std::is_same_v<kind, consensus::send_message>) {
+                    m_hooks.send(effect.content);
+                }
+                else if constexpr (std::is_same_v<kind, consensus::persist_vote> ||
+                                   std::is_same_v<kind, consensus::persist_entries> ||
+                                   std::is_same_v<kind, consensus::persist_snapshot>) {
+                    m_storage->add(std::move(effect));
+                }
+                else if constexpr (std::is_same_v<kind, control::state_changed>) {
+                    m_hooks.settings_changed(effect.version);
+                }
+                else {
+                    carry_out(effect);
+                }
+            },
+            next);
+    }
+}
+
+void replica_host::carry_out(const control::submission_answered& effect)
+{
+    const auto found = m_submissions.find(effect.id);
+    if (found != m_submissions.end()) {
+        const auto done = std::move(found->second);
+        m_submissions.erase(found);
+        done(effect.answer);
+    }
+}
+
+void replica_host::carry_out(const control::submission_refused& effect)
+{
+    const auto submission = m_submissions.find(effect.id);
+    if (submission != m_submissions.end()) {
+        const auto done = std::move(submission->second);
+        m_submissions.erase(submission);
+        done(effect);
+        return;
+    }
+    const auto query = m_queries.find(effect.id);
+    if (query != m_queries.end()) {
+        const auto done = std::move(query->second);
+        m_queries.erase(query);
+        done(&effect);
+    }
+}
+
+void replica_host::carry_out(const control::query_confirmed& effect)
+{
+    const auto found = m_queries.find(effect.id);
+    if (found != m_queries.end()) {
+        const auto done = std::move(found->second);
+        m_queries.erase(found);
+        done(nullptr);
+    }
+}
+
+void replica_host::carry_out(const control::leadership_changed& effect)
+{
+    log(log_level::info, effect.leads ? "became_leader" : "stepped_down",
+        {{"term", std::to_string(m_replica->status().term.value())}});
+    if (effect.leads) {
+        create_first_admin();
+    }
+}
+
+void replica_host::create_first_admin()
+{
+    const auto& wanted = *m_settings.replica;
+    if (wanted.admin.value().empty() || !m_replica->state().credentials().empty()) {
+        return;
+    }
+    control::create_credential command;
+    command.header = {base::change_id("first-admin"), wanted.admin, wall_clock_now()};
+    command.created.name = wanted.admin;
+    command.created.role = control::credential_role::admin;
+    command.created.token = control::token_hash(control::digest{wanted.admin_token.bytes});
+    submit(command, [](const auto&) {});
+}
+
+} // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/replica_host.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "base/incarnation.hpp"
+#include "control/control_replica.hpp"
+#include "daemon/process_settings.hpp"
+#include "daemon/storage_thread.hpp"
+#include "http/event_loop.hpp"
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <variant>
+
+namespace damaskladder::daemon {
+
+/// Runs a control replica on the control thread's loop, with its storage on a thread of its own.
+class replica_host {
+public:
+    using submit_done =
+        std::function<void(const std::variant<control::reply, control::submission_refused>&)>;
+    /// Null if confirmed.
+    using query_done = std::function<void(const control::submission_refused* refused)>;
+
+    struct hooks {
+        /// Sends to the control replica named in the envelope.
+        std::function<void(const consensus::envelope&)> send;
+        /// The settings have a new version; state() holds them.
+        std::function<void(base::settings_version)> settings_changed;
+    };
+
+    replica_host(http::event_loop& loop, const process_settings& settings, hooks calls);
+
+    /// Opens the data folder and starts the replica. Fails as file_storage::open does.
+    base::result<void> start();
+
+    void receive(consensus::envelope message);
+    void submit(const control::command& entry, submit_done done);
+    void query(query_done done);
+    /// Hands leadership over, for a graceful stop.
+    void hand_over();
+
+    const control::control_replica& replica() const { return *m_replica; }
+    control::control_replica& replica() { return *m_replica; }
+    bool leads() const { return m_replica && m_replica->leads(); }
+
+private:
+    void tick();
+    void step(consensus::event happened);
+    void carry_out(control::control_replica::effects effects);
+    void carry_out(const control::submission_answered& effect);
+    void carry_out(const control::submission_refused& effect);
+    void carry_out(const control::query_confirmed& effect);
+    void carry_out(const control::leadership_changed& effect);
+    void create_first_admin();
+    void keep_log_time();
+
+    http::event_loop& m_loop;
+    const process_settings& m_settings;
+    hooks m_hooks;
+    std::unique_ptr<control::control_replica> m_replica;
+    std::unique_ptr<storage_thread> m_storage;
+    std::uint64_t m_last_submission = 0;
+    base::time_point m_next_log_time;
+    std::unordered_map<control::submission_id, submit_done> m_submissions;
+    std::unordered_map<control::submission_id, query_done> m_queries;
+};
+
+} // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/view_builder.cpp
@@ -0,0 +1,159 @@
+#include "daemon/view_builder.hpp"
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace damaskladder::daemon {
+
+namespace {
+
+/// The compiled settings in the form that the traffic decisions read; shared by the hooks of a
+/// view.
+struct settings_tables {
+    std::shared_ptr<const settings::compiled_settings> settings;
+    std::unordered_map<base::route_id, node::route_entry> routes;
+    std::unordered_map<base::key_id, node::key_entry> keys;
+};
+
+node::route_entry make_route(const settings::route_settings& from,
+                             const settings::compiled_settings& settings)
+{
+    node::route_entry route;
+    route.route = from.id;
+    route.service = from.service;
+    route.open = from.open;
+    route.idempotent = from.idempotent;
+    route.importance = from.importance;
+    route.timeout = from.timeout;
+    if (!from.all_workspaces) {
+        route.workspaces = from.workspaces;
+        if (route.workspaces.empty()) {
+            // An empty list admits every workspace there; no workspace has an empty name.
+            route.workspaces.emplace_back();
+        }
+    }
+    route.retries = from.retries;
+    route.max_body = from.max_body;
+    route.max_staleness = settings.limits_of(from.team).max_staleness;
+    return route;
+}
+
+std::shared_ptr<const settings_tables>
+make_tables(const std::shared_ptr<const settings::compiled_settings>& from)
+{
+    const auto tables = std::make_shared<settings_tables>();
+    tables->settings = from;
+    for (const auto& route : from->routes()) {
+        tables->routes[route.id] = make_route(route, *from);
+    }
+    for (const auto& key : from->keys()) {
+        tables->keys[key.id] = {key.id, key.workspace, key.state == settings::key_state::active};
+    }
+    return tables;
+}
+
+void set_hooks(node::node_view& view, const std::shared_ptr<const settings_tables>& tables)
+{
+    view.match_route = [tables](std::string_view path) -> const node::route_entry* {
+        const auto* route = tables->settings->match_route(path);
+        return route == nullptr ? nullptr : &tables->routes.at(route->id);
+    };
+    view.find_key = [tables](const base::key_hash& hash) -> const node::key_entry* {
+        const auto* key = tables->settings->find_key(hash);
+        return key == nullptr ? nullptr : &tables->keys.at(key->id);
+    };
+    view.key_active = [tables](const base::key_id& id) {
+        const auto found = tables->keys.find(id);
+        return found != tables->keys.end() && found->second.active;
+    };
+    view.weight_of = [tables](const base::workspace_id& id) {
+        const auto* workspace = tables->settings->find_workspace(id);
+        return workspace == nullptr ? base::share_weight(1) : workspace->weight;
+    };
+}
+
+base::slot_count reported_slots(membership::load_level level, base::slot_count slots)
+{
+    switch (level) {
+    case membership::load_level::normal:
+        return base::slot_count(0);
+    case membership::load_level::high:
+        return base::slot_count(slots.value() / 2);
+    case membership::load_level::full:
+        break;
+    }
+    return slots;
+}
+
+void add_services(const view_sources& from, traffic_view& out, node::node_view& view)
+{
+    for (const auto& service : from.services->services()) {
+        node::service_entry entry;
+        entry.service = service;
+        for (const auto& endpoint : from.services->endpoints(service)) {
+            if (endpoint.reach != membership::reachability::reachable) {
+                continue;
+            }
+            const auto address = base::handle_failure(
+                [&]() -> base::result<http::address> {
+                    return http::parse_address(endpoint.traffic.value());
+                },
+                [](const base::failure&) { return http::address(); });
+            if (address.port == 0) {
+                continue;
+            }
+            out.gatekeepers[endpoint.node] = address;
+            const auto& backend = endpoint.backend;
+            entry.servers.push_back({endpoint.node, endpoint.incarnation, endpoint.domain,
+                                     backend.slots, reported_slots(endpoint.load, backend.slots),
+                                     backend.draining});
+        }
+        view.services.push_back(std::move(entry));
+    }
+    std::sort(view.services.begin(), view.services.end(),
+              [](const auto& a, const auto& b) { return a.service < b.service; });
+}
+
+base::duration longest_staleness(const base::service_id& service,
+                                 const settings::compiled_settings& settings)
+{
+    base::duration longest{0};
+    for (const auto& route : settings.routes()) {
+        if (route.service == service) {
+            longest = std::max(longest, settings.limits_of(route.team).max_staleness);
+        }
+    }
+    return longest;
+}
+
+void add_local(const view_sources& from, traffic_view& out, node::node_view& view)
+{
+    for (const auto& backend : from.local) {
+        node::local_backend_server local;
+        local.service = backend.service;
+        local.slots = backend.slots;
+        local.cold = backend.cold;
+        local.draining = backend.draining;
+        local.max_staleness = longest_staleness(backend.service, *from.settings);
+        view.local.push_back(local);
+        out.local[backend.service] = {"127.0.0.1", backend.port.value()};
+    }
+}
+
+} // namespace
+
+std::shared_ptr<const traffic_view> build_view(const view_sources& from)
+{
+    auto out = std::make_shared<traffic_view>();
+    auto view = std::make_shared<node::node_view>();
+    view->self = from.self;
+    view->own_domain = from.domain;
+    view->settings_confirmed_at = from.settings_confirmed_at;
+    set_hooks(*view, make_tables(from.settings));
+    add_services(from, *out, *view);
+    add_local(from, *out, *view);
+    out->node = std::move(view);
+    return out;
+}
+
+} // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/view_builder.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "daemon/traffic_view.hpp"
+#include "membership/backend_server.hpp"
+#include "membership/service_view.hpp"
+#include "settings/compiled_settings.hpp"
+
+#include <memory>
+#include <vector>
+
+namespace damaskladder::daemon {
+
+/// What a view for the traffic thread is built from.
+struct view_sources {
+    base::node_id self;
+    base::failure_domain_id domain;
+    std::shared_ptr<const settings::compiled_settings> settings;
+    base::time_point settings_confirmed_at;
+    std::shared_ptr<const membership::service_view> services;
+    /// Backend servers on this VM.
+    std::vector<membership::backend_server> local;
+};
+
+/// Builds the immutable view that the control thread publishes.
+std::shared_ptr<const traffic_view> build_view(const view_sources& from);
+
+} // namespace damaskladder::daemon
--- a/src/http/event_loop.cpp
+++ b/src/http/event_loop.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <ctime>
 #include <stdexcept>
 
 namespace damaskladder::http {
@@ -45,7 +46,11 @@
 
 base::time_point event_loop::now()
 {
-    const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
+    // CLOCK_MONOTONIC stands still while a VM is suspended, and leases must not last longer then.
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    const auto since_boot =
+        std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
     return base::time_point(std::chrono::duration_cast<base::duration>(since_boot));
 }
 
--- a/src/standin/announcer.cpp
+++ b/src/standin/announcer.cpp
@@ -32,21 +32,14 @@
     if (!m_announced) {
         return;
     }
-    const auto slots = m_options.announced_slots.value_or(m_options.slots);
-    const nlohmann::json announcement = {{"service", m_options.service.value()},
-                                         {"port", m_port},
-                                         {"slots", slots.value()},
-                                         {"connections", m_options.connections},
-                                         {"cold", m_cold},
-                                         {"credential", m_options.credential}};
-    send("PUT", "/-/announce", announcement.dump());
+    send("PUT", "/-/announce");
     m_loop.call_at(http::event_loop::now() + renew_interval, [this] { renew(); });
 }
 
 void announcer::drain()
 {
     if (m_announced) {
-        send("PUT", "/-/drain", {});
+        send("PUT", "/-/drain");
     }
 }
 
@@ -54,12 +47,25 @@
 {
     if (m_announced) {
         m_announced = false;
-        send("DELETE", "/-/announce", {});
+        send("DELETE", "/-/announce");
     }
 }
 
-void announcer::send(const std::string& method, const std::string& path, std::string body)
+std::string announcer::text() const
+{
+    const auto slots = m_options.announced_slots.value_or(m_options.slots);
+    const nlohmann::json announcement = {{"service", m_options.service.value()},
+                                         {"port", m_port},
+                                         {"slots", slots.value()},
+                                         {"connections", m_options.connections},
+                                         {"cold", m_cold},
+                                         {"credential", m_options.credential}};
+    return announcement.dump();
+}
+
+void announcer::send(const std::string& method, const std::string& path)
 {
+    auto body = text();
     http::client_request request;
     request.to = *m_options.node;
     request.head.method = method;
--- a/src/standin/announcer.hpp
+++ b/src/standin/announcer.hpp
@@ -23,7 +23,8 @@
 
 private:
     void renew();
-    void send(const std::string& method, const std::string& path, std::string body);
+    std::string text() const;
+    void send(const std::string& method, const std::string& path);
 
     http::event_loop& m_loop;
     http::client& m_client;
