--- /dev/null
+++ b/src/control/approve_proposal.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "control/command_header.hpp"
+#include "control/proposal_id.hpp"
+
+namespace damaskladder::control {
+
+/// Puts a proposal into force.
+struct approve_proposal {
+    command_header header;
+    proposal_id proposal;
+
+    friend bool operator==(const approve_proposal&, const approve_proposal&) = default;
+};
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/audit_anchor.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "control/audit_sequence.hpp"
+#include "control/chain_hash.hpp"
+
+namespace damaskladder::control {
+
+/// A place in the audit chain. The default is the place before the first record.
+struct audit_anchor {
+    audit_sequence sequence;
+    chain_hash hash;
+
+    friend bool operator==(const audit_anchor&, const audit_anchor&) = default;
+};
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/audit_fault.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "control/audit_fault_kind.hpp"
+#include "control/audit_sequence.hpp"
+
+namespace damaskladder::control {
+
+/// First fault of an audit trail.
+struct audit_fault {
+    audit_fault_kind kind = audit_fault_kind::altered;
+    /// Record that is altered or missing, or that should stand on the unreadable line.
+    audit_sequence sequence;
+
+    friend bool operator==(const audit_fault&, const audit_fault&) = default;
+};
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/audit_sequence.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/strong_id.hpp"
+
+#include <cstdint>
+
+namespace damaskladder::control {
+
+/// Number of an audit record, from 1, without gaps.
+using audit_sequence = base::strong_id<struct audit_sequence_tag, std::uint64_t>;
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/audit_trail.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "control/audit_anchor.hpp"
+#include "control/audit_fault.hpp"
+#include "control/audit_query.hpp"
+#include "control/audit_record.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace damaskladder::control {
+
+/// The latest audit records, chained by hash. When it is full the oldest record is dropped, and its
+/// place in the chain becomes the anchor from which the rest is verified.
+class audit_trail {
+public:
+    explicit audit_trail(std::size_t max_records) : m_max_records(max_records) {}
+
+    /// Fills in sequence and hashes.
+    void append(audit_record record);
+
+    const std::deque<audit_record>& records() const { return m_records; }
+    /// Place before the oldest record kept.
+    const audit_anchor& anchor() const { return m_anchor; }
+    /// Place of the newest record.
+    const audit_anchor& head() const { return m_head; }
+
+    std::vector<audit_record> find(const audit_query& query) const;
+    std::optional<audit_fault> verify() const;
+
+    /// For restoring a snapshot. False if the chain does not hold.
+    bool restore(const audit_anchor& anchor, std::vector<audit_record> records);
+
+private:
+    std::size_t m_max_records;
+    std::deque<audit_record> m_records;
+    audit_anchor m_anchor;
+    audit_anchor m_head;
+};
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/audit_trail_test.cpp
@@ -0,0 +1,200 @@
+#include "control/audit_line.hpp"
+#include "control/audit_trail.hpp"
+#include "control/audit_verifier.hpp"
+#include "control/calendar_text.hpp"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace damaskladder::control {
+namespace {
+
+audit_trail trail_of(std::size_t records, std::size_t kept)
+{
+    audit_trail trail(kept);
+    for (std::size_t i = 0; i < records; ++i) {
+        audit_record record;
+        record.who = base::operator_id(i % 2 == 0 ? "luz" : "vet");
+        record.when = base::wall_time(std::chrono::seconds(100 + i));
+        record.path = *settings::setting_path::parse(i < 4 ? "teams/a/policy" : "teams/b/limits");
+        record.to = std::to_string(i);
+        trail.append(record);
+    }
+    return trail;
+}
+
+std::vector<std::string> lines_of(const audit_trail& trail)
+{
+    std::vector<std::string> lines;
+    for (const auto& record : trail.records()) {
+        lines.push_back(to_line(record));
+    }
+    return lines;
+}
+
+std::optional<audit_fault> verify(const std::vector<std::string>& lines, const audit_trail& trail)
+{
+    audit_verifier verifier(trail.anchor());
+    for (const auto& line : lines) {
+        if (auto fault = verifier.take_line(line)) {
+            return fault;
+        }
+    }
+    return verifier.finish(trail.head());
+}
+
+void replace_in(std::string& line, const std::string& old_text, const std::string& new_text)
+{
+    auto place = line.find(old_text);
+    ASSERT_NE(place, std::string::npos);
+    line.replace(place, old_text.size(), new_text);
+}
+
+/// Changes the record and gives it a hash that fits.
+void forge(std::string& line)
+{
+    auto record = *parse_audit_line(line);
+    record.to = "forged";
+    record.hash = hash_of(record);
+    line = to_line(record);
+}
+
+struct tampering_case {
+    const char* name;
+    std::function<void(std::vector<std::string>&)> tamper;
+    audit_fault fault;
+};
+
+class tampered_audit : public testing::TestWithParam<tampering_case> {};
+
+// Guards against changes of the audit files that go unnoticed, with a trail that was rotated
+// (records 4 to 9 are kept of 9).
+TEST_P(tampered_audit, names_the_record)
+{
+    auto trail = trail_of(9, 6);
+    auto lines = lines_of(trail);
+    ASSERT_EQ(verify(lines, trail), std::nullopt);
+    GetParam().tamper(lines);
+    EXPECT_EQ(verify(lines, trail), GetParam().fault);
+}
+
+using lines_type = std::vector<std::string>;
+
+INSTANTIATE_TEST_SUITE_P(
+    table, tampered_audit,
+    testing::Values(
+        tampering_case{"first_removed",
+                       [](lines_type& lines) { lines.erase(lines.begin()); },
+                       {audit_fault_kind::missing, audit_sequence(4)}},
+        tampering_case{"middle_removed",
+                       [](lines_type& lines) { lines.erase(lines.begin() + 2); },
+                       {audit_fault_kind::missing, audit_sequence(6)}},
+        tampering_case{"last_removed",
+                       [](lines_type& lines) { lines.pop_back(); },
+                       {audit_fault_kind::missing, audit_sequence(9)}},
+        tampering_case{
+            "value_altered",
+            [](lines_type& lines) { replace_in(lines[1], "\"to\":\"4\"", "\"to\":\"5\""); },
+            {audit_fault_kind::altered, audit_sequence(5)}},
+        tampering_case{
+            "author_altered",
+            [](lines_type& lines) { replace_in(lines[5], "\"who\":\"luz\"", "\"who\":\"vet\""); },
+            {audit_fault_kind::altered, audit_sequence(9)}},
+        tampering_case{"first_forged",
+                       [](lines_type& lines) { forge(lines[0]); },
+                       {audit_fault_kind::altered, audit_sequence(4)}},
+        tampering_case{"middle_forged",
+                       [](lines_type& lines) { forge(lines[2]); },
+                       {audit_fault_kind::altered, audit_sequence(6)}},
+        tampering_case{"last_forged",
+                       [](lines_type& lines) { forge(lines[5]); },
+                       {audit_fault_kind::altered, audit_sequence(9)}},
+        tampering_case{"swapped",
+                       [](lines_type& lines) { std::swap(lines[1], lines[2]); },
+                       {audit_fault_kind::missing, audit_sequence(5)}},
+        tampering_case{"repeated",
+                       [](lines_type& lines) { lines.insert(lines.begin() + 1, lines[0]); },
+                       {audit_fault_kind::altered, audit_sequence(5)}},
+        tampering_case{"cut_short",
+                       [](lines_type& lines) { lines[3].resize(20); },
+                       {audit_fault_kind::unreadable, audit_sequence(7)}},
+        tampering_case{"not_an_object",
+                       [](lines_type& lines) { lines[3] = "[1]"; },
+                       {audit_fault_kind::unreadable, audit_sequence(7)}},
+        tampering_case{"wrong_type",
+                       [](lines_type& lines) { replace_in(lines[3], "\"seq\":7", "\"seq\":-7"); },
+                       {audit_fault_kind::unreadable, audit_sequence(7)}},
+        tampering_case{"wrong_date",
+                       [](lines_type& lines) { replace_in(lines[3], "1970-01-01", "1970-02-30"); },
+                       {audit_fault_kind::unreadable, audit_sequence(7)}}),
+    [](const auto& test) { return test.param.name; });
+
+struct query_case {
+    const char* name;
+    audit_query query;
+    std::vector<std::uint64_t> found;
+};
+
+class audit_search : public testing::TestWithParam<query_case> {};
+
+// Guards against records that a query leaves out or adds.
+TEST_P(audit_search, finds_the_records)
+{
+    std::vector<std::uint64_t> found;
+    auto trail = trail_of(8, 100);
+    for (const auto& record : trail.find(GetParam().query)) {
+        found.push_back(record.sequence.value());
+    }
+    EXPECT_EQ(found, GetParam().found);
+}
+
+audit_query query_of(const char* root, const char* who, std::int64_t from, std::int64_t until,
+                     std::uint64_t after, std::size_t limit)
+{
+    audit_query query;
+    query.root = settings::setting_path::parse(root).value_or(settings::setting_path());
+    if (*who != '\0') {
+        query.who = base::operator_id(who);
+    }
+    if (from != 0) {
+        query.from = base::wall_time(std::chrono::seconds(from));
+    }
+    if (until != 0) {
+        query.until = base::wall_time(std::chrono::seconds(until));
+    }
+    query.after = audit_sequence(after);
+    query.limit = limit;
+    return query;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, audit_search,
+    testing::Values(query_case{"all", query_of("", "", 0, 0, 0, 100), {1, 2, 3, 4, 5, 6, 7, 8}},
+                    query_case{"path", query_of("teams/b", "", 0, 0, 0, 100), {5, 6, 7, 8}},
+                    query_case{"author", query_of("", "vet", 0, 0, 0, 100), {2, 4, 6, 8}},
+                    query_case{"time", query_of("", "", 102, 105, 0, 100), {3, 4, 5}},
+                    query_case{"after", query_of("", "", 0, 0, 6, 100), {7, 8}},
+                    query_case{"limit", query_of("teams/a", "luz", 0, 0, 0, 1), {1}}),
+    [](const auto& test) { return test.param.name; });
+
+// Guards against reasons in any bytes that make a line unreadable or its hash unstable.
+TEST(audit_line, holds_reasons_of_any_bytes)
+{
+    audit_trail trail(10);
+    for (const auto* note : {"motivo: revisi\xC3\xB3n \"x\"", "\xFF\xFE", "line\nbreak"}) {
+        audit_record record;
+        record.note = note;
+        trail.append(record);
+    }
+    EXPECT_EQ(trail.verify(), std::nullopt);
+    for (const auto& line : lines_of(trail)) {
+        EXPECT_EQ(line.find('\n'), std::string::npos);
+    }
+    EXPECT_EQ(parse_audit_line(lines_of(trail)[0])->note, "motivo: revisi\xC3\xB3n \"x\"");
+}
+
+} // namespace
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/audit_verifier.cpp
@@ -0,0 +1,55 @@
+#include "control/audit_verifier.hpp"
+
+#include "control/audit_line.hpp"
+
+namespace damaskladder::control {
+
+namespace {
+
+audit_sequence next_of(audit_sequence sequence)
+{
+    return audit_sequence(sequence.value() + 1);
+}
+
+} // namespace
+
+std::optional<audit_fault> audit_verifier::take(const audit_record& record)
+{
+    auto expected = next_of(m_last.sequence);
+    if (record.sequence > expected) {
+        return audit_fault{audit_fault_kind::missing, expected};
+    }
+    bool altered = record.sequence < expected || record.hash != hash_of(record);
+    if (altered) {
+        return audit_fault{audit_fault_kind::altered, expected};
+    }
+    if (record.previous != m_last.hash) {
+        // This record is as it was hashed, so the one before it is not the one that it followed.
+        auto changed = m_last.sequence.value() == 0 ? expected : m_last.sequence;
+        return audit_fault{audit_fault_kind::altered, changed};
+    }
+    m_last = {record.sequence, record.hash};
+    return std::nullopt;
+}
+
+std::optional<audit_fault> audit_verifier::take_line(std::string_view line)
+{
+    auto record = parse_audit_line(line);
+    if (!record) {
+        return audit_fault{audit_fault_kind::unreadable, next_of(m_last.sequence)};
+    }
+    return take(*record);
+}
+
+std::optional<audit_fault> audit_verifier::finish(const audit_anchor& head) const
+{
+    if (m_last.sequence < head.sequence) {
+        return audit_fault{audit_fault_kind::missing, next_of(m_last.sequence)};
+    }
+    if (m_last != head) {
+        return audit_fault{audit_fault_kind::altered, m_last.sequence};
+    }
+    return std::nullopt;
+}
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/change_committer.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "control/change_decision.hpp"
+#include "control/command_header.hpp"
+#include "control/control_state.hpp"
+
+namespace damaskladder::control {
+
+/// Carries out decisions at the position and time of the state, and writes the audit trail.
+class change_committer {
+public:
+    change_committer(control_state& state, const command_header& header)
+        : m_state(state), m_header(header)
+    {
+    }
+
+    /// Returns the reply with version and proposal filled in.
+    change_reply commit(const change_decision& decision);
+
+    /// Closes proposals whose time has come.
+    static void expire_proposals(control_state& state);
+
+private:
+    void carry_out(const close_proposal_effect& effect);
+    void carry_out(const apply_diff_effect& effect);
+    void carry_out(const open_proposal_effect& effect);
+    void carry_out(const add_credential_effect& effect);
+    void carry_out(const remove_credential_effect& effect);
+    void close_outdated(const settings::setting_path& versioned_root);
+    void audit_fields(const apply_diff_effect& effect, const change_decision& decision,
+                      const change_reply& reply);
+    audit_record audit_base() const;
+
+    control_state& m_state;
+    const command_header& m_header;
+};
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/change_content.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "control/command.hpp"
+#include "control/content_hash.hpp"
+
+namespace damaskladder::control {
+
+/// Hash of an operator's command without its time, which a resend may give anew.
+content_hash content_of(const command& entry);
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/change_decider.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "base/time.hpp"
+#include "control/approve_proposal.hpp"
+#include "control/change_decision.hpp"
+#include "control/change_settings.hpp"
+#include "control/control_state.hpp"
+#include "control/create_credential.hpp"
+#include "control/propose_settings.hpp"
+#include "control/refuse_proposal.hpp"
+#include "control/remove_credential.hpp"
+#include "control/withdraw_key.hpp"
+
+namespace damaskladder::control {
+
+/// Decides on operators' commands. Changes nothing: the state is not const only because settings
+/// are checked by applying and undoing a difference.
+class change_decider {
+public:
+    change_decider(control_state& state, base::wall_time now) : m_state(state), m_now(now) {}
+
+    change_decision decide(const change_settings& asked);
+    change_decision decide(const propose_settings& asked);
+    change_decision decide(const approve_proposal& asked);
+    change_decision decide(const refuse_proposal& asked);
+    change_decision decide(const withdraw_key& asked);
+    change_decision decide(const create_credential& asked);
+    change_decision decide(const remove_credential& asked);
+
+private:
+    /// A change of settings after the checks that direct changes and proposals share.
+    struct judged_edit {
+        change_decision decision;
+        settings::setting_diff diff;
+    };
+
+    judged_edit judge_edit(const command_header& header, const settings::setting_path& subtree,
+                           base::settings_version based_on, const settings_edit& edit);
+    change_decision conflict_since(base::settings_version based_on,
+                                   const settings::setting_path& subtree) const;
+    /// Verdict on a proposal that is not pending. Shows nothing to operators of other subtrees.
+    change_decision find_closed(const base::operator_id& author, proposal_id id) const;
+    bool concerns(const base::operator_id& author, const settings::setting_path& subtree) const;
+    const proposal* find_pending(proposal_id id) const;
+    bool needs_review(const settings::setting_diff& diff) const;
+    bool may_review(const credential& reviewer, const proposal& judged) const;
+    bool is_root_admin(const base::operator_id& name) const;
+
+    control_state& m_state;
+    base::wall_time m_now;
+};
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/change_decision.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "control/change_effect.hpp"
+#include "control/change_reply.hpp"
+#include "settings/setting_path.hpp"
+
+#include <string>
+#include <vector>
+
+namespace damaskladder::control {
+
+/// Verdict on an operator's command, and what it does. A refusal has no effects.
+struct change_decision {
+    change_reply reply;
+    std::vector<change_effect> effects;
+    /// Path and note of the audit record.
+    settings::setting_path subject;
+    std::string note;
+};
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/change_effect.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "control/add_credential_effect.hpp"
+#include "control/apply_diff_effect.hpp"
+#include "control/close_proposal_effect.hpp"
+#include "control/open_proposal_effect.hpp"
+#include "control/remove_credential_effect.hpp"
+
+#include <variant>
+
+namespace damaskladder::control {
+
+/// One thing that an accepted command does to the state.
+using change_effect = std::variant<close_proposal_effect, apply_diff_effect, open_proposal_effect,
+                                   add_credential_effect, remove_credential_effect>;
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/claim_reply.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "base/attempt_id.hpp"
+#include "base/node_id.hpp"
+#include "control/claim_verdict.hpp"
+
+namespace damaskladder::control {
+
+/// Answer to a claim, release or completion.
+struct claim_reply {
+    claim_verdict verdict = claim_verdict::malformed;
+    /// The attempt that holds or completed the claim, and its node, with held and done.
+    base::attempt_id holder;
+    base::node_id node;
+
+    friend bool operator==(const claim_reply&, const claim_reply&) = default;
+};
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/claim_table_test.cpp
@@ -0,0 +1,285 @@
+#include "control/claim_table.hpp"
+#include "control/claim_time.hpp"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace damaskladder::control {
+namespace {
+
+using claim_command = std::variant<claim_request, release_claim, complete_claim>;
+
+constexpr std::int64_t start = 1'000'000;
+
+base::wall_time at(std::int64_t second)
+{
+    return base::wall_time(std::chrono::seconds(second));
+}
+
+claim_key key_of(std::int64_t second, const std::string& opaque = "x")
+{
+    return {base::workspace_id("w"), base::request_id(std::to_string(second) + "-" + opaque)};
+}
+
+claim_command claim(std::uint64_t attempt, const claim_key& key = key_of(start),
+                    const char* content = "c")
+{
+    return claim_request{key, base::attempt_id(attempt), base::node_id("n"),
+                         content_hash(digest_of(content))};
+}
+
+claim_command release(std::uint64_t attempt, const claim_key& key = key_of(start))
+{
+    return release_claim{key, base::attempt_id(attempt)};
+}
+
+claim_command complete(std::uint64_t attempt, const claim_key& key = key_of(start))
+{
+    return complete_claim{key, base::attempt_id(attempt)};
+}
+
+claim_verdict apply(claim_table& table, const claim_command& entry, base::wall_time now)
+{
+    return std::visit(
+        [&](const auto& value) {
+            auto expected = table.check(value, now);
+            auto answer = table.apply(value, now);
+            EXPECT_EQ(answer, expected) << "the pre-check judged otherwise";
+            return answer.verdict;
+        },
+        entry);
+}
+
+struct claim_step {
+    std::int64_t second;
+    claim_command entry;
+    claim_verdict verdict;
+};
+
+struct claim_case {
+    const char* name;
+    std::vector<claim_step> steps;
+};
+
+class claim_sequence : public testing::TestWithParam<claim_case> {};
+
+// Guards against a request that runs twice, and against a claim that nobody can release.
+TEST_P(claim_sequence, gives_the_verdicts)
+{
+    state_options options;
+    options.max_claims = 3;
+    claim_table table(options);
+    for (const auto& step : GetParam().steps) {
+        EXPECT_EQ(apply(table, step.entry, at(step.second)), step.verdict)
+            << "expected " << to_string(step.verdict);
+    }
+}
+
+using enum claim_verdict;
+
+INSTANTIATE_TEST_SUITE_P(
+    table, claim_sequence,
+    testing::Values(
+        claim_case{
+            "second_attempt_waits",
+            {{start, claim(1), granted}, {start, claim(2), held}, {start, claim(1), granted}}},
+        claim_case{"released_goes_to_next",
+                   {{start, claim(1), granted},
+                    {start, release(1), released},
+                    {start, claim(2), granted},
+                    {start, release(1), released},
+                    {start, claim(3), held}}},
+        claim_case{"late_claim_after_release",
+                   {{start, claim(1), granted},
+                    {start, release(1), released},
+                    {start, claim(1), released},
+                    {start, claim(2), granted}}},
+        claim_case{"release_overtakes_claim",
+                   {{start, release(1), released},
+                    {start, claim(1), released},
+                    {start, claim(2), granted}}},
+        claim_case{"release_overtakes_claim_while_held",
+                   {{start, claim(2), granted},
+                    {start, release(1), not_held},
+                    {start, release(2), released},
+                    {start, claim(1), released}}},
+        claim_case{
+            "release_by_other_attempt",
+            {{start, claim(1), granted}, {start, release(2), not_held}, {start, claim(3), held}}},
+        claim_case{"done_stays_done",
+                   {{start, claim(1), granted},
+                    {start, complete(1), done},
+                    {start, claim(2), done},
+                    {start, claim(1), done},
+                    {start, release(1), done},
+                    {start, complete(1), done}}},
+        claim_case{"complete_without_claim",
+                   {{start, complete(1), not_held},
+                    {start, claim(2), granted},
+                    {start, complete(1), not_held},
+                    {start, claim(3), held}}},
+        claim_case{"other_content",
+                   {{start, claim(1), granted},
+                    {start, claim(2, key_of(start), "d"), other_content},
+                    {start, release(1), released},
+                    {start, claim(3, key_of(start), "d"), other_content}}},
+        claim_case{"kept_until_retention",
+                   {{start, claim(1), granted},
+                    {start + 599, claim(2), held},
+                    {start + 600, claim(2), too_old},
+                    {start + 600, release(1), too_old}}},
+        claim_case{"ahead",
+                   {{start, claim(1, key_of(start + 120)), granted},
+                    {start, claim(1, key_of(start + 121)), too_far_ahead}}},
+        claim_case{"full_until_oldest_is_forgotten",
+                   {{start, claim(1, key_of(start)), granted},
+                    {start, claim(1, key_of(start + 1)), granted},
+                    {start, claim(1, key_of(start + 2)), granted},
+                    {start, claim(1, key_of(start + 3)), table_full},
+                    {start, release(1, key_of(start + 3)), table_full},
+                    {start, claim(2, key_of(start)), held},
+                    {start + 600, claim(1, key_of(start + 3)), granted}}},
+        claim_case{
+            "long_names",
+            {{start, claim(1, {base::workspace_id(std::string(50, 'w')), key_of(start).request}),
+              malformed}}}),
+    [](const auto& test) { return test.param.name; });
+
+class malformed_claim_id : public testing::TestWithParam<std::string> {};
+
+// Guards against ids whose age cannot be told.
+TEST_P(malformed_claim_id, is_refused)
+{
+    EXPECT_FALSE(claim_time_of(base::request_id(GetParam())).has_value());
+}
+
+INSTANTIATE_TEST_SUITE_P(table, malformed_claim_id,
+                         testing::Values("", "-", "-x", "1", "1-", "1x-a", " 1-a", "+1-a", "--1-a",
+                                         "123456789012-a", "1-a b", "1-\n", "1-\xC3\xA9",
+                                         "1-" + std::string(101, 'a')));
+
+/// Decides each verdict from all commands so far.
+class slow_claims {
+public:
+    claim_verdict apply(const claim_command& entry, std::int64_t now)
+    {
+        auto verdict = std::visit([&](const auto& value) { return judge(value, now); }, entry);
+        m_past.push_back({now, entry, verdict});
+        return verdict;
+    }
+
+private:
+    /// Attempt that was granted last and has not released since.
+    std::optional<std::uint64_t> holder(const claim_key& key) const
+    {
+        std::optional<std::uint64_t> attempt;
+        for (const auto& step : m_past) {
+            const auto* asked = std::get_if<claim_request>(&step.entry);
+            if (asked != nullptr && asked->key == key && step.verdict == granted) {
+                attempt = asked->attempt.value();
+            }
+            const auto* left = std::get_if<release_claim>(&step.entry);
+            if (left != nullptr && left->key == key && attempt == left->attempt.value() &&
+                step.verdict == released) {
+                attempt.reset();
+            }
+        }
+        return attempt;
+    }
+    bool is_done(const claim_key& key) const
+    {
+        for (const auto& step : m_past) {
+            const auto* asked = std::get_if<complete_claim>(&step.entry);
+            if (asked != nullptr && asked->key == key && step.verdict == done) {
+                return true;
+            }
+        }
+        return false;
+    }
+    bool gave_up(const claim_key& key, base::attempt_id attempt) const
+    {
+        for (const auto& step : m_past) {
+            const auto* left = std::get_if<release_claim>(&step.entry);
+            if (left != nullptr && left->key == key && left->attempt == attempt &&
+                (step.verdict == released || step.verdict == not_held)) {
+                return true;
+            }
+        }
+        return false;
+    }
+    static std::optional<claim_verdict> judge_time(const claim_key& key, std::int64_t now)
+    {
+        auto second = std::stoll(key.request.value());
+        if (second + 600 <= now) {
+            return too_old;
+        }
+        return second > now + 120 ? std::optional(too_far_ahead) : std::nullopt;
+    }
+    claim_verdict judge(const claim_request& asked, std::int64_t now) const
+    {
+        if (auto refused = judge_time(asked.key, now)) {
+            return *refused;
+        }
+        if (is_done(asked.key)) {
+            return done;
+        }
+        if (auto attempt = holder(asked.key)) {
+            return *attempt == asked.attempt.value() ? granted : held;
+        }
+        return gave_up(asked.key, asked.attempt) ? released : granted;
+    }
+    claim_verdict judge(const release_claim& asked, std::int64_t now) const
+    {
+        if (auto refused = judge_time(asked.key, now)) {
+            return *refused;
+        }
+        auto attempt = holder(asked.key);
+        if (gave_up(asked.key, asked.attempt) || !attempt) {
+            return released;
+        }
+        if (*attempt != asked.attempt.value()) {
+            return not_held;
+        }
+        return is_done(asked.key) ? done : released;
+    }
+    claim_verdict judge(const complete_claim& asked, std::int64_t now) const
+    {
+        if (auto refused = judge_time(asked.key, now)) {
+            return *refused;
+        }
+        return holder(asked.key) == asked.attempt.value() ? done : not_held;
+    }
+
+    std::vector<claim_step> m_past;
+};
+
+// Guards against verdicts that depend on the order of the table's bookkeeping: 300 schedules of 60
+// commands with log times that jump.
+TEST(claim_table, agrees_with_a_scan_of_all_commands)
+{
+    std::mt19937_64 random(23);
+    for (int schedule = 0; schedule < 300; ++schedule) {
+        claim_table table(state_options{});
+        slow_claims reference;
+        auto now = start;
+        for (int i = 0; i < 60; ++i) {
+            now += random() % 10 == 0 ? static_cast<std::int64_t>(random() % 400) : 0;
+            auto key = key_of(start + static_cast<std::int64_t>(random() % 3) * 100);
+            auto attempt = 1 + random() % 4;
+            auto entry = random() % 2 == 0   ? claim(attempt, key)
+                         : random() % 3 == 0 ? complete(attempt, key)
+                                             : release(attempt, key);
+            auto expected = reference.apply(entry, now);
+            ASSERT_EQ(apply(table, entry, at(now)), expected)
+                << "schedule " << schedule << " step " << i << " " << to_string(expected);
+        }
+    }
+}
+
+} // namespace
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/command_codec_test.cpp
@@ -0,0 +1,222 @@
+#include "control/command_codec.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace damaskladder::control {
+namespace {
+
+using bytes_type = std::vector<std::uint8_t>;
+using json = nlohmann::json;
+
+std::optional<command> decoded(const bytes_type& bytes)
+{
+    return base::handle_failure(
+        [&]() -> base::result<std::optional<command>> {
+            BOOST_LEAF_AUTO(entry, decode_command(bytes));
+            return std::optional<command>(std::move(entry));
+        },
+        [](const base::failure& error) -> std::optional<command> {
+            EXPECT_FALSE(error.text.empty());
+            return std::nullopt;
+        });
+}
+
+std::optional<reply> decoded_reply(const bytes_type& bytes)
+{
+    return base::handle_failure(
+        [&]() -> base::result<std::optional<reply>> {
+            BOOST_LEAF_AUTO(answer, decode_reply(bytes));
+            return std::optional<reply>(std::move(answer));
+        },
+        [](const base::failure& /*error*/) -> std::optional<reply> { return std::nullopt; });
+}
+
+command_header header()
+{
+    return {base::change_id("c1"), base::operator_id("luz"),
+            base::wall_time(std::chrono::seconds(1'700'000'000))};
+}
+
+settings::setting_path path()
+{
+    return *settings::setting_path::parse("teams/a/policy");
+}
+
+settings::setting_diff diff()
+{
+    return {{{settings::change_kind::changed, path(), settings::field_name("revision"),
+              settings::field_value("1"), settings::field_value("2")}}};
+}
+
+settings::setting_tree tree()
+{
+    settings::setting_tree entries;
+    entries.set(path(), settings::field_name("revision"), settings::field_value("2"));
+    entries.set(*settings::setting_path::parse("teams/a/limits"), settings::field_name("max_queue"),
+                settings::field_value("7"));
+    return entries;
+}
+
+std::vector<command> all_commands()
+{
+    claim_key key{base::workspace_id("w"), base::request_id("1700000000-x")};
+    credential created{base::operator_id("vet"), credential_role::reviewer, path(),
+                       token_hash(digest_of("t"))};
+    return {advance_time{},
+            change_settings{header(), path(), base::settings_version(7), diff()},
+            change_settings{header(), path(), base::settings_version(7), tree()},
+            propose_settings{header(), path(), base::settings_version(7), tree(),
+                             std::chrono::hours(1)},
+            approve_proposal{header(), proposal_id(3)},
+            refuse_proposal{header(), proposal_id(3), "no \xC3\xA9"},
+            withdraw_key{header(), base::key_id("k1")},
+            create_credential{header(), created},
+            remove_credential{header(), base::operator_id("vet")},
+            claim_request{key, base::attempt_id(UINT64_MAX), base::node_id("n"),
+                          content_hash(digest_of("c"))},
+            release_claim{key, base::attempt_id(9)},
+            complete_claim{key, base::attempt_id(9)}};
+}
+
+class command_round_trip : public testing::TestWithParam<command> {};
+
+// Guards against fields that are lost in the log, and against cut or extended entries.
+TEST_P(command_round_trip, decodes_to_the_same_and_refuses_other_lengths)
+{
+    auto bytes = encode(GetParam());
+    EXPECT_EQ(decoded(bytes), GetParam());
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        EXPECT_EQ(decoded(bytes_type(bytes.begin(), bytes.begin() + static_cast<long>(length))),
+                  std::nullopt);
+    }
+    bytes.push_back(0);
+    EXPECT_EQ(decoded(bytes), std::nullopt);
+}
+
+INSTANTIATE_TEST_SUITE_P(table, command_round_trip, testing::ValuesIn(all_commands()));
+
+struct malformed_case {
+    const char* name;
+    std::function<bytes_type()> bytes;
+};
+
+/// The first change_settings command, altered as JSON.
+bytes_type altered(const std::function<void(json&)>& alter)
+{
+    auto source = json::from_cbor(encode(all_commands()[1]));
+    alter(source);
+    return json::to_cbor(source);
+}
+
+class malformed_command : public testing::TestWithParam<malformed_case> {};
+
+// Guards against entries that crash a replica or that two replicas could read differently.
+TEST_P(malformed_command, is_refused)
+{
+    EXPECT_EQ(decoded(GetParam().bytes()), std::nullopt);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, malformed_command,
+    testing::Values(
+        malformed_case{"empty", [] { return bytes_type(); }},
+        malformed_case{"deep_lists", [] { return bytes_type(1'000'000, 0x81); }},
+        malformed_case{"deep_objects",
+                       [] {
+                           bytes_type bytes;
+                           for (int i = 0; i < 100'000; ++i) {
+                               bytes.insert(bytes.end(), {0xA1, 0x61, 'a'});
+                           }
+                           return bytes;
+                       }},
+        malformed_case{
+            "huge_list",
+            [] { return bytes_type{0x9B, 0x7F, 0xFF, 0xFF, 0xFF, 0xFF, 0xFF, 0xFF, 0xFF}; }},
+        malformed_case{
+            "huge_text",
+            [] { return bytes_type{0x7B, 0x7F, 0xFF, 0xFF, 0xFF, 0xFF, 0xFF, 0xFF, 0xFF}; }},
+        malformed_case{"repeated_key",
+                       [] { return bytes_type{0xA2, 0x61, 'a', 0x01, 0x61, 'a', 0x01}; }},
+        malformed_case{"too_large", [] { return bytes_type(max_command_size + 1, 0); }},
+        malformed_case{"unknown_command", [] { return altered([](json& s) { s[0] = 99; }); }},
+        malformed_case{"negative_command", [] { return altered([](json& s) { s[0] = -1; }); }},
+        malformed_case{"three_parts", [] { return altered([](json& s) { s.push_back(1); }); }},
+        malformed_case{"missing_field",
+                       [] { return altered([](json& s) { s[1].erase("edit"); }); }},
+        malformed_case{"additional_field", [] { return altered([](json& s) { s[1]["x"] = 1; }); }},
+        malformed_case{"wrong_type",
+                       [] { return altered([](json& s) { s[1]["based_on"] = "7"; }); }},
+        malformed_case{"negative_version",
+                       [] { return altered([](json& s) { s[1]["based_on"] = -7; }); }},
+        malformed_case{"float_version",
+                       [] { return altered([](json& s) { s[1]["based_on"] = 7.0; }); }},
+        malformed_case{"bad_path",
+                       [] { return altered([](json& s) { s[1]["subtree"] = "teams//a"; }); }},
+        malformed_case{"time_that_overflows",
+                       [] { return altered([](json& s) { s[1]["header"]["when"] = INT64_MAX; }); }},
+        malformed_case{
+            "unknown_change_kind",
+            [] { return altered([](json& s) { s[1]["edit"][1]["changes"][0]["kind"] = 3; }); }},
+        malformed_case{"escape_in_value",
+                       [] {
+                           return altered(
+                               [](json& s) { s[1]["edit"][1]["changes"][0]["to"] = "\x1B[2J"; });
+                       }},
+        malformed_case{"escape_in_field",
+                       [] {
+                           return altered(
+                               [](json& s) { s[1]["edit"][1]["changes"][0]["field"] = "\x1B"; });
+                       }}),
+    [](const auto& test) { return test.param.name; });
+
+// Guards against crashes on damaged entries, and against two encodings of one command: 20,000
+// mutations.
+TEST(command_codec, survives_random_mutations)
+{
+    std::mt19937_64 random(31);
+    auto commands = all_commands();
+    int accepted = 0;
+    for (int round = 0; round < 20'000; ++round) {
+        auto bytes = encode(commands[random() % commands.size()]);
+        for (auto edits = 1 + random() % 3; edits > 0; --edits) {
+            bytes[random() % bytes.size()] = static_cast<std::uint8_t>(random());
+        }
+        if (auto entry = decoded(bytes)) {
+            ++accepted;
+            EXPECT_EQ(decoded(encode(*entry)), entry);
+        }
+    }
+    EXPECT_GT(accepted, 0);
+}
+
+// Guards against replies that lose the reason of a refusal.
+TEST(command_codec, carries_replies)
+{
+    change_reply refused;
+    refused.verdict = change_verdict::conflict;
+    refused.version = base::settings_version(9);
+    refused.conflict = change_conflict{base::settings_version(9),
+                                       base::operator_id("luz"),
+                                       base::change_id("c2"),
+                                       base::wall_time(),
+                                       diff(),
+                                       3,
+                                       true};
+    refused.problems.push_back({settings::problem_kind::out_of_range, "f.ini",
+                                settings::line_number(3), path(), settings::field_name("revision"),
+                                "a number"});
+    claim_reply held{claim_verdict::held, base::attempt_id(3), base::node_id("n")};
+    for (const reply& answer : {reply(refused), reply(held)}) {
+        EXPECT_EQ(decoded_reply(encode(answer)), answer);
+    }
+    EXPECT_EQ(decoded_reply({0x01}), std::nullopt);
+}
+
+} // namespace
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/control_state.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "base/time.hpp"
+#include "control/answer_table.hpp"
+#include "control/audit_trail.hpp"
+#include "control/claim_table.hpp"
+#include "control/credential_table.hpp"
+#include "control/log_position.hpp"
+#include "control/proposal_table.hpp"
+#include "control/settings_history.hpp"
+#include "control/state_options.hpp"
+#include "settings/checked_settings.hpp"
+
+namespace damaskladder::control {
+
+/// Everything that the replicated log makes up.
+struct control_state {
+    explicit control_state(const state_options& bounds)
+        : options(bounds),
+          proposals(bounds.max_closed_proposals),
+          history(bounds.max_history, bounds.max_history_changes),
+          answers(bounds.max_answers),
+          audit(bounds.max_audit_records),
+          claims(bounds)
+    {
+    }
+
+    state_options options;
+    log_position position;
+    base::wall_time time;
+    settings::checked_settings settings;
+    credential_table credentials;
+    proposal_table proposals;
+    settings_history history;
+    answer_table answers;
+    audit_trail audit;
+    claim_table claims;
+};
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/proposal_id.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/strong_id.hpp"
+
+#include <cstdint>
+
+namespace damaskladder::control {
+
+/// Identifies a proposal: the log position of the command that made it.
+using proposal_id = base::strong_id<struct proposal_id_tag, std::uint64_t>;
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/proposal_table.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "base/time.hpp"
+#include "control/proposal.hpp"
+#include "control/proposal_id.hpp"
+#include "settings/setting_path.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace damaskladder::control {
+
+/// Pending proposals, and the latest closed ones.
+class proposal_table {
+public:
+    using pending_container = std::map<proposal_id, proposal>;
+
+    explicit proposal_table(std::size_t max_closed) : m_max_closed(max_closed) {}
+
+    const proposal* find_pending(proposal_id id) const;
+    const proposal* find_closed(proposal_id id) const;
+    const pending_container& pending() const { return m_pending; }
+    const std::deque<proposal>& closed() const { return m_closed; }
+
+    /// A pending proposal is listed as such, a closed one after all others closed.
+    void insert(proposal added);
+    void close(proposal_id id, proposal_state state, const base::operator_id& closed_by,
+               const std::string& reason);
+
+    /// Pending proposals whose time has come.
+    std::vector<proposal_id> expired(base::wall_time now) const;
+    /// Pending proposals of the versioned subtree "fleet" or "teams/TEAM".
+    std::vector<proposal_id> pending_of(const settings::setting_path& versioned_root) const;
+
+private:
+    std::size_t m_max_closed;
+    pending_container m_pending;
+    std::deque<proposal> m_closed;
+};
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/remove_credential_effect.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/operator_id.hpp"
+
+namespace damaskladder::control {
+
+/// Removes a credential.
+struct remove_credential_effect {
+    base::operator_id name;
+};
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/session_test.cpp
@@ -0,0 +1,42 @@
+#include "control/session_runner_test.hpp"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <sstream>
+#include <string>
+
+namespace damaskladder::control {
+namespace {
+
+struct session_case {
+    const char* file;
+    bool restarts;
+};
+
+class golden_session : public testing::TestWithParam<session_case> {};
+
+// Guards against any change in what operators see, and against answers that depend on a restart.
+TEST_P(golden_session, plays_as_written)
+{
+    auto path = std::string(DAMASKLADDER_TESTDATA) + "/" + GetParam().file;
+    std::ifstream in(path);
+    ASSERT_TRUE(in) << path;
+    std::ostringstream text;
+    text << in.rdbuf();
+    auto played = session_runner(GetParam().restarts).play(text.str());
+    auto copy = testing::TempDir() + GetParam().file;
+    std::ofstream(copy) << played;
+    EXPECT_EQ(played, text.str()) << "what was played is in " << copy;
+}
+
+INSTANTIATE_TEST_SUITE_P(table, golden_session,
+                         testing::Values(session_case{"first_setup.session", false},
+                                         session_case{"first_setup.session", true},
+                                         session_case{"review.session", false},
+                                         session_case{"review.session", true},
+                                         session_case{"races.session", false},
+                                         session_case{"races.session", true}));
+
+} // namespace
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/settings_history.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "base/settings_version.hpp"
+#include "control/version_difference.hpp"
+#include "control/version_record.hpp"
+#include "settings/setting_path.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace damaskladder::control {
+
+/// The latest accepted changes, and the present version of each subtree.
+///
+/// Each of "fleet" and "teams/TEAM" has its own version: the log position of its last change. With
+/// one version for the whole tree, a hundred teams that make 3,500 changes a day would refuse each
+/// other's changes without need.
+class settings_history {
+public:
+    settings_history(std::size_t max_records, std::size_t max_changes)
+        : m_max_records(max_records), m_max_changes(max_changes)
+    {
+    }
+
+    void append(version_record record);
+
+    /// 0 if the subtree was never changed.
+    base::settings_version version_of(const settings::setting_path& versioned_root) const;
+    /// The change that made the version; null if it is no longer kept.
+    const version_record* find(base::settings_version version) const;
+    const std::deque<version_record>& records() const { return m_records; }
+
+    /// Net difference of what changed within root after the version from, up to the version to.
+    version_difference between(base::settings_version from, base::settings_version to,
+                               const settings::setting_path& root) const;
+
+    /// Version of the newest record that was dropped; 0 if none was.
+    base::settings_version dropped_up_to() const { return m_dropped_up_to; }
+    const std::map<settings::setting_path, base::settings_version>& versions() const
+    {
+        return m_versions;
+    }
+    /// For restoring a snapshot.
+    void restore(std::vector<version_record> records,
+                 std::map<settings::setting_path, base::settings_version> versions,
+                 base::settings_version dropped_up_to);
+
+private:
+    void drop_oldest();
+
+    std::size_t m_max_records;
+    std::size_t m_max_changes;
+    std::size_t m_changes = 0;
+    std::deque<version_record> m_records;
+    std::map<settings::setting_path, base::settings_version> m_versions;
+    base::settings_version m_dropped_up_to;
+};
+
+} // namespace damaskladder::control
--- /dev/null
+++ b/src/control/state_machine_test.cpp
@@ -0,0 +1,289 @@
+#include "control/state_machine.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace damaskladder::control {
+namespace {
+
+settings::setting_path path_of(const std::string& text)
+{
+    return settings::setting_path::parse(text).value_or(settings::setting_path());
+}
+
+base::wall_time at(std::int64_t second)
+{
+    return base::wall_time(std::chrono::seconds(second));
+}
+
+bool restore(state_machine& machine, const std::vector<std::uint8_t>& bytes)
+{
+    return base::handle_failure(
+        [&]() -> base::result<bool> {
+            BOOST_LEAF_CHECK(machine.restore(bytes));
+            return true;
+        },
+        [](const base::failure& error) {
+            EXPECT_EQ(error.kind, base::failure_kind::corrupt);
+            return false;
+        });
+}
+
+command_header header(const std::string& change, const std::string& author = "mara")
+{
+    return {base::change_id(change), base::operator_id(author), at(5)};
+}
+
+create_credential grant(const std::string& change, const std::string& name, credential_role role,
+                        const std::string& subtree)
+{
+    return {header(change),
+            {base::operator_id(name), role, path_of(subtree), token_hash(digest_of(name))}};
+}
+
+change_settings set_revision(const std::string& change, const std::string& author,
+                             const std::string& team, std::uint64_t based_on, int revision)
+{
+    settings::setting_tree tree;
+    auto policy = path_of("teams/" + team + "/policy");
+    tree.set(policy, settings::field_name("revision"),
+             settings::field_value(std::to_string(revision)));
+    return {header(change, author), policy, base::settings_version(based_on), tree};
+}
+
+/// Applies commands at growing positions.
+class log_driver {
+public:
+    explicit log_driver(const state_options& options = {}) : machine(options) {}
+
+    reply apply(const command& entry)
+    {
+        ++m_position;
+        return machine.apply({log_position(m_position), at(static_cast<std::int64_t>(m_position))},
+                             entry);
+    }
+    change_reply change(const command& entry) { return std::get<change_reply>(apply(entry)); }
+
+    state_machine machine;
+
+private:
+    std::uint64_t m_position = 0;
+};
+
+/// Settings of teams as a plain map, with the rule for versions written out.
+struct slow_team {
+    std::uint64_t version = 0;
+    /// Never asked for, so that the first change always differs.
+    int revision = -1;
+};
+
+struct remembered_answer {
+    std::string content;
+    change_reply answer;
+};
+
+// Guards against two accepted changes on one version, answers that a resend or a restart alters,
+// and replicas that diverge: 60 schedules of 120 commands by three operators on two teams, a third
+// of them resends, with two replicas of which one restarts at random.
+TEST(state_machine, agrees_with_a_plain_map_of_teams)
+{
+    std::mt19937_64 random(41);
+    for (int schedule = 0; schedule < 60; ++schedule) {
+        log_driver driver;
+        log_driver replica;
+        for (auto* each : {&driver, &replica}) {
+            each->apply(grant("g1", "mara", credential_role::admin, ""));
+            each->apply(grant("g2", "luz", credential_role::team, "teams/a"));
+            each->apply(grant("g3", "rod", credential_role::team, "teams/b"));
+        }
+        std::map<std::string, slow_team> teams;
+        std::map<std::string, remembered_answer> answers;
+        int accepted = 0;
+        for (std::uint64_t position = 4; position < 124; ++position) {
+            const char* authors[] = {"mara", "luz", "rod"};
+            std::string author = authors[random() % 3];
+            std::string team = random() % 2 == 0 ? "a" : "b";
+            auto id = "c" + std::to_string(random() % 3 == 0 ? random() % position : position);
+            auto& present = teams[team];
+            auto based_on = random() % 4 == 0 ? random() % position : present.version;
+            auto revision = static_cast<int>(random() % 4);
+            auto content = author + team + std::to_string(based_on) + std::to_string(revision);
+
+            auto expected = change_verdict::accepted;
+            bool answered = answers.contains(id);
+            if (answered) {
+                expected = answers[id].content == content ? answers[id].answer.verdict
+                                                          : change_verdict::change_id_reused;
+            }
+            else if (author != "mara" && (author == "luz") != (team == "a")) {
+                expected = change_verdict::permission_denied;
+            }
+            else if (based_on != present.version) {
+                expected = change_verdict::conflict;
+            }
+            else if (revision == present.revision) {
+                expected = change_verdict::unchanged;
+            }
+            else if (revision == 0) {
+                expected = change_verdict::invalid;
+            }
+
+            auto entry = set_revision(id, author, team, based_on, revision);
+            auto answer = driver.change(entry);
+            ASSERT_EQ(answer.verdict, expected)
+                << "schedule " << schedule << " at " << position << ": " << to_string(expected);
+            ASSERT_EQ(replica.change(entry), answer);
+            if (answered && expected != change_verdict::change_id_reused) {
+                ASSERT_EQ(answer, answers[id].answer);
+            }
+            if (!answered) {
+                answers[id] = {content, answer};
+            }
+            if (!answered && expected == change_verdict::accepted) {
+                present = {position, revision};
+                ++accepted;
+            }
+            if (random() % 20 == 0) {
+                ASSERT_TRUE(restore(replica.machine, driver.machine.snapshot()));
+            }
+        }
+        EXPECT_GT(accepted, 5);
+        EXPECT_EQ(driver.machine.snapshot(), replica.machine.snapshot());
+        EXPECT_EQ(driver.machine.audit().verify(), std::nullopt);
+    }
+}
+
+struct malformed_command_case {
+    const char* name;
+    command entry;
+};
+
+class malformed_operator_command : public testing::TestWithParam<malformed_command_case> {};
+
+// Guards against commands out of bounds that did not pass the codec.
+TEST_P(malformed_operator_command, is_refused)
+{
+    log_driver driver;
+    driver.apply(grant("g1", "mara", credential_role::admin, ""));
+    EXPECT_EQ(driver.change(GetParam().entry).verdict, change_verdict::malformed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, malformed_operator_command,
+    testing::Values(
+        malformed_command_case{"no_change_id", set_revision("", "mara", "a", 0, 2)},
+        malformed_command_case{"long_change_id",
+                               set_revision(std::string(65, 'c'), "mara", "a", 0, 2)},
+        malformed_command_case{"blank_change_id", set_revision("a b", "mara", "a", 0, 2)},
+        malformed_command_case{"no_author", set_revision("c", "", "a", 0, 2)},
+        malformed_command_case{"author_is_path", set_revision("c", "a/b", "a", 0, 2)},
+        malformed_command_case{"root", change_settings{header("c"), {}, {}, {}}},
+        malformed_command_case{"long_name",
+                               grant("c", std::string(33, 'n'), credential_role::team, "teams/a")},
+        malformed_command_case{"key_is_path", withdraw_key{header("c"), base::key_id("a/b")}},
+        malformed_command_case{
+            "long_reason", refuse_proposal{header("c"), proposal_id(1), std::string(501, 'r')}}),
+    [](const auto& test) { return test.param.name; });
+
+// Guards against a log entry that is applied twice, or before one that it follows.
+TEST(state_machine, refuses_positions_out_of_order)
+{
+    state_machine machine;
+    machine.apply({log_position(2), at(2)}, grant("g1", "mara", credential_role::admin, ""));
+    auto before = machine.snapshot();
+    for (std::uint64_t position : {0U, 1U, 2U}) {
+        auto answer =
+            machine.apply({log_position(position), at(9)}, set_revision("c", "mara", "a", 0, 2));
+        EXPECT_EQ(std::get<change_reply>(answer).verdict, change_verdict::out_of_order);
+    }
+    claim_request claim{{base::workspace_id("w"), base::request_id("1-x")}, {}, {}, {}};
+    auto answer = machine.apply({log_position(1), at(9)}, claim);
+    EXPECT_EQ(std::get<claim_reply>(answer).verdict, claim_verdict::out_of_order);
+    EXPECT_EQ(machine.snapshot(), before);
+}
+
+// Guards against tables that grow without bound, and against a rotation that breaks the chain or a
+// history that claims to be complete.
+TEST(state_machine, keeps_its_tables_bounded)
+{
+    state_options options;
+    options.max_history = 3;
+    options.max_answers = 4;
+    options.max_audit_records = 5;
+    options.max_pending_proposals = 1;
+    options.max_credentials = 2;
+    log_driver driver(options);
+    driver.apply(grant("g1", "mara", credential_role::admin, ""));
+    for (int i = 0; i < 8; ++i) {
+        auto based_on = driver.machine.version_of(path_of("teams/a")).value();
+        auto change = set_revision("c" + std::to_string(i), "mara", "a", based_on, 2 + i);
+        ASSERT_EQ(driver.change(change).verdict, change_verdict::accepted);
+    }
+    auto& machine = driver.machine;
+    EXPECT_EQ(machine.history({}, 100).size(), 3U);
+    EXPECT_EQ(machine.find_answer(base::change_id("c3")), nullptr);
+    EXPECT_NE(machine.find_answer(base::change_id("c4")), nullptr);
+    EXPECT_EQ(machine.audit().records().size(), 5U);
+    EXPECT_EQ(machine.audit().verify(), std::nullopt);
+    auto newest = machine.version_of(path_of("teams/a"));
+    EXPECT_FALSE(machine.difference(base::settings_version(2), newest, {}).complete);
+    EXPECT_TRUE(machine.difference(base::settings_version(6), newest, {}).complete);
+    auto late = driver.change(set_revision("c0", "mara", "a", 0, 2));
+    EXPECT_EQ(late.verdict, change_verdict::conflict);
+    EXPECT_FALSE(late.conflict->complete);
+
+    for (auto expected : {change_verdict::pending, change_verdict::too_many}) {
+        propose_settings proposed;
+        auto change =
+            set_revision("p" + std::to_string(static_cast<int>(expected)), "mara", "b", 0, 2);
+        proposed.header = change.header;
+        proposed.subtree = change.subtree;
+        proposed.edit = change.edit;
+        EXPECT_EQ(driver.change(proposed).verdict, expected);
+    }
+    EXPECT_EQ(driver.change(grant("g2", "luz", credential_role::team, "teams/a")).verdict,
+              change_verdict::accepted);
+    EXPECT_EQ(driver.change(grant("g3", "rod", credential_role::team, "teams/a")).verdict,
+              change_verdict::too_many);
+
+    state_machine restored(options);
+    ASSERT_TRUE(restore(restored, machine.snapshot()));
+    EXPECT_EQ(restored.snapshot(), machine.snapshot());
+}
+
+// Guards against snapshots that crash a replica or restore in part: every length, and 3,000
+// mutations.
+TEST(state_machine, refuses_damaged_snapshots)
+{
+    log_driver driver;
+    driver.apply(grant("g1", "mara", credential_role::admin, ""));
+    driver.apply(set_revision("c1", "mara", "a", 0, 2));
+    driver.apply(claim_request{{base::workspace_id("w"), base::request_id("3-x")},
+                               base::attempt_id(1),
+                               base::node_id("n"),
+                               {}});
+    auto bytes = driver.machine.snapshot();
+    state_machine restored;
+    auto empty = restored.snapshot();
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        auto cut = bytes;
+        cut.resize(length);
+        ASSERT_FALSE(restore(restored, cut));
+    }
+    std::mt19937_64 random(53);
+    for (int round = 0; round < 3'000; ++round) {
+        auto damaged = bytes;
+        damaged[random() % damaged.size()] ^= static_cast<std::uint8_t>(1 + random() % 255);
+        state_machine other;
+        if (!restore(other, damaged)) {
+            ASSERT_EQ(other.snapshot(), empty) << "a refused snapshot left traces";
+        }
+    }
+}
+
+} // namespace
+} // namespace damaskladder::control
--- a/src/settings/checked_settings.hpp
+++ b/src/settings/checked_settings.hpp
@@ -24,6 +24,12 @@
     /// The verdict that apply would give. Leaves the tree as it is.
     settings_problems check(const setting_diff& diff);
 
+    /// Path of the entry that defines the name, for example of a key; null if there is none.
+    const setting_path* find_definition(const setting_reference& reference) const
+    {
+        return m_index.find_definition(reference);
+    }
+
 private:
     void apply_unchecked(const setting_diff& diff, const std::set<setting_path>& touched,
                          std::set<setting_reference>& references);
--- a/src/settings/reference_index.cpp
+++ b/src/settings/reference_index.cpp
@@ -94,6 +94,12 @@
     }
 }
 
+const setting_path* reference_index::find_definition(const setting_reference& reference) const
+{
+    const auto& definitions = places_of(m_defined, reference);
+    return definitions.empty() ? nullptr : &*definitions.begin();
+}
+
 void reference_index::check_unique(const setting_reference& reference,
                                    const std::set<setting_path>& definitions,
                                    settings_problems& problems) const
--- a/src/settings/reference_index.hpp
+++ b/src/settings/reference_index.hpp
@@ -21,6 +21,9 @@
     /// belong to the team of its workspace, or one team could grant access to another's rate.
     void check(const setting_reference& reference, settings_problems& problems) const;
 
+    /// Where the name is defined; null if nowhere.
+    const setting_path* find_definition(const setting_reference& reference) const;
+
 private:
     using places = std::map<setting_reference, std::set<setting_path>>;
 
