--- a/src/cli/operator_commands.cpp
+++ b/src/cli/operator_commands.cpp
@@ -62,7 +62,8 @@
 /// One verb: its options, and the request that follows from them.
 class verb {
 public:
-    verb(const std::string& name, const std::string& usage) : m_parser(name, usage), m_common(m_parser)
+    verb(const std::string& name, const std::string& usage)
+        : m_parser(name, usage), m_common(m_parser)
     {
     }
 
@@ -193,8 +194,11 @@
                      "export writes\n";
         return exit_code::usage;
     }
-    json command = {{"verb", name}, {"change", change}, {"path", path},
-                    {"based_on", static_cast<std::uint64_t>(based_on)}, {"ini", *text}};
+    json command = {{"verb", name},
+                    {"change", change},
+                    {"path", path},
+                    {"based_on", static_cast<std::uint64_t>(based_on)},
+                    {"ini", *text}};
     if (name == "propose") {
         command["lifetime_s"] = static_cast<std::uint64_t>(std::max(lifetime_s, 0LL));
     }
@@ -276,9 +280,8 @@
     if (!remove.parse(arguments, 1)) {
         return exit_code::usage;
     }
-    return remove.run_command({{"verb", "remove-credential"},
-                               {"change", change},
-                               {"name", remove.positional().front()}});
+    return remove.run_command(
+        {{"verb", "remove-credential"}, {"change", change}, {"name", remove.positional().front()}});
 }
 
 /// A query of one path, which may be left out for all settings.
--- a/src/cli/operator_options.cpp
+++ b/src/cli/operator_options.cpp
@@ -21,8 +21,7 @@
     : m_control(environment("DAMASKLADDER_CONTROL")),
       m_token_file(environment("DAMASKLADDER_TOKEN_FILE"))
 {
-    parser.add("control", m_control, "operators' addresses of the control replicas",
-               "IP:PORT,...");
+    parser.add("control", m_control, "operators' addresses of the control replicas", "IP:PORT,...");
     parser.add("token-file", m_token_file, "file that holds the operator's token", "FILE");
 }
 
--- a/src/cli/option_parser.cpp
+++ b/src/cli/option_parser.cpp
@@ -64,8 +64,7 @@
     add_option(std::move(added));
 }
 
-void option_parser::add(std::string name, long long& into, std::string help,
-                        std::string value_name)
+void option_parser::add(std::string name, long long& into, std::string help, std::string value_name)
 {
     auto added = std::make_unique<option>();
     added->name = std::move(name);
@@ -107,7 +106,9 @@
                          added->help.c_str(),
                          added->value_name.empty() ? nullptr : added->value_name.c_str()});
     }
-    table.push_back(POPT_AUTOHELP poptOption POPT_TABLEEND);
+    table.push_back({nullptr, '\0', POPT_ARG_INCLUDE_TABLE,
+                     static_cast<void*>(poptHelpOptions), 0, "Help:", nullptr});
+    table.push_back({nullptr, '\0', 0, nullptr, 0, nullptr, nullptr});
     const std::string program = "damaskladder " + m_command;
     std::vector<const char*> argv = {program.c_str()};
     for (const auto& argument : arguments) {
--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -23,7 +23,8 @@
     constexpr int name_width = 20;
     out << "Usage: damaskladder COMMAND [OPTION...]; damaskladder COMMAND --help\n\n";
     for (const auto& command : commands) {
-        out << "  " << std::left << std::setw(name_width) << command.name << command.summary << '\n';
+        out << "  " << std::left << std::setw(name_width) << command.name << command.summary
+            << '\n';
     }
 }
 
--- a/src/daemon/local_api.cpp
+++ b/src/daemon/local_api.cpp
@@ -50,7 +50,8 @@
         }
         offer.port = base::port_number(static_cast<std::uint16_t>(port));
         offer.slots = base::slot_count(json.value("slots", std::int64_t{0}));
-        offer.connections = membership::connection_count(json.value("connections", std::int64_t{0}));
+        offer.connections =
+            membership::connection_count(json.value("connections", std::int64_t{0}));
         offer.cold = json.value("cold", false);
         offer.credential = membership::credential_text(json.value("credential", std::string()));
         return offer;
--- a/src/daemon/messenger.cpp
+++ b/src/daemon/messenger.cpp
@@ -11,9 +11,10 @@
 
 } // namespace
 
-messenger::messenger(http::event_loop& loop, const wire::cluster_secret& secret,
-                     base::node_id self, base::incarnation incarnation)
-    : m_loop(loop), m_codec(secret, std::move(self), incarnation),
+messenger::messenger(http::event_loop& loop, const wire::cluster_secret& secret, base::node_id self,
+                     base::incarnation incarnation)
+    : m_loop(loop),
+      m_codec(secret, std::move(self), incarnation),
       m_bus([this](std::string sealed) {
           m_loop.post([this, sealed = std::move(sealed)] { received(sealed); });
       })
--- a/src/daemon/messenger.hpp
+++ b/src/daemon/messenger.hpp
@@ -63,16 +63,16 @@
 void messenger::on_message(wire::message_kind kind,
                            std::function<void(const base::node_id&, const Message&)> receive)
 {
-    on(kind, [this, receive = std::move(receive)](const base::node_id& sender,
-                                                  const std::string& body) {
-        base::handle_failure(
-            [&]() -> base::result<void> {
-                BOOST_LEAF_AUTO(message, wire::decode<Message>(body));
-                receive(sender, message);
-                return {};
-            },
-            [&](const base::failure& error) { note_refused(error); });
-    });
+    on(kind,
+       [this, receive = std::move(receive)](const base::node_id& sender, const std::string& body) {
+           base::handle_failure(
+               [&]() -> base::result<void> {
+                   BOOST_LEAF_AUTO(message, wire::decode<Message>(body));
+                   receive(sender, message);
+                   return {};
+               },
+               [&](const base::failure& error) { note_refused(error); });
+       });
 }
 
 } // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/node_host.cpp
@@ -0,0 +1,152 @@
+#include "daemon/node_host.hpp"
+
+#include "daemon/log.hpp"
+#include "daemon/secure_random.hpp"
+#include "daemon/view_builder.hpp"
+
+#include <sodium.h>
+
+namespace damaskladder::daemon {
+
+namespace {
+
+membership::node_identity identity_of(const process_settings& settings,
+                                      base::incarnation incarnation)
+{
+    membership::node_identity identity;
+    identity.node = settings.name;
+    identity.domain = settings.domain;
+    identity.start_incarnation = incarnation;
+    identity.messages = base::message_address(to_string(settings.messages));
+    identity.traffic = base::traffic_address(to_string(settings.node->listen.peers));
+    return identity;
+}
+
+membership::membership_options options_of(const process_settings& settings)
+{
+    membership::membership_options options;
+    for (const auto& seed : settings.seeds) {
+        options.seeds.emplace_back(to_string(seed));
+    }
+    return options;
+}
+
+/// Compares in a time that does not depend on where the texts differ.
+bool same_secret(const std::string& a, const std::string& b)
+{
+    return a.size() == b.size() && sodium_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+membership::announcement_options announcement_options_of(const node_settings& settings)
+{
+    membership::announcement_options options;
+    options.may_announce = [&settings](const membership::credential_text& credential,
+                                       const base::service_id& service) {
+        const auto& services = settings.services;
+        return same_secret(credential.value(), settings.credential) &&
+               std::find(services.begin(), services.end(), service) != services.end();
+    };
+    return options;
+}
+
+} // namespace
+
+node_host::node_host(http::event_loop& loop, messenger& messages, const process_settings& settings,
+                     base::incarnation incarnation, hooks calls)
+    : m_loop(loop), m_messages(messages), m_settings(settings), m_hooks(std::move(calls)),
+      m_announcements(announcement_options_of(*settings.node)),
+      m_membership(identity_of(settings, incarnation), options_of(settings), secure_random()),
+      m_compiled(settings::compiled_settings::compile({}))
+{
+    m_messages.on_message<membership::message>(
+        wire::message_kind::membership,
+        [this](const base::node_id& sender, const membership::message& body) {
+            perform(m_membership.receive(sender, body, http::event_loop::now()));
+        });
+}
+
+void node_host::start()
+{
+    perform(m_membership.start(http::event_loop::now()));
+    tick();
+}
+
+void node_host::tick()
+{
+    const auto now = http::event_loop::now();
+    if (m_announcements.expire(now)) {
+        perform(m_membership.set_backends(m_announcements.backends(), now));
+        m_view_stale = true;
+    }
+    perform(m_membership.tick(now));
+    if (m_view_stale) {
+        publish();
+    }
+    m_loop.call_at(now + membership::membership_options().tick_interval, [this] { tick(); });
+}
+
+void node_host::perform(const membership::effects& effects)
+{
+    for (const auto& send : effects.sends) {
+        m_messages.send(send.to.node, send.to.address.value(), wire::message_kind::membership,
+                        send.body);
+    }
+    m_view_stale = m_view_stale || effects.view_changed;
+}
+
+void node_host::set_settings(std::shared_ptr<const settings::compiled_settings> settings)
+{
+    m_compiled = std::move(settings);
+    log(log_level::info, "settings_in_force",
+        {{"version", std::to_string(m_compiled->version().value())}});
+    publish();
+}
+
+void node_host::confirm_settings(base::time_point when)
+{
+    m_confirmed_at = std::max(m_confirmed_at, when);
+    publish();
+}
+
+membership::announce_verdict node_host::announce(local_api::action wanted,
+                                                 const membership::announcement& offer)
+{
+    const auto now = http::event_loop::now();
+    auto verdict = membership::announce_verdict::unknown;
+    switch (wanted) {
+    case local_api::action::announce:
+        verdict = m_announcements.announce(offer, now);
+        break;
+    case local_api::action::withdraw:
+        verdict = m_announcements.withdraw(offer.service, offer.port, offer.credential);
+        break;
+    case local_api::action::drain:
+        verdict = m_announcements.drain(offer.service, offer.port, offer.credential);
+        break;
+    }
+    perform(m_membership.set_backends(m_announcements.backends(), now));
+    publish();
+    return verdict;
+}
+
+void node_host::leave()
+{
+    m_announcements.drain_all();
+    perform(m_membership.leave(http::event_loop::now()));
+    publish();
+}
+
+void node_host::publish()
+{
+    m_view_stale = false;
+    view_sources from;
+    from.self = m_settings.name;
+    from.domain = m_settings.domain;
+    from.settings = m_compiled;
+    from.settings_confirmed_at = m_confirmed_at;
+    from.services = m_membership.view();
+    from.local = m_announcements.backends();
+    m_hooks.publish(build_view(from));
+}
+
+} // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/node_host.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "daemon/local_api.hpp"
+#include "daemon/messenger.hpp"
+#include "daemon/process_settings.hpp"
+#include "daemon/traffic_view.hpp"
+#include "membership/announcement_lease.hpp"
+#include "membership/membership_node.hpp"
+#include "settings/compiled_settings.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace damaskladder::daemon {
+
+/// The control side of a node, on the control thread: membership, announcements of the backend
+/// server on this VM, and the view for the traffic thread.
+class node_host {
+public:
+    struct hooks {
+        /// Publishes a view to the traffic thread.
+        std::function<void(std::shared_ptr<const traffic_view>)> publish;
+    };
+
+    node_host(http::event_loop& loop, messenger& messages, const process_settings& settings,
+              base::incarnation incarnation, hooks calls);
+
+    void start();
+
+    /// The settings in force, and the local time at which they were certainly the newest ones.
+    void set_settings(std::shared_ptr<const settings::compiled_settings> settings);
+    void confirm_settings(base::time_point when);
+
+    membership::announce_verdict announce(local_api::action wanted,
+                                          const membership::announcement& offer);
+    /// Withdraws the announcements and tells the fleet that this node stops.
+    void leave();
+
+    const membership::membership_node& members() const { return m_membership; }
+    std::shared_ptr<const settings::compiled_settings> settings() const { return m_compiled; }
+
+private:
+    void tick();
+    void perform(const membership::effects& effects);
+    void publish();
+
+    http::event_loop& m_loop;
+    messenger& m_messages;
+    const process_settings& m_settings;
+    hooks m_hooks;
+    membership::announcement_lease m_announcements;
+    membership::membership_node m_membership;
+    std::shared_ptr<const settings::compiled_settings> m_compiled;
+    base::time_point m_confirmed_at;
+    bool m_view_stale = true;
+};
+
+} // namespace damaskladder::daemon
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -46,7 +46,8 @@
 
 operator_api::operator_api(http::event_loop& loop, replica_host& host,
                            const wire::cluster_secret& secret)
-    : m_host(host), m_tokens(secret, wire::key_usage::tokens),
+    : m_host(host),
+      m_tokens(secret, wire::key_usage::tokens),
       m_server(loop, operator_limits(), [this](const exchange_ptr& e) { arrived(e); })
 {
 }
@@ -68,8 +69,7 @@
         if (raw->body_complete()) {
             run_command(raw->shared_from_this(), author);
         }
-        else if (raw->body().size() >=
-                 static_cast<std::size_t>(max_command_body.value())) {
+        else if (raw->body().size() >= static_cast<std::size_t>(max_command_body.value())) {
             respond(*raw, bad_request, "the command is longer than 4 MiB\n");
         }
     });
@@ -98,7 +98,8 @@
                     respond(*exchange, unavailable, to_json(*refused));
                     return;
                 }
-                const auto& reply = std::get<control::change_reply>(std::get<control::reply>(answer));
+                const auto& reply =
+                    std::get<control::change_reply>(std::get<control::reply>(answer));
                 log(log_level::info, "operator_command",
                     {{"author", author.value()},
                      {"verdict", std::string(to_string(reply.verdict))},
--- a/src/daemon/operator_command.cpp
+++ b/src/daemon/operator_command.cpp
@@ -120,9 +120,8 @@
 
 } // namespace
 
-base::result<control::command> parse_operator_command(std::string_view text,
-                                                      const base::operator_id& author,
-                                                      base::wall_time now)
+base::result<control::command>
+parse_operator_command(std::string_view text, const base::operator_id& author, base::wall_time now)
 {
     const auto from = json::parse(text, nullptr, false);
     if (!from.is_object()) {
--- a/src/daemon/operator_command.hpp
+++ b/src/daemon/operator_command.hpp
@@ -17,8 +17,7 @@
 ///     {"verb": "create-credential", "change": ID, "name": NAME, "role": ROLE, "path": PATH,
 ///      "token_hash": HEX}
 ///     {"verb": "remove-credential", "change": ID, "name": NAME}
-base::result<control::command> parse_operator_command(std::string_view text,
-                                                      const base::operator_id& author,
-                                                      base::wall_time now);
+base::result<control::command>
+parse_operator_command(std::string_view text, const base::operator_id& author, base::wall_time now);
 
 } // namespace damaskladder::daemon
--- a/src/daemon/operator_query.cpp
+++ b/src/daemon/operator_query.cpp
@@ -179,8 +179,8 @@
     if (name == "/v1/diff") {
         BOOST_LEAF_AUTO(from, query.number("from"));
         BOOST_LEAF_AUTO(to, query.number("to"));
-        const auto found = state.difference(base::settings_version(from),
-                                            base::settings_version(to), root);
+        const auto found =
+            state.difference(base::settings_version(from), base::settings_version(to), root);
         return to_string(found.diff) + (found.complete ? "" : "# older changes are not kept\n");
     }
     if (name == "/v1/history") {
@@ -208,8 +208,8 @@
     }
     if (query.path() == "/v1/audit-head") {
         const auto& head = state.audit().head();
-        return std::to_string(head.sequence.value()) + " " +
-               control::to_hex(head.hash.value()) + "\n";
+        return std::to_string(head.sequence.value()) + " " + control::to_hex(head.hash.value()) +
+               "\n";
     }
     if (query.path() == "/v1/answer") {
         const auto* found = state.find_answer(base::change_id(query.parameter("change")));
--- a/src/daemon/signal_watch.cpp
+++ b/src/daemon/signal_watch.cpp
@@ -1,10 +1,11 @@
 #include "daemon/signal_watch.hpp"
 
-#include <csignal>
 #include <sys/epoll.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <csignal>
+
 namespace damaskladder::daemon {
 
 const std::uint32_t signal_watch::readable = EPOLLIN;
