Lease: majority leases among voters that keep their votes in memory

Cause: one process per failure domain may accrue rate tokens, without an outside store and without comparing clocks. Change: lease_voter (one grant at a time, abstains after its start) and lease_candidate (holds from the sending of its asks, shortened by the drift), with their messages. base gains clock_drift.

--- a/include/damaskladder/base.hpp
+++ b/include/damaskladder/base.hpp
@@ -16,6 +16,7 @@
 #include "base/call_id.hpp"
 #include "base/chain_id.hpp"
 #include "base/change_id.hpp"
+#include "base/clock_drift.hpp"
 #include "base/failure.hpp"
 #include "base/failure_domain_id.hpp"
 #include "base/failure_kind.hpp"
--- /dev/null
+++ b/src/base/clock_drift.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/time.hpp"
+
+#include <cstdint>
+
+namespace damaskladder::base {
+
+/// Largest error of a process's clock rate, in parts per million of real time.
+///
+/// Two clocks that each keep within the drift may differ by twice as much, so a duration that one
+/// process promises to another must be shortened or lengthened before it is measured elsewhere.
+class clock_drift {
+public:
+    constexpr clock_drift() = default;
+    constexpr explicit clock_drift(std::int64_t parts_per_million) : m_ppm(parts_per_million) {}
+
+    constexpr std::int64_t parts_per_million() const { return m_ppm; }
+
+    /// Longest local duration that has passed, in real time, before any peer has counted `length`.
+    constexpr duration shortened(duration length) const
+    {
+        return duration(length.count() - scaled(length, 2 * m_ppm, million));
+    }
+
+    /// Shortest local duration after which every peer has counted at least `length`.
+    constexpr duration lengthened(duration length) const
+    {
+        return duration(length.count() + scaled(length, 2 * m_ppm, million - m_ppm));
+    }
+
+    friend constexpr bool operator==(const clock_drift&, const clock_drift&) = default;
+
+private:
+    static constexpr std::int64_t million = 1'000'000;
+
+    /// length * numerator / denominator, rounded up; split so that no product overflows.
+    static constexpr std::int64_t scaled(duration length, std::int64_t numerator,
+                                         std::int64_t denominator)
+    {
+        const auto whole = length.count() / denominator;
+        const auto rest = length.count() % denominator;
+        return whole * numerator + (rest * numerator + denominator - 1) / denominator;
+    }
+
+    std::int64_t m_ppm = 1'000;
+};
+
+} // namespace damaskladder::base
--- /dev/null
+++ b/src/lease/lease_ask.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "base/incarnation.hpp"
+#include "base/node_id.hpp"
+#include "lease/lease_epoch.hpp"
+#include "lease/lease_resource.hpp"
+#include "lease/lease_round.hpp"
+
+namespace damaskladder::lease {
+
+/// Asks a voter to grant or renew a lease.
+struct lease_ask {
+    lease_resource resource;
+    base::node_id candidate;
+    base::incarnation incarnation;
+    lease_epoch epoch;
+    lease_round round;
+    /// The candidate holds this epoch already, by a majority of the voters.
+    bool renewal = false;
+
+    friend bool operator==(const lease_ask&, const lease_ask&) = default;
+};
+
+} // namespace damaskladder::lease
--- /dev/null
+++ b/src/lease/lease_candidate.cpp
@@ -0,0 +1,199 @@
+#include "lease/lease_candidate.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace damaskladder::lease {
+
+namespace {
+
+/// The back-off doubles at most this often.
+constexpr int max_doublings = 4;
+
+} // namespace
+
+lease_candidate::lease_candidate(lease_options options, base::node_id self,
+                                 base::incarnation incarnation, lease_resource resource,
+                                 std::vector<base::node_id> voters, base::random_source random)
+    : m_options(options),
+      m_self(std::move(self)),
+      m_incarnation(incarnation),
+      m_resource(std::move(resource)),
+      m_voters(std::move(voters)),
+      m_random(std::move(random))
+{
+}
+
+lease_effects lease_candidate::want(base::time_point now)
+{
+    lease_effects effects;
+    expire(now, effects);
+    if (m_state == state::idle) {
+        start_asking(now, effects);
+    }
+    return effects;
+}
+
+lease_effects lease_candidate::give_up(base::time_point)
+{
+    lease_effects effects;
+    if (m_state == state::asking || m_state == state::holding) {
+        abandon_epoch(effects);
+    }
+    m_state = state::idle;
+    return effects;
+}
+
+lease_effects lease_candidate::on_reply(const lease_reply& reply, base::time_point now)
+{
+    lease_effects effects;
+    expire(now, effects);
+    m_highest_seen = std::max(m_highest_seen, reply.highest_epoch);
+    const auto& ask = reply.ask;
+    const bool current = ask.resource == m_resource && ask.candidate == m_self &&
+                         ask.incarnation == m_incarnation && ask.epoch == m_epoch &&
+                         m_rounds.contains(ask.round) && is_voter(reply.voter);
+    if (!current) {
+        return effects;
+    }
+    if (reply.verdict == lease_verdict::granted) {
+        on_granted(reply, now);
+    }
+    else {
+        on_refused(reply, now, effects);
+    }
+    return effects;
+}
+
+lease_effects lease_candidate::on_time(base::time_point now)
+{
+    lease_effects effects;
+    expire(now, effects);
+    if (now < next_time()) {
+        return effects;
+    }
+    switch (m_state) {
+    case state::idle:
+        break;
+    case state::waiting:
+        start_asking(now, effects);
+        break;
+    case state::asking:
+        abandon_epoch(effects);
+        back_off(now);
+        break;
+    case state::holding:
+        send_round(now, effects);
+        m_next = now + m_options.renew_interval;
+        break;
+    }
+    return effects;
+}
+
+bool lease_candidate::holds(base::time_point now) const
+{
+    return m_state == state::holding && now < m_held_until;
+}
+
+base::time_point lease_candidate::next_time() const
+{
+    if (m_state == state::idle) {
+        return base::time_point::max();
+    }
+    return m_state == state::holding ? std::min(m_next, m_held_until) : m_next;
+}
+
+/// Ends a lease whose time has passed, and forgets rounds that can no longer win one.
+void lease_candidate::expire(base::time_point now, lease_effects& effects)
+{
+    std::erase_if(m_rounds, [&](const auto& entry) {
+        return now >= entry.second.sent_at + m_options.hold_time();
+    });
+    if (m_state == state::holding && now >= m_held_until) {
+        abandon_epoch(effects);
+        back_off(now);
+    }
+}
+
+void lease_candidate::start_asking(base::time_point now, lease_effects& effects)
+{
+    m_epoch = lease_epoch(std::max(m_epoch, m_highest_seen).value() + 1);
+    m_refused.clear();
+    m_retry_in = base::duration::zero();
+    m_state = state::asking;
+    send_round(now, effects);
+    m_next = now + m_options.ask_timeout;
+}
+
+void lease_candidate::send_round(base::time_point now, lease_effects& effects)
+{
+    m_last_round = lease_round(m_last_round.value() + 1);
+    m_rounds[m_last_round] = round{now, {}};
+    const bool renewal = m_state == state::holding;
+    for (const auto& voter : m_voters) {
+        effects.push_back(
+            {voter, lease_ask{m_resource, m_self, m_incarnation, m_epoch, m_last_round, renewal}});
+    }
+}
+
+void lease_candidate::abandon_epoch(lease_effects& effects)
+{
+    m_rounds.clear();
+    for (const auto& voter : m_voters) {
+        effects.push_back({voter, lease_give_up{m_resource, m_self, m_incarnation, m_epoch}});
+    }
+}
+
+void lease_candidate::back_off(base::time_point now)
+{
+    const auto longest = m_options.backoff * (1 << std::min(m_failures, max_doublings));
+    ++m_failures;
+    m_state = state::waiting;
+    m_next = now + std::min(m_retry_in, m_options.poll_interval) + jitter(longest);
+}
+
+bool lease_candidate::is_voter(const base::node_id& node) const
+{
+    return std::find(m_voters.begin(), m_voters.end(), node) != m_voters.end();
+}
+
+void lease_candidate::on_granted(const lease_reply& reply, base::time_point now)
+{
+    auto& sent = m_rounds[reply.ask.round];
+    sent.granted.insert(reply.voter);
+    const auto until = sent.sent_at + m_options.hold_time();
+    if (sent.granted.size() < majority() || now >= until) {
+        return;
+    }
+    if (m_state == state::asking) {
+        m_state = state::holding;
+        m_failures = 0;
+        m_held_until = until;
+        m_next = sent.sent_at + m_options.renew_interval;
+    }
+    m_held_until = std::max(m_held_until, until);
+}
+
+void lease_candidate::on_refused(const lease_reply& reply, base::time_point now,
+                                 lease_effects& effects)
+{
+    if (m_state != state::asking) {
+        return;
+    }
+    m_refused.insert(reply.voter);
+    m_retry_in = std::max(m_retry_in, reply.retry_in);
+    if (m_voters.size() - m_refused.size() < majority()) {
+        abandon_epoch(effects);
+        back_off(now);
+    }
+}
+
+/// Uniform between a quarter of up_to and up_to.
+base::duration lease_candidate::jitter(base::duration up_to)
+{
+    const auto least = up_to / 4;
+    const auto span = static_cast<std::uint64_t>((up_to - least).count());
+    return least + base::duration(static_cast<std::int64_t>(m_random() % (span + 1)));
+}
+
+} // namespace damaskladder::lease
--- /dev/null
+++ b/src/lease/lease_candidate.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "base/incarnation.hpp"
+#include "base/node_id.hpp"
+#include "base/random_source.hpp"
+#include "base/time.hpp"
+#include "lease/lease_options.hpp"
+#include "lease/lease_send.hpp"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace damaskladder::lease {
+
+/// One incarnation of a process that wants the lease of one resource.
+///
+/// Holds from the time the asks that won a majority were sent, for the lease shortened by the
+/// drift. The right to act must be checked with holds() at the time of acting: it ends without an
+/// event.
+class lease_candidate {
+public:
+    lease_candidate(lease_options options, base::node_id self, base::incarnation incarnation,
+                    lease_resource resource, std::vector<base::node_id> voters,
+                    base::random_source random);
+
+    /// Starts to ask for the lease, and asks again after each loss, until give_up().
+    lease_effects want(base::time_point now);
+
+    /// Stops holding and asking at once, and frees the voters.
+    lease_effects give_up(base::time_point now);
+
+    lease_effects on_reply(const lease_reply& reply, base::time_point now);
+
+    /// Renews, times out and retries. Call at next_time(); other times are harmless.
+    lease_effects on_time(base::time_point now);
+
+    bool holds(base::time_point now) const;
+
+    /// End of the lease on the local clock, if holds().
+    base::time_point held_until() const { return m_held_until; }
+
+    /// Identifies this acquisition, if holds().
+    lease_epoch epoch() const { return m_epoch; }
+
+    /// When on_time() is due; time_point::max() if nothing is pending.
+    base::time_point next_time() const;
+
+private:
+    enum class state { idle, waiting, asking, holding };
+
+    struct round {
+        base::time_point sent_at;
+        std::set<base::node_id> granted;
+    };
+
+    void expire(base::time_point now, lease_effects& effects);
+    void start_asking(base::time_point now, lease_effects& effects);
+    void send_round(base::time_point now, lease_effects& effects);
+    void abandon_epoch(lease_effects& effects);
+    void back_off(base::time_point now);
+    bool is_voter(const base::node_id& node) const;
+    void on_granted(const lease_reply& reply, base::time_point now);
+    void on_refused(const lease_reply& reply, base::time_point now, lease_effects& effects);
+    std::size_t majority() const { return m_voters.size() / 2 + 1; }
+    base::duration jitter(base::duration up_to);
+
+    lease_options m_options;
+    base::node_id m_self;
+    base::incarnation m_incarnation;
+    lease_resource m_resource;
+    std::vector<base::node_id> m_voters;
+    base::random_source m_random;
+
+    state m_state = state::idle;
+    lease_epoch m_epoch;
+    lease_epoch m_highest_seen;
+    lease_round m_last_round;
+    std::map<lease_round, round> m_rounds;
+    std::set<base::node_id> m_refused;
+    /// Longest wait that a refusing voter named in this epoch.
+    base::duration m_retry_in{};
+    int m_failures = 0;
+    base::time_point m_next;
+    base::time_point m_held_until;
+};
+
+} // namespace damaskladder::lease
--- /dev/null
+++ b/src/lease/lease_candidate_test.cpp
@@ -0,0 +1,91 @@
+#include "lease/lease_candidate.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace damaskladder::lease {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto granted = lease_verdict::granted;
+constexpr auto held = lease_verdict::held;
+
+/// Answers to the first round of asks, and what the candidate must make of them.
+struct answer {
+    int at_ms;
+    std::string voter;
+    lease_verdict verdict;
+};
+
+struct candidate_case {
+    std::string name;
+    std::vector<std::string> voters;
+    std::vector<answer> answers;
+    int check_at_ms;
+    bool holds;
+};
+
+class candidate_table : public testing::TestWithParam<candidate_case> {};
+
+TEST_P(candidate_table, holds_only_with_majority)
+{
+    const auto& param = GetParam();
+    std::vector<base::node_id> voters(param.voters.begin(), param.voters.end());
+    lease_candidate candidate({}, base::node_id("a"), base::incarnation(1), lease_resource("d"),
+                              voters, [] { return 0; });
+    const auto asks = candidate.want(base::time_point{});
+    ASSERT_EQ(asks.size(), voters.size());
+    const auto ask = std::get<lease_ask>(asks[0].message);
+    for (const auto& a : param.answers) {
+        candidate.on_reply({ask, base::node_id(a.voter), a.verdict, {}, milliseconds(100)},
+                           base::time_point{milliseconds(a.at_ms)});
+    }
+    EXPECT_EQ(candidate.holds(base::time_point{milliseconds(param.check_at_ms)}), param.holds);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    faults, candidate_table,
+    testing::Values(
+        candidate_case{"one_voter", {"x"}, {{1, "x", granted}}, 2, true},
+        candidate_case{
+            "two_of_three", {"x", "y", "z"}, {{1, "x", granted}, {2, "z", granted}}, 3, true},
+        candidate_case{"one_of_three", {"x", "y", "z"}, {{1, "x", granted}}, 3, false},
+        // Guards against counting a duplicated grant twice.
+        candidate_case{
+            "duplicate", {"x", "y", "z"}, {{1, "x", granted}, {2, "x", granted}}, 3, false},
+        // Guards against grants of a process that is no voter.
+        candidate_case{
+            "stranger", {"x", "y", "z"}, {{1, "x", granted}, {2, "q", granted}}, 3, false},
+        // Guards against a grant that arrives after the round was abandoned.
+        candidate_case{"split_vote",
+                       {"x", "y", "z"},
+                       {{1, "x", granted}, {2, "y", held}, {3, "z", held}, {4, "y", granted}},
+                       5,
+                       false},
+        // Guards against a hold that lasts longer than the lease less the drift, from the sending.
+        candidate_case{"shortened", {"x"}, {{100, "x", granted}}, 2'993, true},
+        candidate_case{"ended", {"x"}, {{100, "x", granted}}, 2'994, false},
+        // Guards against a grant that was under way for longer than the lease.
+        candidate_case{"late_grant", {"x"}, {{3'000, "x", granted}}, 3'000, false}),
+    [](const auto& param) { return param.param.name; });
+
+// Guards against a holder that goes on after it gave up, and against voters that are not told.
+TEST(candidate, give_up_ends_hold_and_tells_voters)
+{
+    lease_candidate candidate({}, base::node_id("a"), base::incarnation(1), lease_resource("d"),
+                              {base::node_id("x")}, [] { return 0; });
+    const auto asks = candidate.want(base::time_point{});
+    const auto ask = std::get<lease_ask>(asks[0].message);
+    candidate.on_reply({ask, base::node_id("x"), granted, {}, {}}, base::time_point{});
+    ASSERT_TRUE(candidate.holds(base::time_point{}));
+    const auto effects = candidate.give_up(base::time_point{});
+    EXPECT_FALSE(candidate.holds(base::time_point{}));
+    ASSERT_EQ(effects.size(), 1U);
+    EXPECT_EQ(std::get<lease_give_up>(effects[0].message).epoch, ask.epoch);
+    EXPECT_EQ(candidate.next_time(), base::time_point::max());
+}
+
+} // namespace
+} // namespace damaskladder::lease
--- /dev/null
+++ b/src/lease/lease_give_up.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "base/incarnation.hpp"
+#include "base/node_id.hpp"
+#include "lease/lease_epoch.hpp"
+#include "lease/lease_resource.hpp"
+
+namespace damaskladder::lease {
+
+/// Frees the grant of one epoch. Sent only after the candidate stopped holding it.
+struct lease_give_up {
+    lease_resource resource;
+    base::node_id candidate;
+    base::incarnation incarnation;
+    lease_epoch epoch;
+
+    friend bool operator==(const lease_give_up&, const lease_give_up&) = default;
+};
+
+} // namespace damaskladder::lease
--- /dev/null
+++ b/src/lease/lease_reply.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "base/node_id.hpp"
+#include "base/time.hpp"
+#include "lease/lease_ask.hpp"
+#include "lease/lease_verdict.hpp"
+
+namespace damaskladder::lease {
+
+/// A voter's answer; repeats the ask, so that the candidate can tell its rounds apart.
+struct lease_reply {
+    lease_ask ask;
+    base::node_id voter;
+    lease_verdict verdict = lease_verdict::abstaining;
+    /// Largest epoch that the voter has granted since its start.
+    lease_epoch highest_epoch;
+    /// With held and abstaining: time on the voter's clock until it can grant.
+    base::duration retry_in{};
+
+    friend bool operator==(const lease_reply&, const lease_reply&) = default;
+};
+
+} // namespace damaskladder::lease
