Quota: token accrual per failure domain, batches for nodes, transfers between domains

Cause: no workspace may exceed its rate and burst over all VMs, and no request within them may be refused, wherever it arrives. All news between node and holder are totals of a session, so that loss and repetition change nothing. headroom_ledger makes good accrual that was dropped before use was reported, and limits refunds.

--- /dev/null
+++ b/src/quota/headroom_ledger.cpp
@@ -0,0 +1,96 @@
+#include "quota/headroom_ledger.hpp"
+
+#include <algorithm>
+
+namespace damaskladder::quota {
+
+void headroom_ledger::advance(base::time_point now, tokens headroom, tokens dropped,
+                              token_rate rate)
+{
+    const auto next = slot_of(now);
+    if (next > m_current) {
+        // The room shrinks while tokens accrue, so the present room is the least of the gap.
+        for (auto i = std::max(m_current + 1, next - slots + 1); i <= next; ++i) {
+            at(i) = slot{headroom, tokens(0)};
+        }
+        m_current = next;
+    }
+    note(headroom);
+    // Accrual was dropped at the end of the gap, from the time when the bound was reached.
+    const auto per_slot = std::max(tokens(1), tokens_in(rate, slot_length));
+    for (auto i = m_current; dropped > tokens(0) && i >= oldest(); --i) {
+        const auto part = std::min(dropped, per_slot);
+        at(i).dropped += part;
+        dropped -= part;
+    }
+}
+
+void headroom_ledger::note(tokens headroom)
+{
+    auto& present = at(m_current);
+    present.headroom = std::min(present.headroom, headroom);
+}
+
+tokens headroom_ledger::reclaim(tokens used, base::time_point when)
+{
+    const auto first = std::max(slot_of(when) + 1, oldest());
+    if (used <= tokens(0) || first > m_current) {
+        return tokens(0);
+    }
+    for (auto i = first; i <= m_current; ++i) {
+        at(i).headroom += used;
+    }
+    // From the latest slot back: what is credited at a slot takes room from it and all later ones.
+    tokens total(0);
+    tokens least = at(m_current).headroom;
+    std::array<tokens, static_cast<std::size_t>(slots)> credit{};
+    for (auto i = m_current; i >= first; --i) {
+        least = std::min(least, at(i).headroom);
+        const auto part = std::max(tokens(0), std::min(at(i).dropped, least));
+        at(i).dropped -= part;
+        credit[static_cast<std::size_t>(i % slots)] = part;
+        total += part;
+        least -= part;
+    }
+    tokens running(0);
+    for (auto i = first; i <= m_current; ++i) {
+        running += credit[static_cast<std::size_t>(i % slots)];
+        at(i).headroom -= running;
+    }
+    return total;
+}
+
+tokens headroom_ledger::refund(tokens amount, base::time_point when)
+{
+    const auto first = std::min(slot_of(when) + 1, m_current);
+    if (first < oldest()) {
+        return tokens(0);
+    }
+    tokens allowed = amount;
+    for (auto i = first; i <= m_current; ++i) {
+        allowed = std::min(allowed, at(i).headroom);
+    }
+    allowed = std::max(tokens(0), allowed);
+    for (auto i = first; i <= m_current; ++i) {
+        at(i).headroom -= allowed;
+    }
+    return allowed;
+}
+
+base::time_point headroom_ledger::occupy(tokens amount, base::time_point now)
+{
+    auto since = now;
+    for (auto i = m_current; i >= oldest() && at(i).headroom >= amount; --i) {
+        at(i).headroom -= amount;
+        since = base::time_point((i + 1 - slots) * slot_length);
+    }
+    return std::min(now, since);
+}
+
+std::int64_t headroom_ledger::slot_of(base::time_point time)
+{
+    // Shifted, so that the oldest slot of a clock that starts at zero is not negative.
+    return std::max(time, base::time_point{}).time_since_epoch() / slot_length + slots;
+}
+
+} // namespace damaskladder::quota
--- /dev/null
+++ b/src/quota/incoming_transfer.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "base/time.hpp"
+#include "quota/transfer.hpp"
+#include "quota/transfer_ack.hpp"
+
+namespace damaskladder::quota {
+
+/// A transfer that was credited, remembered until no copy of it can arrive in time.
+struct incoming_transfer {
+    transfer message;
+    base::time_point received_at;
+    /// When the lender may stop counting it.
+    base::time_point deadline;
+    /// Part that counts in the lender's bound and not in the borrower's.
+    tokens unabsorbed;
+    tokens returned;
+    /// Since when the absorbed part has its place in the borrower's bound; may be before it came.
+    base::time_point absorbed_since;
+
+    transfer_ack ack(base::time_point now) const;
+};
+
+inline transfer_ack incoming_transfer::ack(base::time_point now) const
+{
+    return {message.lender,
+            message.borrower,
+            message.number,
+            message.workspace,
+            message.amount - unabsorbed - returned,
+            now - absorbed_since,
+            unabsorbed == tokens(0),
+            returned};
+}
+
+} // namespace damaskladder::quota
--- /dev/null
+++ b/src/quota/node_bucket.cpp
@@ -0,0 +1,327 @@
+#include "quota/node_bucket.hpp"
+
+#include "quota/headroom_ledger.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace damaskladder::quota {
+
+namespace {
+
+/// A holder credits refunds only within its ledger, so older charges need not be remembered.
+constexpr base::duration charge_memory = headroom_ledger::slot_length * headroom_ledger::slots;
+
+base::sequence_number next(base::sequence_number sequence)
+{
+    return base::sequence_number(sequence.value() + 1);
+}
+
+} // namespace
+
+node_bucket::node_bucket(quota_options options, workspace_quota quota, base::time_point now)
+    : m_options(options),
+      m_quota(std::move(quota)),
+      m_valid_until(now),
+      m_last_take(now),
+      m_last_use(now),
+      m_last_sent(now),
+      m_dry_until(now)
+{
+}
+
+take_answer node_bucket::take(base::call_id call, base::time_point deadline, base::time_point now)
+{
+    m_use.add(one_token, now);
+    if (balance(now) >= one_token) {
+        charge_call(call, now);
+        return {take_verdict::taken, {}};
+    }
+    if (now < m_dry_until) {
+        return {take_verdict::refused, m_dry_until - now};
+    }
+    if (m_waiting.size() >= m_options.max_waiting || deadline <= now) {
+        return {take_verdict::refused, m_options.min_retry_after};
+    }
+    m_last_take = now;
+    m_waiting.push_back({call, std::min(deadline, now + m_options.max_wait), {}});
+    return {take_verdict::wait, {}};
+}
+
+give_back_verdict node_bucket::give_back(base::call_id call, base::time_point now,
+                                         wait_endings& endings)
+{
+    const auto found = m_charges.find(call);
+    if (found == m_charges.end()) {
+        return give_back_verdict::not_charged;
+    }
+    const auto charged = found->second;
+    m_charges.erase(found);
+    if (charged.session != m_session || !valid(now)) {
+        return give_back_verdict::not_charged;
+    }
+    if (charged.reported_by > m_sequence) {
+        // The holder never heard of the use, so the token still counts as lying here.
+        m_used -= one_token;
+        m_unreported -= one_token;
+        grant_waiting(now, endings);
+        return give_back_verdict::returned;
+    }
+    m_refunded += one_token;
+    if (m_refund_since == base::sequence_number{} || charged.reported_by < m_refund_since) {
+        m_refund_since = charged.reported_by;
+    }
+    m_refund_told_by = next(m_sequence);
+    return give_back_verdict::returned;
+}
+
+void node_bucket::settle(base::call_id call)
+{
+    m_charges.erase(call);
+    std::erase_if(m_waiting, [&](const waiting_call& waiter) { return waiter.call == call; });
+}
+
+void node_bucket::reset()
+{
+    m_session = session_number(m_session.value() + 1);
+    m_sequence = m_answered = m_refund_since = m_refund_told_by = base::sequence_number{};
+    m_valid_until = base::time_point{};
+    m_received = m_used = m_returned = m_refunded = m_unreported = tokens(0);
+    for (auto& waiter : m_waiting) {
+        waiter.asked_by = base::sequence_number{};
+    }
+}
+
+bool node_bucket::due(base::time_point now) const
+{
+    if (awaits_answer(now)) {
+        return false;
+    }
+    if (!m_waiting.empty()) {
+        return has_unasked_wait() || now >= m_last_sent + m_options.ask_timeout;
+    }
+    if (!valid(now)) {
+        return false;
+    }
+    const bool refund_to_tell =
+        m_refund_told_by > m_sequence && now >= m_last_sent + m_options.ask_timeout;
+    const bool unanswered = m_answered < m_sequence;
+    const bool low = now >= m_dry_until && balance(now) < tokens(target(now).value() / 4);
+    const bool report =
+        m_unreported > tokens(0) && now >= m_unreported_since + m_options.report_interval;
+    const bool idle = outstanding() > tokens(0) && now >= m_last_take + m_options.idle_time;
+    return refund_to_tell || unanswered || low || report || idle;
+}
+
+bool node_bucket::worth_adding(base::time_point now) const
+{
+    if (awaits_answer(now) || !valid(now)) {
+        return false;
+    }
+    const bool low = now >= m_dry_until && balance(now) < tokens(target(now).value() / 2);
+    return m_unreported > tokens(0) || low;
+}
+
+borrow_line node_bucket::make_line(base::time_point now)
+{
+    expire_session(now);
+    forget_old_charges(now);
+    return_surplus(now);
+    borrow_line line;
+    enter_totals(line, now);
+    ask(line, now);
+    return line;
+}
+
+borrow_line node_bucket::close(base::time_point now)
+{
+    expire_session(now);
+    m_returned += outstanding();
+    borrow_line line;
+    enter_totals(line, now);
+    line.closed = true;
+    reset();
+    return line;
+}
+
+void node_bucket::on_lend(const lend_line& line, base::time_point now, wait_endings& endings)
+{
+    const auto* sent = sent_at(line.sequence);
+    if (line.session != m_session || line.sequence <= m_answered || sent == nullptr) {
+        return;
+    }
+    m_answered = line.sequence;
+    const auto valid_until = *sent + m_options.drift.shortened(line.valid_for);
+    if (now >= valid_until) {
+        // The holder has ended a session of which this node never heard, or the answer is old.
+        if (!valid(now)) {
+            reset();
+        }
+        return;
+    }
+    m_valid_until = valid_until;
+    m_received = std::max(m_received, line.lent_total);
+    if (line.sequence >= m_refund_told_by) {
+        m_refund_since = base::sequence_number{};
+    }
+    serve_waiting(line, now, endings);
+}
+
+void node_bucket::on_time(base::time_point now, wait_endings& endings)
+{
+    std::erase_if(m_waiting, [&](const waiting_call& waiter) {
+        if (now < waiter.until) {
+            return false;
+        }
+        endings.push_back({waiter.call, {take_verdict::refused, m_options.min_retry_after}});
+        return true;
+    });
+}
+
+base::time_point node_bucket::next_time() const
+{
+    auto time = base::time_point::max();
+    if (!m_waiting.empty()) {
+        const auto resend =
+            m_answered < m_sequence ? m_last_sent + m_options.ask_timeout : m_last_sent;
+        time = std::min(resend, m_waiting.front().until);
+    }
+    if (m_valid_until == base::time_point{}) {
+        return time;
+    }
+    if (m_answered < m_sequence || m_refund_told_by > m_sequence) {
+        time = std::min(time, m_last_sent + m_options.ask_timeout);
+    }
+    if (m_unreported > tokens(0)) {
+        time = std::min(time, m_unreported_since + m_options.report_interval);
+    }
+    if (outstanding() > tokens(0)) {
+        time = std::min(time, m_last_take + m_options.idle_time);
+    }
+    return time;
+}
+
+tokens node_bucket::balance(base::time_point now) const
+{
+    return valid(now) ? outstanding() : tokens(0);
+}
+
+void node_bucket::expire_session(base::time_point now)
+{
+    // Before the first answer there is nothing that could expire.
+    if (!valid(now) && m_received > tokens(0)) {
+        reset();
+    }
+}
+
+void node_bucket::charge_call(base::call_id call, base::time_point now)
+{
+    if (m_unreported == tokens(0)) {
+        m_unreported_since = now;
+    }
+    m_used += one_token;
+    m_unreported += one_token;
+    m_last_take = m_last_use = now;
+    m_charges[call] = charge{m_session, next(m_sequence)};
+    m_charge_times.push_back({call, now});
+    forget_old_charges(now);
+}
+
+void node_bucket::forget_old_charges(base::time_point now)
+{
+    while (!m_charge_times.empty() && now - m_charge_times.front().at > charge_memory) {
+        m_charges.erase(m_charge_times.front().call);
+        m_charge_times.pop_front();
+    }
+}
+
+void node_bucket::grant_waiting(base::time_point now, wait_endings& endings)
+{
+    while (!m_waiting.empty() && balance(now) >= one_token) {
+        charge_call(m_waiting.front().call, now);
+        endings.push_back({m_waiting.front().call, {take_verdict::taken, {}}});
+        m_waiting.pop_front();
+    }
+}
+
+void node_bucket::serve_waiting(const lend_line& line, base::time_point now, wait_endings& endings)
+{
+    grant_waiting(now, endings);
+    const auto retry =
+        std::clamp(line.retry_after, m_options.min_retry_after, m_options.max_retry_after);
+    const auto covered = [&](const waiting_call& waiter) {
+        return waiter.asked_by != base::sequence_number{} && waiter.asked_by <= line.sequence;
+    };
+    while (!m_waiting.empty() && covered(m_waiting.front())) {
+        endings.push_back({m_waiting.front().call, {take_verdict::refused, retry}});
+        m_waiting.pop_front();
+        m_dry_until = now + retry;
+    }
+}
+
+/// Gives back what recent use does not need.
+void node_bucket::return_surplus(base::time_point now)
+{
+    const bool idle = now >= m_last_take + m_options.idle_time;
+    const auto keep = idle ? tokens(0) : target(now) * 2 + one_token;
+    if (outstanding() > keep) {
+        m_returned += outstanding() - (idle ? keep : target(now));
+    }
+}
+
+void node_bucket::enter_totals(borrow_line& line, base::time_point now)
+{
+    m_sequence = next(m_sequence);
+    m_sent[m_sequence.value() % kept_lines] = now;
+    m_last_sent = now;
+    m_unreported = tokens(0);
+    line.workspace = m_quota.workspace;
+    line.session = m_session;
+    line.sequence = m_sequence;
+    line.received_total = m_received;
+    line.used_total = m_used;
+    line.returned_total = m_returned;
+    line.refunded_total = m_refunded;
+    line.refund_since = m_refund_since;
+    line.used_age = std::max(base::duration::zero(), now - m_last_use);
+}
+
+void node_bucket::ask(borrow_line& line, base::time_point now)
+{
+    line.demand = one_token * static_cast<std::int64_t>(m_waiting.size());
+    for (auto& waiter : m_waiting) {
+        if (waiter.asked_by == base::sequence_number{}) {
+            waiter.asked_by = m_sequence;
+        }
+    }
+    if (now >= m_dry_until) {
+        line.ahead = std::max(tokens(0), target(now) - outstanding());
+    }
+}
+
+tokens node_bucket::target(base::time_point now) const
+{
+    // A burst exceeds the rate for a moment only; what it draws ahead of demand would lie idle
+    // here.
+    const auto rate = std::min(m_use.rate(now), m_quota.rate);
+    return whole(tokens_in(rate, m_options.ahead_of(m_quota)));
+}
+
+bool node_bucket::awaits_answer(base::time_point now) const
+{
+    return m_answered < m_sequence && now < m_last_sent + m_options.ask_timeout;
+}
+
+bool node_bucket::has_unasked_wait() const
+{
+    return m_waiting.back().asked_by == base::sequence_number{};
+}
+
+base::time_point* node_bucket::sent_at(base::sequence_number sequence)
+{
+    const bool kept = sequence.value() > 0 && sequence <= m_sequence &&
+                      sequence.value() + kept_lines > m_sequence.value();
+    return kept ? &m_sent[sequence.value() % kept_lines] : nullptr;
+}
+
+} // namespace damaskladder::quota
--- /dev/null
+++ b/src/quota/quota_message.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "quota/borrow.hpp"
+#include "quota/lend.hpp"
+#include "quota/recall.hpp"
+#include "quota/transfer.hpp"
+#include "quota/transfer_ack.hpp"
+#include "quota/transfer_ask.hpp"
+
+#include <variant>
+
+namespace damaskladder::quota {
+
+/// Any message of this library.
+using quota_message = std::variant<borrow, lend, recall, transfer_ask, transfer, transfer_ack>;
+
+} // namespace damaskladder::quota
--- /dev/null
+++ b/src/quota/transfer_ask.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "base/workspace_id.hpp"
+#include "quota/holder_id.hpp"
+#include "quota/tokens.hpp"
+#include "quota/transfer_number.hpp"
+
+namespace damaskladder::quota {
+
+/// From the holder of one domain to that of another: asks for tokens.
+struct transfer_ask {
+    holder_id borrower;
+    holder_id lender;
+    transfer_number number;
+    base::workspace_id workspace;
+    /// Tokens for requests that wait now.
+    tokens demand;
+    /// Further tokens wanted ahead of demand.
+    tokens ahead;
+
+    friend bool operator==(const transfer_ask&, const transfer_ask&) = default;
+};
+
+} // namespace damaskladder::quota
--- /dev/null
+++ b/src/quota/workspace_pool.cpp
@@ -0,0 +1,657 @@
+#include "quota/workspace_pool.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace damaskladder::quota {
+
+namespace {
+
+/// An ended session is remembered this long, so that late copies of its lines begin no new one.
+constexpr base::duration session_memory = std::chrono::seconds(10);
+
+/// A received transfer is sent again this many times less often, until it is final.
+constexpr int received_resend_factor = 5;
+
+/// Accrual for this time keeps its room when foreign tokens are absorbed.
+constexpr base::duration reserved_room = std::chrono::milliseconds(100);
+
+/// By how much a peer may have more than estimated.
+constexpr tokens estimate_error(1'000);
+
+/// Asked of each peer beyond its part, so that a wrong estimate costs no further round.
+constexpr tokens surplus_asked(one_token.value() / 8);
+
+/// Domains share room when they differ by this part of the burst.
+constexpr std::int64_t least_shared_part = 64;
+
+/// Asks of other domains' holders are remembered for this many borrowers.
+constexpr std::size_t max_borrowers = 64;
+
+} // namespace
+
+workspace_pool::workspace_pool(quota_options options, holder_id self, workspace_quota quota,
+                               base::time_point start)
+    : m_options(options),
+      m_self(std::move(self)),
+      m_quota(std::move(quota)),
+      m_lease_end(start),
+      m_account(start)
+{
+}
+
+void workspace_pool::set_limits(const workspace_quota& quota, token_rate rate, tokens bound,
+                                base::time_point now)
+{
+    m_account.advance(now);
+    m_quota = quota;
+    m_account.set_limits(rate, bound);
+}
+
+void workspace_pool::set_peers(const std::vector<holder_id>& peers, base::time_point now)
+{
+    std::vector<peer_state> states;
+    for (const auto& peer : peers) {
+        if (const auto* known = find_peer(peer)) {
+            states.push_back(*known);
+            continue;
+        }
+        const auto assumed = m_quota.burst.value() / static_cast<std::int64_t>(peers.size());
+        states.push_back({peer, tokens(assumed), now, {}, false});
+    }
+    m_peers = std::move(states);
+}
+
+void workspace_pool::on_line(const base::node_id& node, base::incarnation incarnation,
+                             const borrow_line& line, base::time_point now, holder_effects& effects)
+{
+    advance(now, effects);
+    auto* session = session_for(node, incarnation, line);
+    if (session == nullptr || line.sequence < session->sequence) {
+        return;
+    }
+    if (session->ended) {
+        effects.send_line(node, incarnation,
+                          {m_quota.workspace, line.session, line.sequence, tokens(0), {}, {}});
+        return;
+    }
+    if (line.sequence > session->sequence) {
+        enter_totals(*session, line, now);
+        settle_foreign(now, effects);
+        if (line.closed) {
+            end_session(*session);
+        }
+        else if (!session->pending) {
+            session->pending = true;
+            session->pending_since = now;
+            m_pending.push_back(node);
+        }
+    }
+    else if (!session->pending) {
+        reply(node, *session, m_options.min_retry_after, now, effects);
+    }
+    serve(now, effects);
+}
+
+void workspace_pool::on_transfer_ask(const transfer_ask& ask, base::time_point now,
+                                     holder_effects& effects)
+{
+    advance(now, effects);
+    for (const auto& out : m_outgoing) {
+        if (out.message.borrower == ask.borrower && out.message.number == ask.number) {
+            effects.send(ask.borrower.node, out.message);
+            return;
+        }
+    }
+    if (!is_new_ask(ask)) {
+        return;
+    }
+    tokens amount(0);
+    if (!m_stopped && m_pending.empty()) {
+        amount = std::min(m_account.balance(), std::max(tokens(0), ask.demand));
+        const auto spare = (m_account.balance() - amount - ahead_target(now)).value() / 2;
+        amount += std::clamp(ask.ahead, tokens(0), tokens(std::max<std::int64_t>(0, spare)));
+    }
+    m_account.debit(amount);
+    const auto valid_for = std::min(m_options.transfer_life, m_lease_end - now);
+    const transfer message{m_self, ask.borrower,        ask.number, ask.workspace,
+                           amount, m_account.balance(), valid_for};
+    if (amount > tokens(0)) {
+        m_outgoing.push_back(
+            {message, now + valid_for, now + m_options.transfer_resend, false, tokens(0)});
+    }
+    effects.send(ask.borrower.node, message);
+}
+
+void workspace_pool::on_transfer(const transfer& message, base::time_point now,
+                                 holder_effects& effects)
+{
+    advance(now, effects);
+    for (const auto& in : m_incoming) {
+        if (in.message.lender == message.lender && in.message.number == message.number) {
+            effects.send(message.lender.node, in.ack(now));
+            return;
+        }
+    }
+    const auto sent = std::find_if(m_past_rounds.begin(), m_past_rounds.end(),
+                                   [&](const auto& r) { return r.number == message.number; });
+    if (sent == m_past_rounds.end()) {
+        return;
+    }
+    const auto deadline = sent->sent_at + m_options.drift.shortened(message.valid_for);
+    if (now >= deadline) {
+        return;
+    }
+    if (auto* peer = find_peer(message.lender)) {
+        peer->available = message.available;
+        peer->known_at = now;
+        peer->awaited = peer->awaited && m_round && m_round->number != message.number;
+    }
+    if (message.amount > tokens(0)) {
+        // Tokens at nodes are valid up to the earliest deadline at the time of lending. A transfer
+        // with an earlier deadline than those would break that, so it goes back at once.
+        const bool late = std::any_of(m_incoming.begin(), m_incoming.end(), [&](const auto& in) {
+            return in.unabsorbed > tokens(0) && in.deadline > deadline;
+        });
+        incoming_transfer in{message, now, deadline, message.amount, tokens(0), {}};
+        if (late) {
+            std::swap(in.unabsorbed, in.returned);
+        }
+        else {
+            m_account.credit_foreign(message.amount);
+        }
+        effects.send(message.lender.node, in.ack(now));
+        m_incoming.push_back(std::move(in));
+    }
+    serve(now, effects);
+}
+
+void workspace_pool::on_transfer_ack(const transfer_ack& ack, base::time_point now,
+                                     holder_effects& effects)
+{
+    advance(now, effects);
+    const auto found =
+        std::find_if(m_outgoing.begin(), m_outgoing.end(), [&](const outgoing_transfer& out) {
+            return out.message.borrower == ack.borrower && out.message.number == ack.number;
+        });
+    if (found == m_outgoing.end()) {
+        return;
+    }
+    found->received = true;
+    const auto absorbed = std::clamp(ack.absorbed_total, found->absorbed, found->message.amount);
+    const auto since = now - m_options.drift.shortened(ack.absorbed_age);
+    m_account.used(absorbed - found->absorbed, since);
+    found->absorbed = absorbed;
+    if (ack.final) {
+        const auto returned = std::clamp(ack.returned, tokens(0), found->counted());
+        m_account.credit_back(returned);
+        m_account.gone(found->counted() - returned);
+        m_outgoing.erase(found);
+    }
+    serve(now, effects);
+}
+
+void workspace_pool::on_time(base::time_point now, holder_effects& effects)
+{
+    advance(now, effects);
+    resend_transfers(now, effects);
+    serve(now, effects);
+}
+
+bool workspace_pool::drained(base::time_point now) const
+{
+    const bool lent = std::any_of(m_sessions.begin(), m_sessions.end(), [&](const auto& entry) {
+        return entry.second.outstanding() > tokens(0) && now < entry.second.valid_until;
+    });
+    const bool transferred = std::any_of(m_outgoing.begin(), m_outgoing.end(),
+                                         [&](const auto& out) { return now < out.write_off_at; });
+    return !lent && !transferred;
+}
+
+bool workspace_pool::busy() const
+{
+    return m_round.has_value() || !m_pending.empty();
+}
+
+std::vector<base::node_id> workspace_pool::nodes() const
+{
+    std::vector<base::node_id> nodes;
+    for (const auto& [node, session] : m_sessions) {
+        if (!session.ended) {
+            nodes.push_back(node);
+        }
+    }
+    return nodes;
+}
+
+/// Brings all that depends on time up to now.
+void workspace_pool::advance(base::time_point now, holder_effects& effects)
+{
+    m_account.advance(now);
+    end_sessions(now);
+    write_off_transfers(now);
+    settle_foreign(now, effects);
+    end_round_if_answered(now);
+    while (!m_past_rounds.empty() &&
+           now >= m_past_rounds.front().sent_at + m_options.transfer_life) {
+        m_past_rounds.pop_front();
+    }
+}
+
+void workspace_pool::end_session(node_session& session)
+{
+    m_account.gone(session.outstanding());
+    session.ended = true;
+    session.pending = false;
+}
+
+void workspace_pool::end_sessions(base::time_point now)
+{
+    for (auto& [node, session] : m_sessions) {
+        if (!session.ended && !session.pending && now >= session.valid_until) {
+            end_session(session);
+        }
+    }
+    std::erase_if(m_sessions, [&](const auto& entry) {
+        return entry.second.ended && now >= entry.second.valid_until + session_memory;
+    });
+}
+
+void workspace_pool::write_off_transfers(base::time_point now)
+{
+    std::erase_if(m_outgoing, [&](const outgoing_transfer& out) {
+        if (now < out.write_off_at) {
+            return false;
+        }
+        m_account.gone(out.counted());
+        return true;
+    });
+}
+
+void workspace_pool::settle_foreign(base::time_point now, holder_effects& effects)
+{
+    for (auto& in : m_incoming) {
+        const auto before = in.unabsorbed;
+        settle_one(in, now);
+        if (in.unabsorbed != before) {
+            effects.send(in.message.lender.node, in.ack(now));
+        }
+    }
+    while (!m_incoming.empty() && now >= m_incoming.front().deadline) {
+        m_incoming.pop_front();
+    }
+}
+
+/// Moves foreign tokens into the own bound as far as they fit, or back if they lie idle.
+void workspace_pool::settle_one(incoming_transfer& in, base::time_point now)
+{
+    if (in.unabsorbed == tokens(0)) {
+        return;
+    }
+    if (now >= in.deadline) {
+        const auto lost = std::min(m_account.balance(), in.unabsorbed);
+        m_account.drop_foreign(lost);
+        m_account.absorb(in.unabsorbed - lost, now);
+        in.unabsorbed = tokens(0);
+        return;
+    }
+    const bool hurry = now >= in.received_at + (in.deadline - in.received_at) / 2;
+    const auto reserve = hurry ? tokens(0)
+                               : std::min(tokens(m_account.bound().value() / 4),
+                                          tokens_in(m_account.rate(), reserved_room));
+    const auto room = std::max(tokens(0), m_account.headroom() - reserve);
+    const auto absorbed = std::min(in.unabsorbed, room);
+    if (absorbed > tokens(0)) {
+        const auto since = m_account.absorb(absorbed, now);
+        in.absorbed_since = std::max(in.absorbed_since, since);
+        in.unabsorbed -= absorbed;
+    }
+    if (now >= in.received_at + m_options.transfer_idle_time) {
+        const auto returned = std::min(m_account.balance(), in.unabsorbed);
+        m_account.drop_foreign(returned);
+        in.returned += returned;
+        in.unabsorbed -= returned;
+    }
+}
+
+/// Finds or begins the session of a line; null if the line belongs to an earlier one.
+node_session* workspace_pool::session_for(const base::node_id& node, base::incarnation incarnation,
+                                          const borrow_line& line)
+{
+    const auto [found, added] = m_sessions.try_emplace(node);
+    auto& session = found->second;
+    if (!added) {
+        if (incarnation == session.incarnation && line.session == session.session) {
+            return &session;
+        }
+        const bool newer = incarnation != session.incarnation ? incarnation > session.incarnation
+                                                              : line.session > session.session;
+        if (!newer) {
+            return nullptr;
+        }
+        end_session(session);
+    }
+    session = node_session{};
+    session.incarnation = incarnation;
+    session.session = line.session;
+    session.ended = line.received_total > tokens(0);
+    return &session;
+}
+
+void workspace_pool::enter_totals(node_session& session, const borrow_line& line,
+                                  base::time_point now)
+{
+    session.sequence = line.sequence;
+    const auto when = now - m_options.drift.shortened(line.used_age);
+    const auto slot = line.sequence.value() % node_session::kept_reports;
+    session.reports[slot] = {line.sequence, when};
+    const bool plausible = line.used_total >= session.used &&
+                           line.returned_total >= session.returned &&
+                           line.received_total <= session.lent &&
+                           line.used_total + line.returned_total <= line.received_total;
+    if (plausible) {
+        m_account.used(line.used_total - session.used, when);
+        m_account.credit_back(line.returned_total - session.returned);
+        session.used = line.used_total;
+        session.returned = line.returned_total;
+        enter_refunds(session, line);
+    }
+    const auto under_way = session.lent - std::min(session.lent, line.received_total);
+    const auto demand = std::clamp(line.demand, tokens(0), max_tokens);
+    const auto ahead = std::clamp(line.ahead, tokens(0), max_tokens);
+    session.demand = std::max(tokens(0), demand - under_way);
+    session.ahead = std::max(tokens(0), ahead - std::max(tokens(0), under_way - demand));
+}
+
+void workspace_pool::enter_refunds(node_session& session, const borrow_line& line)
+{
+    const auto amount = line.refunded_total - session.refunded;
+    if (amount <= tokens(0) || line.refunded_total > session.used) {
+        return;
+    }
+    session.refunded = line.refunded_total;
+    const node_session::report* first = nullptr;
+    for (const auto& report : session.reports) {
+        const bool candidate = report.sequence >= line.refund_since &&
+                               (first == nullptr || report.sequence < first->sequence);
+        first = candidate ? &report : first;
+    }
+    // A report that was overwritten by a later one may be the right one: nothing is credited then.
+    const bool kept =
+        line.refund_since.value() > 0 &&
+        line.refund_since.value() + node_session::kept_reports > line.sequence.value();
+    if (kept && first != nullptr) {
+        m_account.refund(amount, first->used_by);
+    }
+}
+
+/// Answers waiting nodes in turn, as far as there are tokens or none can be expected.
+void workspace_pool::serve(base::time_point now, holder_effects& effects)
+{
+    while (!m_pending.empty()) {
+        const auto node = m_pending.front();
+        const auto found = m_sessions.find(node);
+        if (found == m_sessions.end() || !found->second.pending) {
+            m_pending.pop_front();
+            continue;
+        }
+        auto& session = found->second;
+        const bool short_of = m_account.balance() < session.demand && !m_stopped;
+        if (short_of && m_round) {
+            return;
+        }
+        const bool may_wait = now < session.pending_since + m_options.accrual_wait;
+        if (short_of && may_wait && start_round(pending_shortage(), tokens(0), now, effects)) {
+            return;
+        }
+        if (short_of && accrues_soon(session, now)) {
+            return;
+        }
+        m_pending.pop_front();
+        lend_to(node, session, now, effects);
+    }
+    ask_ahead(now, effects);
+    share_room(now, effects);
+}
+
+/// A shortage that the fleet accrues within the time a request waits anyway is waited for.
+bool workspace_pool::accrues_soon(const node_session& session, base::time_point now) const
+{
+    const auto wait = time_for(session.demand - m_account.balance(), m_quota.rate);
+    return now + std::min(wait, m_options.accrual_wait) <
+           session.pending_since + m_options.accrual_wait;
+}
+
+void workspace_pool::lend_to(const base::node_id& node, node_session& session, base::time_point now,
+                             holder_effects& effects)
+{
+    tokens amount(0);
+    if (!m_stopped) {
+        amount = whole(std::min(m_account.balance(), session.demand));
+        if (amount == session.demand && m_pending.empty()) {
+            const auto spare = tokens((m_account.balance() - amount).value() / 2);
+            amount += whole(std::min(session.ahead, spare));
+        }
+    }
+    m_account.debit(amount);
+    session.lent += amount;
+    m_outflow.add(amount, now);
+    session.pending = false;
+    const auto missing = session.demand - std::min(amount, session.demand);
+    base::duration wait{};
+    if (missing > tokens(0)) {
+        session.starved_until = now + m_options.max_retry_after;
+        wait = retry_after(missing, now);
+    }
+    reply(node, session, wait, now, effects);
+}
+
+void workspace_pool::reply(const base::node_id& node, node_session& session,
+                           base::duration retry_after, base::time_point now,
+                           holder_effects& effects)
+{
+    const auto until = validity();
+    session.valid_until = std::max(session.valid_until, until);
+    effects.send_line(node, session.incarnation,
+                      {m_quota.workspace, session.session, session.sequence, session.lent,
+                       until - now, retry_after});
+}
+
+/// Until when tokens that are lent now may be used: the lease covers them, and foreign tokens among
+/// them end before their lender stops counting them.
+base::time_point workspace_pool::validity() const
+{
+    auto until = m_lease_end;
+    for (const auto& in : m_incoming) {
+        if (in.unabsorbed > tokens(0)) {
+            until = std::min(until, in.deadline);
+        }
+    }
+    return until;
+}
+
+/// A node's turn comes when the fleet has accrued a token for each node that was refused lately.
+base::duration workspace_pool::retry_after(tokens missing, base::time_point now) const
+{
+    const auto starved =
+        std::count_if(m_sessions.begin(), m_sessions.end(),
+                      [&](const auto& entry) { return now < entry.second.starved_until; });
+    const auto wait = time_for(std::min(missing, one_token * starved), m_quota.rate);
+    return std::clamp(wait, m_options.min_retry_after, m_options.max_retry_after);
+}
+
+tokens workspace_pool::pending_shortage() const
+{
+    tokens demand(0);
+    for (const auto& node : m_pending) {
+        const auto found = m_sessions.find(node);
+        if (found != m_sessions.end() && found->second.pending) {
+            demand += found->second.demand;
+        }
+    }
+    return std::max(tokens(0), demand - m_account.balance());
+}
+
+tokens workspace_pool::ahead_target(base::time_point now) const
+{
+    // A burst exceeds the rate for a moment only; what it draws ahead of demand would lie idle
+    // here.
+    return tokens_in(std::min(m_outflow.rate(now), m_quota.rate), m_options.ahead_of(m_quota));
+}
+
+/// Asks other domains before the balance runs out, when use is above the own rate.
+void workspace_pool::ask_ahead(base::time_point now, holder_effects& effects)
+{
+    const auto target = ahead_target(now);
+    const bool low = m_account.balance() < tokens(target.value() / 2);
+    const bool above_own_rate = m_outflow.rate(now) > m_account.rate();
+    if (low && above_own_rate && !m_round && !m_stopped) {
+        start_round(tokens(0), target - m_account.balance(), now, effects);
+    }
+}
+
+/// Divides what is wanted among the other domains by what they are thought to have. Returns false
+/// if they cannot have enough for one more request.
+bool workspace_pool::start_round(tokens demand, tokens ahead, base::time_point now,
+                                 holder_effects& effects)
+{
+    tokens expected(0);
+    for (const auto& peer : m_peers) {
+        expected += estimate(peer, now);
+    }
+    const auto hoped = expected + estimate_error * static_cast<std::int64_t>(m_peers.size());
+    if (expected <= tokens(0) || whole(m_account.balance() + hoped) <= whole(m_account.balance())) {
+        return false;
+    }
+    begin_round(now);
+    for (auto& peer : m_peers) {
+        const auto weight = static_cast<double>(estimate(peer, now).value()) /
+                            static_cast<double>(expected.value());
+        const auto part = [&](tokens amount) {
+            const auto exact = static_cast<double>(amount.value()) * weight;
+            return std::min(amount, tokens(static_cast<std::int64_t>(exact)) + surplus_asked);
+        };
+        if (weight > 0) {
+            ask_peer(peer, part(demand), part(ahead), effects);
+        }
+    }
+    return true;
+}
+
+void workspace_pool::begin_round(base::time_point now)
+{
+    m_last_round = transfer_number(m_last_round.value() + 1);
+    m_round = peer_round{m_last_round, now};
+    m_past_rounds.push_back(*m_round);
+}
+
+void workspace_pool::ask_peer(peer_state& peer, tokens demand, tokens ahead,
+                              holder_effects& effects)
+{
+    peer.awaited = true;
+    effects.send(peer.holder.node,
+                 transfer_ask{m_self, peer.holder, m_last_round, m_quota.workspace, demand, ahead});
+}
+
+/// Draws tokens from domains that are about to be full, so that all domains fill up together. One
+/// that is full accrues nothing while the fleet as a whole has room.
+void workspace_pool::share_room(base::time_point now, holder_effects& effects)
+{
+    if (m_round || m_stopped || m_peers.empty() || now < m_next_share) {
+        return;
+    }
+    const auto count = static_cast<std::int64_t>(m_peers.size());
+    const tokens peer_bound((m_quota.burst - m_account.bound()).value() / count);
+    const token_rate peer_rate((m_quota.rate - m_account.rate()).value() / count);
+    const auto soon = tokens_in(peer_rate, m_options.ahead);
+    const auto room_of = [&](const peer_state& peer) {
+        return now < peer.silent_until ? peer_bound
+                                       : std::max(tokens(0), peer_bound - estimate(peer, now));
+    };
+    tokens room = m_account.headroom();
+    bool any_full = false;
+    for (const auto& peer : m_peers) {
+        room += room_of(peer);
+        any_full = any_full || room_of(peer) < soon;
+    }
+    const tokens fair(room.value() / (count + 1));
+    const tokens least(m_quota.burst.value() / least_shared_part);
+    if (!any_full || m_account.headroom() - fair < least) {
+        return;
+    }
+    m_next_share = now + m_options.ahead;
+    begin_round(now);
+    for (auto& peer : m_peers) {
+        if (fair > room_of(peer)) {
+            ask_peer(peer, tokens(0), fair - room_of(peer), effects);
+        }
+    }
+}
+
+void workspace_pool::end_round_if_answered(base::time_point now)
+{
+    const bool waiting =
+        std::any_of(m_peers.begin(), m_peers.end(), [](const auto& peer) { return peer.awaited; });
+    if (!m_round || (waiting && now < m_round->sent_at + m_options.peer_timeout)) {
+        return;
+    }
+    for (auto& peer : m_peers) {
+        if (peer.awaited) {
+            peer.awaited = false;
+            peer.silent_until = now + m_options.peer_silence;
+        }
+    }
+    m_round.reset();
+}
+
+/// What a peer may have now: what it had left, and its accrual since, if all peers accrue equally.
+tokens workspace_pool::estimate(const peer_state& peer, base::time_point now) const
+{
+    if (now < peer.silent_until) {
+        return tokens(0);
+    }
+    const auto rate =
+        (m_quota.rate - m_account.rate()).value() / static_cast<std::int64_t>(m_peers.size());
+    const auto accrued =
+        tokens_in(token_rate(std::max<std::int64_t>(0, rate)), now - peer.known_at);
+    return std::min(m_quota.burst, peer.available + accrued);
+}
+
+peer_state* workspace_pool::find_peer(const holder_id& holder)
+{
+    const auto found = std::find_if(m_peers.begin(), m_peers.end(),
+                                    [&](const auto& peer) { return peer.holder == holder; });
+    return found == m_peers.end() ? nullptr : &*found;
+}
+
+bool workspace_pool::is_new_ask(const transfer_ask& ask)
+{
+    if (m_last_asks.size() >= max_borrowers && !m_last_asks.contains(ask.borrower.node)) {
+        m_last_asks.erase(m_last_asks.begin());
+    }
+    const auto [found, added] = m_last_asks.try_emplace(ask.borrower.node, ask);
+    const auto& last = found->second;
+    const bool same = last.borrower == ask.borrower;
+    const bool newer = same ? ask.number > last.number
+                            : ask.borrower.incarnation > last.borrower.incarnation ||
+                                  (ask.borrower.incarnation == last.borrower.incarnation &&
+                                   ask.borrower.epoch > last.borrower.epoch);
+    if (!added && !newer) {
+        return false;
+    }
+    found->second = ask;
+    return true;
+}
+
+void workspace_pool::resend_transfers(base::time_point now, holder_effects& effects)
+{
+    for (auto& out : m_outgoing) {
+        if (now >= out.resend_at) {
+            const auto factor = out.received ? received_resend_factor : 1;
+            out.resend_at = now + m_options.transfer_resend * factor;
+            effects.send(out.message.borrower.node, out.message);
+        }
+    }
+}
+
+} // namespace damaskladder::quota
--- /dev/null
+++ b/src/quota/workspace_pool.hpp
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "base/node_id.hpp"
+#include "base/time.hpp"
+#include "quota/borrow_line.hpp"
+#include "quota/domain_share.hpp"
+#include "quota/holder_effects.hpp"
+#include "quota/incoming_transfer.hpp"
+#include "quota/node_session.hpp"
+#include "quota/outgoing_transfer.hpp"
+#include "quota/peer_round.hpp"
+#include "quota/peer_state.hpp"
+#include "quota/quota_options.hpp"
+#include "quota/token_account.hpp"
+#include "quota/transfer_ack.hpp"
+#include "quota/transfer_ask.hpp"
+#include "quota/usage_estimate.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace damaskladder::quota {
+
+/// All tokens of one workspace in one domain, for one holding of the domain's lease.
+///
+/// The caller guarantees that the lease is held at `now` in every call.
+class workspace_pool {
+public:
+    workspace_pool(quota_options options, holder_id self, workspace_quota quota,
+                   base::time_point start);
+
+    /// Sets what this domain accrues; the caller has applied the share.
+    void set_limits(const workspace_quota& quota, token_rate rate, tokens bound,
+                    base::time_point now);
+
+    void set_peers(const std::vector<holder_id>& peers, base::time_point now);
+
+    void set_lease_end(base::time_point end) { m_lease_end = end; }
+
+    void on_line(const base::node_id& node, base::incarnation incarnation, const borrow_line& line,
+                 base::time_point now, holder_effects& effects);
+
+    void on_transfer_ask(const transfer_ask& ask, base::time_point now, holder_effects& effects);
+
+    void on_transfer(const transfer& message, base::time_point now, holder_effects& effects);
+
+    void on_transfer_ack(const transfer_ack& ack, base::time_point now, holder_effects& effects);
+
+    void on_time(base::time_point now, holder_effects& effects);
+
+    /// Lends nothing from now on.
+    void stop() { m_stopped = true; }
+
+    /// No token of this holding can be used outside the holder any more.
+    bool drained(base::time_point now) const;
+
+    /// Something needs on_time() within milliseconds.
+    bool busy() const;
+
+    tokens balance() const { return m_account.balance(); }
+
+    /// Nodes whose sessions are known, for a recall.
+    std::vector<base::node_id> nodes() const;
+
+private:
+    using session_map = std::map<base::node_id, node_session>;
+
+    void advance(base::time_point now, holder_effects& effects);
+    void end_session(node_session& session);
+    void end_sessions(base::time_point now);
+    void write_off_transfers(base::time_point now);
+    void settle_foreign(base::time_point now, holder_effects& effects);
+    void settle_one(incoming_transfer& in, base::time_point now);
+    node_session* session_for(const base::node_id& node, base::incarnation incarnation,
+                              const borrow_line& line);
+    void enter_totals(node_session& session, const borrow_line& line, base::time_point now);
+    void enter_refunds(node_session& session, const borrow_line& line);
+    void serve(base::time_point now, holder_effects& effects);
+    bool accrues_soon(const node_session& session, base::time_point now) const;
+    void lend_to(const base::node_id& node, node_session& session, base::time_point now,
+                 holder_effects& effects);
+    void reply(const base::node_id& node, node_session& session, base::duration retry_after,
+               base::time_point now, holder_effects& effects);
+    base::time_point validity() const;
+    base::duration retry_after(tokens missing, base::time_point now) const;
+    tokens pending_shortage() const;
+    tokens ahead_target(base::time_point now) const;
+    void ask_ahead(base::time_point now, holder_effects& effects);
+    void resend_transfers(base::time_point now, holder_effects& effects);
+    bool start_round(tokens demand, tokens ahead, base::time_point now, holder_effects& effects);
+    void begin_round(base::time_point now);
+    void ask_peer(peer_state& peer, tokens demand, tokens ahead, holder_effects& effects);
+    void share_room(base::time_point now, holder_effects& effects);
+    void end_round_if_answered(base::time_point now);
+    tokens estimate(const peer_state& peer, base::time_point now) const;
+    peer_state* find_peer(const holder_id& holder);
+    bool is_new_ask(const transfer_ask& ask);
+
+    quota_options m_options;
+    holder_id m_self;
+    workspace_quota m_quota;
+    base::time_point m_lease_end;
+    bool m_stopped = false;
+    token_account m_account;
+    usage_estimate m_outflow;
+    session_map m_sessions;
+    /// Nodes whose demand waits, in order of arrival.
+    std::deque<base::node_id> m_pending;
+    std::vector<outgoing_transfer> m_outgoing;
+    std::deque<incoming_transfer> m_incoming;
+    std::vector<peer_state> m_peers;
+    /// The latest ask of each borrower; earlier ones are copies.
+    std::map<base::node_id, transfer_ask> m_last_asks;
+    transfer_number m_last_round;
+    std::optional<peer_round> m_round;
+    std::deque<peer_round> m_past_rounds;
+    base::time_point m_next_share;
+};
+
+} // namespace damaskladder::quota
