--- /dev/null
+++ b/src/daemon/traffic_quota.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "base/random_source.hpp"
+#include "node/ask_tokens.hpp"
+#include "node/event.hpp"
+#include "node/give_token_back.hpp"
+#include "quota/node_quota.hpp"
+
+#include <functional>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace damaskladder::daemon {
+
+/// The rate tokens of a node, on the traffic thread: answers the decisions' requests for tokens
+/// from the node's buckets and passes messages to the holder of the failure domain.
+class traffic_quota {
+public:
+    struct hooks {
+        /// Gives an event to the traffic decisions.
+        std::function<void(const node::event&)> deliver;
+        /// Sends through the control thread.
+        std::function<void(const quota::quota_send&)> send;
+    };
+
+    traffic_quota(base::node_id self, base::incarnation incarnation, hooks calls);
+
+    void ask(const node::ask_tokens& wanted, base::time_point now);
+    void give_back(const node::give_token_back& wanted, base::time_point now);
+    /// The exchange ended; its token is spent unless it was given back.
+    void exchange_ended(node::exchange_id exchange);
+
+    void receive(const quota::quota_message& message, base::time_point now);
+    void set_quotas(const std::vector<quota::workspace_quota>& quotas, base::time_point now);
+    void set_holder(const std::optional<quota::holder_id>& holder, base::time_point now);
+    /// Gives all tokens back.
+    void stop(base::time_point now);
+
+    /// Does what is due; returns when it must be called again.
+    std::optional<base::time_point> round(base::time_point now);
+
+private:
+    struct charge {
+        node::exchange_id exchange;
+        base::workspace_id workspace;
+    };
+
+    void perform(const quota::node_effects& effects);
+    void answer(base::call_id call, const quota::take_answer& answer);
+
+    hooks m_hooks;
+    quota::node_quota m_buckets;
+    std::uint64_t m_last_call = 0;
+    /// Tokens that are taken or waited for, by the number given to the buckets, which is also the
+    /// grant that the decisions name.
+    std::unordered_map<base::call_id, charge> m_charges;
+    std::unordered_map<node::exchange_id, base::call_id> m_by_exchange;
+};
+
+} // namespace damaskladder::daemon
