--- a/src/cli/option_parser.cpp
+++ b/src/cli/option_parser.cpp
@@ -106,8 +106,8 @@
                          added->help.c_str(),
                          added->value_name.empty() ? nullptr : added->value_name.c_str()});
     }
-    table.push_back({nullptr, '\0', POPT_ARG_INCLUDE_TABLE,
-                     static_cast<void*>(poptHelpOptions), 0, "Help:", nullptr});
+    table.push_back({nullptr, '\0', POPT_ARG_INCLUDE_TABLE, static_cast<void*>(poptHelpOptions), 0,
+                     "Help:", nullptr});
     table.push_back({nullptr, '\0', 0, nullptr, 0, nullptr, nullptr});
     const std::string program = "damaskladder " + m_command;
     std::vector<const char*> argv = {program.c_str()};
--- a/src/daemon/node_host.cpp
+++ b/src/daemon/node_host.cpp
@@ -53,7 +53,10 @@
 
 node_host::node_host(http::event_loop& loop, messenger& messages, const process_settings& settings,
                      base::incarnation incarnation, hooks calls)
-    : m_loop(loop), m_messages(messages), m_settings(settings), m_hooks(std::move(calls)),
+    : m_loop(loop),
+      m_messages(messages),
+      m_settings(settings),
+      m_hooks(std::move(calls)),
       m_announcements(announcement_options_of(*settings.node)),
       m_membership(identity_of(settings, incarnation), options_of(settings), secure_random()),
       m_compiled(settings::compiled_settings::compile({}))
--- /dev/null
+++ b/src/daemon/quota_host.cpp
@@ -0,0 +1,350 @@
+#include "daemon/quota_host.hpp"
+
+#include "daemon/log.hpp"
+#include "daemon/secure_random.hpp"
+
+#include <algorithm>
+
+namespace damaskladder::daemon {
+
+namespace {
+
+constexpr base::duration tick_interval = std::chrono::milliseconds(10);
+constexpr base::duration notice_interval = std::chrono::milliseconds(500);
+// A holder that was not heard of for so long has lost its lease.
+constexpr base::duration notice_lifetime = std::chrono::seconds(3);
+constexpr std::int64_t interval_points = 1'000'000;
+
+lease::lease_resource resource_of(const base::failure_domain_id& domain)
+{
+    return lease::lease_resource("quota/" + domain.value());
+}
+
+quota::share_point point_at(double sum)
+{
+    return quota::share_point(static_cast<std::int64_t>(sum * interval_points + 0.5));
+}
+
+/// The part of the interval that belongs to a failure domain: those of the others before it, in
+/// the order of their names, come first.
+quota::domain_share share_of(const settings::compiled_settings& settings,
+                             const base::failure_domain_id& domain)
+{
+    double sum = 0;
+    for (const auto& other : settings.domains()) {
+        const double next = sum + other.share.value();
+        if (other.id == domain) {
+            return {point_at(sum), point_at(next)};
+        }
+        sum = next;
+    }
+    return {};
+}
+
+std::vector<quota::workspace_quota> quotas_of(const settings::compiled_settings& settings)
+{
+    constexpr std::int64_t millionths_per_thousandth = 1000;
+    std::vector<quota::workspace_quota> quotas;
+    for (const auto& workspace : settings.workspaces()) {
+        const quota::token_rate rate(workspace.rate.value() * millionths_per_thousandth);
+        quotas.push_back({workspace.id, std::min(rate, quota::max_token_rate),
+                          std::min(quota::one_token * workspace.burst.value(), quota::max_tokens)});
+    }
+    return quotas;
+}
+
+} // namespace
+
+quota_host::quota_host(http::event_loop& loop, messenger& messages,
+                       const process_settings& settings, base::incarnation incarnation,
+                       const membership::membership_node& members, hooks calls)
+    : m_loop(loop),
+      m_messages(messages),
+      m_settings(settings),
+      m_incarnation(incarnation),
+      m_members(members),
+      m_hooks(std::move(calls))
+{
+    m_messages.on_message<lease::lease_message>(
+        wire::message_kind::lease,
+        [this](const auto& sender, const auto& message) { receive(sender, message); });
+    m_messages.on_message<quota::quota_message>(
+        wire::message_kind::quota,
+        [this](const auto& sender, const auto& message) { receive(sender, message); });
+    m_messages.on_message<wire::holder_notice>(
+        wire::message_kind::holder_notice,
+        [this](const auto& sender, const auto& notice) { receive_notice(sender, notice); });
+}
+
+void quota_host::set_settings(const settings::compiled_settings& settings)
+{
+    m_version = settings.version();
+    m_quotas = quotas_of(settings);
+    m_share = share_of(settings, m_settings.domain);
+    m_hooks.set_quotas(m_quotas);
+    m_other_voters.clear();
+    std::vector<base::node_id> voters;
+    for (const auto& domain : settings.domains()) {
+        if (domain.id == m_settings.domain) {
+            voters = domain.lease_voters;
+        }
+        else {
+            m_other_voters.insert(m_other_voters.end(), domain.lease_voters.begin(),
+                                  domain.lease_voters.end());
+        }
+    }
+    const auto now = http::event_loop::now();
+    if (voters != m_voters) {
+        m_voters = voters;
+        m_holder.reset();
+        if (m_candidate) {
+            perform(m_candidate->give_up(now));
+            m_candidate.reset();
+        }
+        const bool votes = std::find(voters.begin(), voters.end(), m_settings.name) != voters.end();
+        if (votes) {
+            const auto resource = resource_of(m_settings.domain);
+            if (!m_voter) {
+                m_voter.emplace(lease::lease_options{}, m_settings.name, resource, now);
+            }
+            m_candidate.emplace(lease::lease_options{}, m_settings.name, m_incarnation, resource,
+                                voters, secure_random());
+            perform(m_candidate->want(now));
+        }
+    }
+    follow_settings(now);
+}
+
+void quota_host::follow_settings(base::time_point now)
+{
+    if (m_holder) {
+        m_holder->set_quotas(m_version, m_quotas, now);
+        m_holder->set_share(m_share, now);
+    }
+}
+
+void quota_host::tick()
+{
+    const auto now = http::event_loop::now();
+    if (m_candidate && now >= m_candidate->next_time()) {
+        perform(m_candidate->on_time(now));
+    }
+    follow_lease(now);
+    if (m_holder && now >= m_holder->next_time(now)) {
+        perform(m_holder->on_time(now));
+    }
+    if (m_holder && now >= m_next_notice) {
+        m_next_notice = now + notice_interval;
+        send_notices(now);
+    }
+    if (m_known_holder && now >= m_known_until) {
+        use_holder(std::nullopt);
+    }
+    if (m_stopping && m_holder && m_holder->drained(now)) {
+        m_holder.reset();
+        perform(m_candidate->give_up(now));
+    }
+    m_loop.call_at(now + tick_interval, [this] { tick(); });
+}
+
+void quota_host::follow_lease(base::time_point now)
+{
+    const bool holds = m_candidate && m_candidate->holds(now);
+    if (!holds) {
+        if (m_holder) {
+            log(log_level::info, "quota_lease_lost");
+            m_holder.reset();
+        }
+        return;
+    }
+    const quota::holder_id self{m_settings.name, m_incarnation, m_candidate->epoch()};
+    if (!m_holder || !(m_holder->self() == self)) {
+        if (m_stopping) {
+            return;
+        }
+        log(log_level::info, "quota_lease_acquired",
+            {{"domain", m_settings.domain.value()}, {"epoch", std::to_string(self.epoch.value())}});
+        m_holder.emplace(quota::quota_options{}, self, m_share, m_candidate->held_until(), now);
+        follow_settings(now);
+        m_next_notice = now;
+    }
+    m_holder->set_lease_end(m_candidate->held_until());
+}
+
+void quota_host::send_notices(base::time_point now)
+{
+    const wire::holder_notice notice{m_settings.domain, m_holder->self(),
+                                     base::message_address(to_string(m_settings.messages))};
+    for (const auto& node : m_members.members().alive()) {
+        if (node != m_settings.name) {
+            send_to(node, wire::message_kind::holder_notice, notice);
+        }
+    }
+    for (const auto& voter : m_other_voters) {
+        if (m_members.members().find_alive(voter) == nullptr) {
+            send_to(voter, wire::message_kind::holder_notice, notice);
+        }
+    }
+    m_known_until = now + notice_lifetime;
+    use_holder(m_holder->self());
+    std::vector<quota::holder_id> peers;
+    for (const auto& [domain, peer] : m_peers) {
+        if (m_peers_until[domain] > now) {
+            peers.push_back(peer.holder);
+        }
+    }
+    m_holder->set_peers(std::move(peers), now);
+}
+
+void quota_host::receive_notice(const base::node_id&, const wire::holder_notice& notice)
+{
+    const auto now = http::event_loop::now();
+    if (notice.domain == m_settings.domain) {
+        m_known_until = now + notice_lifetime;
+        use_holder(notice.holder);
+        return;
+    }
+    const auto known = m_peers.find(notice.domain);
+    const bool changed = known == m_peers.end() || !(known->second.holder == notice.holder);
+    m_peers[notice.domain] = notice;
+    m_peers_until[notice.domain] = now + notice_lifetime;
+    if (changed) {
+        m_next_notice = now;
+    }
+    // The holder of this failure domain may not be a voter that the sender reached.
+    if (!m_holder && m_known_holder && m_known_holder->node != m_settings.name) {
+        send_to(m_known_holder->node, wire::message_kind::holder_notice, notice);
+    }
+}
+
+void quota_host::use_holder(const std::optional<quota::holder_id>& holder)
+{
+    if (m_known_holder != holder) {
+        m_known_holder = holder;
+        m_hooks.set_holder(holder);
+    }
+}
+
+void quota_host::receive(const base::node_id& sender, const lease::lease_message& message)
+{
+    const auto now = http::event_loop::now();
+    if (const auto* ask = std::get_if<lease::lease_ask>(&message)) {
+        if (m_voter && ask->candidate == sender) {
+            perform(m_voter->on_ask(*ask, now));
+        }
+    }
+    else if (const auto* reply = std::get_if<lease::lease_reply>(&message)) {
+        if (m_candidate && reply->voter == sender) {
+            perform(m_candidate->on_reply(*reply, now));
+            follow_lease(now);
+        }
+    }
+    else if (const auto* freed = std::get_if<lease::lease_give_up>(&message)) {
+        if (m_voter && freed->candidate == sender) {
+            m_voter->on_give_up(*freed);
+        }
+    }
+}
+
+void quota_host::receive(const base::node_id& sender, const quota::quota_message& message)
+{
+    const auto now = http::event_loop::now();
+    if (std::holds_alternative<quota::lend>(message) ||
+        std::holds_alternative<quota::recall>(message)) {
+        m_hooks.to_buckets(message);
+        return;
+    }
+    if (!m_holder) {
+        return;
+    }
+    if (const auto* asked = std::get_if<quota::borrow>(&message)) {
+        if (asked->node == sender) {
+            perform(m_holder->on_borrow(*asked, now));
+        }
+    }
+    else if (const auto* wanted = std::get_if<quota::transfer_ask>(&message)) {
+        perform(m_holder->on_transfer_ask(*wanted, now));
+    }
+    else if (const auto* moved = std::get_if<quota::transfer>(&message)) {
+        perform(m_holder->on_transfer(*moved, now));
+    }
+    else if (const auto* taken = std::get_if<quota::transfer_ack>(&message)) {
+        perform(m_holder->on_transfer_ack(*taken, now));
+    }
+}
+
+void quota_host::send(const quota::quota_send& wanted)
+{
+    perform(quota::quota_sends{wanted});
+}
+
+void quota_host::perform(const lease::lease_effects& effects)
+{
+    for (const auto& effect : effects) {
+        if (effect.to == m_settings.name) {
+            m_loop.post([this, message = effect.message] { receive(m_settings.name, message); });
+        }
+        else {
+            send_to(effect.to, wire::message_kind::lease, effect.message);
+        }
+    }
+}
+
+void quota_host::perform(const quota::quota_sends& sends)
+{
+    for (const auto& effect : sends) {
+        if (effect.to == m_settings.name) {
+            m_loop.post([this, message = effect.message] { receive(m_settings.name, message); });
+        }
+        else {
+            send_to(effect.to, wire::message_kind::quota, effect.message);
+        }
+    }
+}
+
+std::optional<base::message_address> quota_host::address_of(const base::node_id& node) const
+{
+    if (const auto* member = m_members.members().find_alive(node)) {
+        return member->messages;
+    }
+    for (const auto& [domain, peer] : m_peers) {
+        if (peer.holder.node == node) {
+            return peer.messages;
+        }
+    }
+    const auto view = m_members.view();
+    for (const auto& service : view->services()) {
+        for (const auto& endpoint : view->endpoints(service)) {
+            if (endpoint.node == node) {
+                return endpoint.messages;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+template <class Message>
+void quota_host::send_to(const base::node_id& node, wire::message_kind kind, const Message& message)
+{
+    if (const auto address = address_of(node)) {
+        m_messages.send(node, address->value(), kind, message);
+    }
+}
+
+void quota_host::stop()
+{
+    m_stopping = true;
+    if (m_holder) {
+        perform(m_holder->stop(http::event_loop::now()));
+    }
+    else if (m_candidate) {
+        perform(m_candidate->give_up(http::event_loop::now()));
+    }
+}
+
+bool quota_host::stopped() const
+{
+    return !m_holder;
+}
+
+} // namespace damaskladder::daemon
--- a/src/daemon/quota_host.hpp
+++ b/src/daemon/quota_host.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "daemon/holder_notice.hpp"
 #include "daemon/messenger.hpp"
 #include "daemon/process_settings.hpp"
 #include "lease/lease_candidate.hpp"
@@ -8,6 +7,7 @@
 #include "membership/membership_node.hpp"
 #include "quota/domain_holder.hpp"
 #include "settings/compiled_settings.hpp"
+#include "wire/holder_notice.hpp"
 
 #include <functional>
 #include <memory>
@@ -43,7 +43,7 @@
     void follow_lease(base::time_point now);
     void follow_settings(base::time_point now);
     void send_notices(base::time_point now);
-    void receive_notice(const base::node_id& sender, const holder_notice& notice);
+    void receive_notice(const base::node_id& sender, const wire::holder_notice& notice);
     void receive(const base::node_id& sender, const lease::lease_message& message);
     void receive(const base::node_id& sender, const quota::quota_message& message);
     void perform(const lease::lease_effects& effects);
@@ -73,7 +73,7 @@
     std::optional<quota::holder_id> m_known_holder;
     base::time_point m_known_until;
     /// Holders of the other failure domains.
-    std::map<base::failure_domain_id, holder_notice> m_peers;
+    std::map<base::failure_domain_id, wire::holder_notice> m_peers;
     std::map<base::failure_domain_id, base::time_point> m_peers_until;
     base::time_point m_next_notice;
     bool m_stopping = false;
--- a/src/wire/enum_limit.hpp
+++ b/src/wire/enum_limit.hpp
@@ -2,6 +2,7 @@
 
 #include "base/importance.hpp"
 #include "consensus/member_role.hpp"
+#include "lease/lease_verdict.hpp"
 #include "membership/load_level.hpp"
 #include "membership/member_status.hpp"
 #include "membership/observer_verdict.hpp"
@@ -37,10 +38,13 @@
     : last_enumerator<membership::observer_verdict::suspects> {
 };
 template <>
+struct enum_limit<lease::lease_verdict> : last_enumerator<lease::lease_verdict::stale_epoch> {
+};
+template <>
 struct enum_limit<context_purpose> : last_enumerator<context_purpose::backend_server> {
 };
 template <>
-struct enum_limit<message_kind> : last_enumerator<message_kind::claims> {
+struct enum_limit<message_kind> : last_enumerator<message_kind::holder_notice> {
 };
 
 } // namespace damaskladder::wire
--- a/src/daemon/holder_notice.hpp
+++ b/src/wire/holder_notice.hpp
@@ -4,7 +4,7 @@
 #include "base/message_address.hpp"
 #include "quota/holder_id.hpp"
 
-namespace damaskladder::daemon {
+namespace damaskladder::wire {
 
 /// Message: who holds the lease of a failure domain now. Sent twice a second by the holder to the
 /// nodes of its failure domain and to the lease voters of the others, which pass it to their own
@@ -15,4 +15,4 @@
     base::message_address messages;
 };
 
-} // namespace damaskladder::daemon
+} // namespace damaskladder::wire
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -1,8 +1,11 @@
 #include "wire/message_codec.hpp"
 
 #include "consensus/envelope.hpp"
+#include "lease/lease_message.hpp"
 #include "membership/message.hpp"
+#include "quota/quota_message.hpp"
 #include "wire/envelope.hpp"
+#include "wire/holder_notice.hpp"
 #include "wire/sealed_context.hpp"
 #include "wire/value_codec.hpp"
 
@@ -32,6 +35,12 @@
 template base::result<sealed_context> decode(std::string_view);
 template std::string encode(const consensus::envelope&);
 template base::result<consensus::envelope> decode(std::string_view);
+template std::string encode(const holder_notice&);
+template base::result<holder_notice> decode(std::string_view);
+template std::string encode(const lease::lease_message&);
+template base::result<lease::lease_message> decode(std::string_view);
+template std::string encode(const quota::quota_message&);
+template base::result<quota::quota_message> decode(std::string_view);
 template std::string encode(const membership::message&);
 template base::result<membership::message> decode(std::string_view);
 
--- a/src/wire/message_kind.hpp
+++ b/src/wire/message_kind.hpp
@@ -12,6 +12,7 @@
     lease = 4,
     quota = 5,
     claims = 6,
+    holder_notice = 7,
 };
 
 } // namespace damaskladder::wire
