--- /dev/null
+++ b/src/daemon/control_thread.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "daemon/claims_host.hpp"
+#include "daemon/messenger.hpp"
+#include "daemon/node_host.hpp"
+#include "daemon/operator_api.hpp"
+#include "daemon/process_settings.hpp"
+#include "daemon/quota_host.hpp"
+#include "daemon/replica_host.hpp"
+#include "daemon/settings_feed.hpp"
+#include "daemon/signal_watch.hpp"
+#include "daemon/traffic_thread.hpp"
+
+#include <memory>
+#include <optional>
+
+namespace damaskladder::daemon {
+
+/// Owns the control state of a process: the node's membership, settings copy, leases, tokens and
+/// claims, and the control replica, as far as the settings name them. Runs on the thread that calls
+/// run().
+class control_thread {
+public:
+    control_thread(const process_settings& settings, const wire::cluster_secret& secret,
+                   base::incarnation incarnation);
+
+    /// Opens sockets and files and starts the traffic thread. Fails if one cannot be had.
+    base::result<void> start();
+
+    /// Runs until the process has stopped after a signal.
+    void run(const signal_watch& signals);
+
+private:
+    void start_node_parts();
+    control_requests make_requests();
+    void settings_arrived(std::shared_ptr<const settings::compiled_settings> compiled);
+    void signal_came(int number);
+    void begin_stop();
+    void finish_stop(base::time_point now);
+
+    const process_settings& m_settings;
+    const wire::cluster_secret& m_secret;
+    base::incarnation m_incarnation;
+    http::event_loop m_loop;
+    messenger m_messages;
+    std::unique_ptr<replica_host> m_replica;
+    std::unique_ptr<operator_api> m_operators;
+    std::unique_ptr<node_host> m_node;
+    std::unique_ptr<quota_host> m_quota;
+    std::unique_ptr<claims_host> m_claims;
+    std::unique_ptr<settings_feed> m_feed;
+    std::unique_ptr<traffic_thread> m_traffic;
+
+    bool m_stopping = false;
+    bool m_traffic_stopped = true;
+    base::time_point m_stop_by;
+    std::optional<base::time_point> m_linger_until;
+};
+
+} // namespace damaskladder::daemon
--- a/src/daemon/traffic_front.cpp
+++ b/src/daemon/traffic_front.cpp
@@ -339,6 +339,8 @@
     if (found != m_inbound.end()) {
         m_metrics.request_ended(http::event_loop::now() - found->second->arrived);
         m_inbound.erase(found);
+        // A token may be given back by a later effect of the same event.
+        m_loop.post([this, id] { m_hooks.exchange_ended(id); });
     }
 }
 
--- a/src/daemon/traffic_hooks.hpp
+++ b/src/daemon/traffic_hooks.hpp
@@ -4,6 +4,7 @@
 #include "node/ask_claim.hpp"
 #include "node/ask_tokens.hpp"
 #include "node/complete_claim.hpp"
+#include "node/exchange_id.hpp"
 #include "node/give_token_back.hpp"
 #include "node/release_claim.hpp"
 
@@ -17,6 +18,8 @@
 struct traffic_hooks {
     std::function<void(const node::ask_tokens&)> ask_tokens;
     std::function<void(const node::give_token_back&)> give_token_back;
+    /// An exchange has ended; a token that it took is spent.
+    std::function<void(node::exchange_id)> exchange_ended;
     std::function<void(const node::ask_claim&)> ask_claim;
     std::function<void(const node::release_claim&)> release_claim;
     std::function<void(const node::complete_claim&)> complete_claim;
--- /dev/null
+++ b/src/daemon/traffic_thread.cpp
@@ -0,0 +1,110 @@
+#include "daemon/traffic_thread.hpp"
+
+#include "daemon/log.hpp"
+#include "daemon/secure_random.hpp"
+
+namespace damaskladder::daemon {
+
+namespace {
+
+node::traffic_options make_options()
+{
+    node::traffic_options options;
+    options.random = secure_random();
+    return options;
+}
+
+http::server_limits make_limits(const node_settings& settings)
+{
+    http::server_limits limits;
+    limits.max_connections = settings.connections;
+    return limits;
+}
+
+} // namespace
+
+traffic_thread::traffic_thread(const wire::cluster_secret& secret, base::node_id self,
+                               base::incarnation incarnation, const node_settings& settings,
+                               control_requests requests)
+    : m_requests(std::move(requests)), m_machine(make_options()),
+      m_quota(std::move(self), incarnation,
+              {.deliver = [this](const node::event& event) { m_front.deliver(event); },
+               .send = m_requests.send_quota}),
+      m_local({.announce = m_requests.announce,
+               .ready = [this] { return m_ready.load(); },
+               .metrics = [this] { return m_front.metrics().text() + m_requests.control_metrics(); }}),
+      m_front(m_loop, secret, incarnation, make_limits(settings),
+              {.handle =
+                   [this](const auto& event, const auto& view, auto now, auto& effects) {
+                       m_machine.handle(event, view, now, effects);
+                   },
+               .next_deadline = [this] { return m_machine.next_deadline(); }},
+              {.ask_tokens =
+                   [this](const auto& wanted) { m_quota.ask(wanted, http::event_loop::now()); },
+               .give_token_back =
+                   [this](const auto& wanted) {
+                       m_quota.give_back(wanted, http::event_loop::now());
+                   },
+               .exchange_ended = [this](auto id) { m_quota.exchange_ended(id); },
+               .ask_claim = m_requests.ask_claim,
+               .release_claim = m_requests.release_claim,
+               .complete_claim = m_requests.complete_claim,
+               .local_api = [this](const auto& exchange) { m_local.serve(exchange); }}),
+      m_addresses(settings.listen)
+{
+    m_loop.each_round([this](base::time_point now) { return m_quota.round(now); });
+}
+
+traffic_thread::~traffic_thread()
+{
+    end();
+}
+
+base::result<void> traffic_thread::start(std::shared_ptr<const traffic_view> view)
+{
+    m_front.set_view(std::move(view));
+    BOOST_LEAF_CHECK(m_front.listen(m_addresses));
+    m_ready = true;
+    m_thread = std::thread([this] { m_loop.run(); });
+    return {};
+}
+
+void traffic_thread::post(std::function<void(traffic_front&, traffic_quota&)> call)
+{
+    m_loop.post([this, call = std::move(call)] { call(m_front, m_quota); });
+}
+
+void traffic_thread::publish(std::shared_ptr<const traffic_view> view)
+{
+    m_loop.post([this, view = std::move(view)] { m_front.set_view(view); });
+}
+
+void traffic_thread::stop(std::function<void()> done)
+{
+    m_ready = false;
+    m_loop.post([this, done = std::move(done)] {
+        m_front.stop();
+        m_loop.each_round([this, done, told = false](
+                              base::time_point now) mutable -> std::optional<base::time_point> {
+            if (told || !m_front.stopped()) {
+                return std::nullopt;
+            }
+            told = true;
+            m_quota.stop(now);
+            done();
+            return std::nullopt;
+        });
+    });
+}
+
+std::size_t traffic_thread::end()
+{
+    if (!m_thread.joinable()) {
+        return 0;
+    }
+    m_loop.stop();
+    m_thread.join();
+    return m_front.running();
+}
+
+} // namespace damaskladder::daemon
--- a/src/daemon/traffic_thread.hpp
+++ b/src/daemon/traffic_thread.hpp
@@ -19,7 +19,7 @@
     std::function<void(const node::complete_claim&)> complete_claim;
     std::function<void(local_api::action, const membership::announcement&, local_api::done)>
         announce;
-    std::function<void(const base::node_id&, const quota::quota_message&)> send_quota;
+    std::function<void(const quota::quota_send&)> send_quota;
     std::function<std::string()> control_metrics;
 };
 
@@ -49,8 +49,6 @@
     std::size_t end();
 
 private:
-    void serve_metrics();
-
     http::event_loop m_loop;
     std::atomic<bool> m_ready = false;
     control_requests m_requests;
