Node: state machine of a request at its entry node and gatekeeper

The libraries for admission, routing and retries need the one place that joins them, with the truth about what ran.

traffic_machine takes typed events, the newest node_view and the time, and returns typed effects. entry_machine maps a request to a route and a workspace, joins repeats, asks for a rate token, chooses a gatekeeper and decides on further attempts; onward calls start there too, within the bounds of the call that they serve. gatekeeper_machine admits, claims, hands over and relays. A refusal says not run only while no byte may have reached a backend server; tokens, claims, slots and allowances are given back by identity. options.pass_through selects the baseline without admission, budget and allowance.

--- a/include/damaskladder/node.hpp
+++ b/include/damaskladder/node.hpp
@@ -34,4 +34,5 @@
 #include "node/effect.hpp"
 #include "node/event.hpp"
 #include "node/node_view.hpp"
+#include "node/traffic_machine.hpp"
 #include "node/traffic_options.hpp"
--- /dev/null
+++ b/src/node/entry_machine_test.cpp
@@ -0,0 +1,488 @@
+#include "node/traffic_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+namespace damaskladder::node {
+namespace {
+
+constexpr exchange_id e1(1);
+constexpr exchange_id e2(2);
+constexpr transfer_id t1(1);
+constexpr transfer_id t2(2);
+constexpr token_grant_id g7(7);
+
+request_arrived request_of(exchange_id exchange, const char* path, const char* key = "k",
+                           const char* id = nullptr, const char* content = "c")
+{
+    request_arrived request;
+    request.exchange = exchange;
+    request.path = path;
+    if (key != nullptr) {
+        request.key = base::key_hash(key);
+    }
+    if (id != nullptr) {
+        request.request = base::request_id(id);
+        request.content = base::content_hash(content);
+    }
+    request.body_can_be_resent = true;
+    return request;
+}
+
+gatekeeper_refused refused_with(transfer_id transfer, outcome said, refusal_reason reason,
+                                int left = 2)
+{
+    return {transfer, said, reason, base::retry_count(left), std::nullopt};
+}
+
+answer_started started(transfer_id transfer)
+{
+    return {transfer, answer_class::served, base::retry_count(2), std::nullopt};
+}
+
+std::shared_ptr<const kept_answer> small_answer()
+{
+    return std::make_shared<kept_answer>(kept_answer{status_code(200), "", "yes"});
+}
+
+struct session_case {
+    const char* name;
+    std::vector<timed_event> events;
+    /// Effects of all events together.
+    const char* effects;
+};
+
+void PrintTo(const session_case& row, std::ostream* out)
+{
+    *out << row.name;
+}
+
+class entry_sessions : public testing::TestWithParam<session_case> {};
+
+// Guards, at each cut of a request's path, against a false "not run", a token that is lost or
+// returned twice, a second run of what may have run, and an exchange without an end.
+TEST_P(entry_sessions, have_effects)
+{
+    traffic_fixture fixture;
+    std::string effects;
+    for (const auto& next : GetParam().events) {
+        effects += fixture.handle(next.happened, next.ms);
+    }
+    EXPECT_EQ(effects, GetParam().effects);
+    EXPECT_EQ(fixture.machine.running(), 0U);
+    EXPECT_EQ(fixture.machine.next_deadline(), std::nullopt);
+}
+
+const request_arrived keyed = request_of(e1, "/keyed");
+const request_arrived once = request_of(e1, "/once", "k", "1-r");
+const tokens_granted granted{e1, g7};
+
+INSTANTIATE_TEST_SUITE_P(
+    ends, entry_sessions,
+    testing::Values(
+        session_case{"answered",
+                     {{0, keyed},
+                      {0, granted},
+                      {0, transfer_connected{t1}},
+                      {5, started(t1)},
+                      {6, answer_finished{t1, nullptr}}},
+                     "ask-tokens e1\nforward t1 e1\nrelay e1 t1\n"},
+        session_case{"open route takes no token",
+                     {{0, request_of(e1, "/open", nullptr)},
+                      {5, started(t1)},
+                      {6, answer_finished{t1, nullptr}}},
+                     "forward t1 e1\nrelay e1 t1\n"},
+        session_case{"above the rate",
+                     {{0, keyed}, {5, tokens_refused{e1, std::chrono::milliseconds(100)}}},
+                     "ask-tokens e1\nrefuse e1 429 not-run rate\n"},
+        session_case{"token comes after the deadline",
+                     {{0, keyed}, {1'000, tick{}}, {1'001, granted}},
+                     "ask-tokens e1\nrefuse e1 504 not-run deadline\ntoken-back 7\n"},
+        session_case{"caller gone before the token",
+                     {{0, keyed}, {5, caller_gone{e1}}, {6, granted}},
+                     "ask-tokens e1\ntoken-back 7\n"},
+        session_case{"caller gone before the connection",
+                     {{0, keyed}, {0, granted}, {5, caller_gone{e1}}},
+                     "ask-tokens e1\nforward t1 e1\ncancel t1\ntoken-back 7\n"},
+        session_case{"caller gone after the connection",
+                     {{0, keyed}, {0, granted}, {1, transfer_connected{t1}}, {5, caller_gone{e1}}},
+                     "ask-tokens e1\nforward t1 e1\ncancel t1\n"},
+        session_case{"caller gone during the answer",
+                     {{0, keyed},
+                      {0, granted},
+                      {1, transfer_connected{t1}},
+                      {2, started(t1)},
+                      {5, caller_gone{e1}}},
+                     "ask-tokens e1\nforward t1 e1\nrelay e1 t1\ncancel t1\n"},
+        session_case{"gives up before the connection",
+                     {{0, keyed}, {0, granted}, {1'000, tick{}}},
+                     "ask-tokens e1\nforward t1 e1\ncancel t1\ntoken-back 7\n"
+                     "refuse e1 504 not-run deadline\n"},
+        session_case{"gives up before the verdict",
+                     {{0, keyed}, {0, granted}, {1, transfer_connected{t1}}, {1'000, tick{}}},
+                     "ask-tokens e1\nforward t1 e1\ncancel t1\nrefuse e1 504 unknown deadline\n"},
+        session_case{"answer breaks off",
+                     {{0, keyed},
+                      {0, granted},
+                      {1, transfer_connected{t1}},
+                      {2, started(t1)},
+                      {3, transfer_broke{t1}}},
+                     "ask-tokens e1\nforward t1 e1\nrelay e1 t1\ncut e1\n"},
+        session_case{"events of ended transfers are ignored",
+                     {{0, keyed},
+                      {0, granted},
+                      {5, caller_gone{e1}},
+                      {6, started(t1)},
+                      {7, transfer_broke{t1}},
+                      {8, answer_finished{t1, nullptr}}},
+                     "ask-tokens e1\nforward t1 e1\ncancel t1\ntoken-back 7\n"}));
+
+INSTANTIATE_TEST_SUITE_P(
+    retries, entry_sessions,
+    testing::Values(
+        session_case{"draining, elsewhere at once",
+                     {{0, keyed},
+                      {0, granted},
+                      {1, refused_with(t1, outcome::not_run, refusal_reason::draining)},
+                      {2, started(t2)},
+                      {3, answer_finished{t2, nullptr}}},
+                     "ask-tokens e1\nforward t1 e1\nforward t2 e1\nrelay e1 t2\n"},
+        session_case{"unreachable, elsewhere at once, once only",
+                     {{0, once},
+                      {0, granted},
+                      {1, connect_failed{t1}},
+                      {2, started(t2)},
+                      {3, answer_finished{t2, nullptr}}},
+                     "ask-tokens e1\nforward t1 e1\nforward t2 e1\nrelay e1 t2 keep\n"},
+        session_case{"shed, after a pause",
+                     {{0, keyed},
+                      {0, granted},
+                      {1, refused_with(t1, outcome::not_run, refusal_reason::shed)},
+                      {30, tick{}},
+                      {31, started(t2)},
+                      {32, answer_finished{t2, nullptr}}},
+                     "ask-tokens e1\nforward t1 e1\nforward t2 e1\nrelay e1 t2\n"},
+        session_case{"idempotent runs again",
+                     {{0, keyed},
+                      {0, granted},
+                      {1, transfer_broke{t1}},
+                      {30, tick{}},
+                      {31, refused_with(t2, outcome::not_run, refusal_reason::shed, 0)}},
+                     "ask-tokens e1\nforward t1 e1\nforward t2 e1\nrefuse e1 503 unknown shed\n"},
+        session_case{"non-idempotent does not run again",
+                     {{0, once}, {0, granted}, {1, transfer_broke{t1}}},
+                     "ask-tokens e1\nforward t1 e1\nrefuse e1 502 unknown answer-lost\n"},
+        session_case{"non-idempotent, gatekeeper does not know",
+                     {{0, once},
+                      {0, granted},
+                      {1, refused_with(t1, outcome::unknown, refusal_reason::backend_failed)}},
+                     "ask-tokens e1\nforward t1 e1\nrefuse e1 502 unknown backend-failed\n"},
+        session_case{"held claim is no reason to retry",
+                     {{0, once},
+                      {0, granted},
+                      {1, refused_with(t1, outcome::unknown, refusal_reason::claim_held)}},
+                     "ask-tokens e1\nforward t1 e1\nrefuse e1 409 unknown claim-held\n"},
+        session_case{"withdrawn key is no reason to retry",
+                     {{0, keyed},
+                      {0, granted},
+                      {1, refused_with(t1, outcome::not_run, refusal_reason::key_withdrawn)}},
+                     "ask-tokens e1\nforward t1 e1\ntoken-back 7\n"
+                     "refuse e1 403 not-run key-withdrawn\n"},
+        session_case{"caller gone in the pause",
+                     {{0, keyed},
+                      {0, granted},
+                      {1, refused_with(t1, outcome::not_run, refusal_reason::shed)},
+                      {1, caller_gone{e1}}},
+                     "ask-tokens e1\nforward t1 e1\ntoken-back 7\n"}));
+
+INSTANTIATE_TEST_SUITE_P(
+    repeats, entry_sessions,
+    testing::Values(session_case{"joins the running one",
+                                 {{0, once},
+                                  {0, granted},
+                                  {1, request_of(e2, "/once", "k", "1-r")},
+                                  {2, started(t1)},
+                                  {3, answer_finished{t1, small_answer()}}},
+                                 "ask-tokens e1\nforward t1 e1\nrelay e1 t1 keep\nreplay e2\n"},
+                    session_case{"gets the kept answer",
+                                 {{0, once},
+                                  {0, granted},
+                                  {2, started(t1)},
+                                  {3, answer_finished{t1, small_answer()}},
+                                  {4, request_of(e2, "/once", "k", "1-r")}},
+                                 "ask-tokens e1\nforward t1 e1\nrelay e1 t1 keep\nreplay e2\n"},
+                    session_case{"answer too large to keep",
+                                 {{0, once},
+                                  {0, granted},
+                                  {1, request_of(e2, "/once", "k", "1-r")},
+                                  {2, started(t1)},
+                                  {3, answer_finished{t1, nullptr}}},
+                                 "ask-tokens e1\nforward t1 e1\nrelay e1 t1 keep\n"
+                                 "refuse e2 409 unknown already-answered\n"},
+                    session_case{
+                        "other content",
+                        {{0, once},
+                         {0, granted},
+                         {1, request_of(e2, "/once", "k", "1-r", "d")},
+                         {2, started(t1)},
+                         {3, answer_finished{t1, small_answer()}}},
+                        "ask-tokens e1\nforward t1 e1\nrefuse e2 409 not-run other-content\n"
+                        "relay e1 t1 keep\n"},
+                    session_case{"takes over when the first caller goes",
+                                 {{0, once},
+                                  {0, granted},
+                                  {1, request_of(e2, "/once", "k", "1-r")},
+                                  {2, caller_gone{e1}},
+                                  {3, started(t1)},
+                                  {4, answer_finished{t1, small_answer()}}},
+                                 "ask-tokens e1\nforward t1 e1\nrelay e2 t1 keep\n"},
+                    session_case{"takes over before the token",
+                                 {{0, once},
+                                  {1, request_of(e2, "/once", "k", "1-r")},
+                                  {2, caller_gone{e1}},
+                                  {3, granted},
+                                  {4, tokens_granted{e2, token_grant_id(8)}},
+                                  {5, started(t1)},
+                                  {6, answer_finished{t1, small_answer()}}},
+                                 "ask-tokens e1\nask-tokens e2\ntoken-back 7\nforward t1 e2\n"
+                                 "relay e2 t1 keep\n"},
+                    session_case{"shares the refusal",
+                                 {{0, once},
+                                  {0, granted},
+                                  {1, request_of(e2, "/once", "k", "1-r")},
+                                  {2, transfer_broke{t1}}},
+                                 "ask-tokens e1\nforward t1 e1\nrefuse e1 502 unknown answer-lost\n"
+                                 "refuse e2 502 unknown answer-lost\n"},
+                    session_case{"waits no longer than its own deadline",
+                                 {{0, once},
+                                  {0, granted},
+                                  {1, request_of(e2, "/once", "k", "1-r")},
+                                  {2, started(t1)},
+                                  {1'001, tick{}},
+                                  {1'100, answer_finished{t1, small_answer()}}},
+                                 "ask-tokens e1\nforward t1 e1\nrelay e1 t1 keep\n"
+                                 "refuse e2 504 unknown deadline\n"}));
+
+struct check_case {
+    const char* name;
+    std::function<void(traffic_fixture&, request_arrived&)> change;
+    const char* effects;
+};
+
+void PrintTo(const check_case& row, std::ostream* out)
+{
+    *out << row.name;
+}
+
+class entry_checks : public testing::TestWithParam<check_case> {};
+
+// Guards against requests that run without the key of an admitted workspace, or without the id
+// that keeps them from running twice.
+TEST_P(entry_checks, refuse_before_anything_runs)
+{
+    traffic_fixture fixture;
+    request_arrived request = keyed;
+    GetParam().change(fixture, request);
+    EXPECT_EQ(fixture.handle(request, 0), GetParam().effects);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, entry_checks,
+    testing::Values(
+        check_case{"no route", [](auto&, auto& r) { r.path = "/none"; },
+                   "refuse e1 404 not-run no-route\n"},
+        check_case{"long path", [](auto&, auto& r) { r.path.assign(8'193, 'a'); },
+                   "refuse e1 400 not-run bad-request\n"},
+        check_case{"no key", [](auto&, auto& r) { r.key.reset(); },
+                   "refuse e1 401 not-run key-required\n"},
+        check_case{"unknown key", [](auto&, auto& r) { r.key = base::key_hash("x"); },
+                   "refuse e1 401 not-run unknown-key\n"},
+        check_case{"key of another workspace", [](auto&, auto& r) { r.key = base::key_hash("o"); },
+                   "refuse e1 403 not-run key-not-allowed\n"},
+        check_case{"withdrawn key", [](auto& f, auto&) { f.key.active = false; },
+                   "refuse e1 403 not-run key-withdrawn\n"},
+        check_case{
+            "stale settings",
+            [](auto& f, auto&) { f.view.settings_confirmed_at = traffic_fixture::at_ms(-10'001); },
+            "refuse e1 503 not-run stale-settings\n"},
+        check_case{
+            "settings of the last moment",
+            [](auto& f, auto&) { f.view.settings_confirmed_at = traffic_fixture::at_ms(-10'000); },
+            "ask-tokens e1\n"},
+        check_case{"open route on stale settings",
+                   [](auto& f, auto& r) {
+                       f.view.settings_confirmed_at = traffic_fixture::at_ms(-90'000);
+                       r.path = "/open";
+                   },
+                   "forward t1 e1\n"},
+        check_case{"non-idempotent without id", [](auto&, auto& r) { r.path = "/once"; },
+                   "refuse e1 400 not-run request-id-required\n"},
+        check_case{"marked non-idempotent without id",
+                   [](auto&, auto& r) { r.wishes.non_idempotent = true; },
+                   "refuse e1 400 not-run request-id-required\n"},
+        check_case{"id without content hash",
+                   [](auto&, auto& r) { r.request = base::request_id("1-r"); },
+                   "refuse e1 400 not-run bad-request\n"},
+        check_case{"body too large",
+                   [](auto&, auto& r) { r.body_size = base::byte_count((1 << 20) + 1); },
+                   "refuse e1 413 not-run too-large\n"},
+        check_case{"stopping", [](auto& f, auto&) { f.handle(stop_requested{}, 0); },
+                   "refuse e1 503 not-run stopping\n"},
+        check_case{"nothing announced",
+                   [](auto& f, auto& r) {
+                       f.view.services.clear();
+                       r.path = "/open";
+                   },
+                   "refuse e1 503 not-run no-backend-server\n"}));
+
+struct wish_case {
+    const char* name;
+    request_wishes wishes;
+    base::importance importance;
+    std::int64_t budget_ms;
+};
+
+void PrintTo(const wish_case& row, std::ostream* out)
+{
+    *out << row.name;
+}
+
+class wishes : public testing::TestWithParam<wish_case> {};
+
+// Guards against callers that raise their importance or lengthen their time.
+TEST_P(wishes, only_tighten)
+{
+    const auto& row = GetParam();
+    traffic_fixture fixture;
+    request_arrived request = request_of(e1, "/open", nullptr);
+    request.wishes = row.wishes;
+    fixture.handle(request, 0);
+    EXPECT_EQ(fixture.last_forward.context.importance, row.importance);
+    EXPECT_EQ(fixture.last_forward.context.budget, std::chrono::milliseconds(row.budget_ms));
+    EXPECT_EQ(fixture.last_forward.context.allowance, base::retry_count(2));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, wishes,
+    testing::Values(
+        wish_case{"none", {}, base::importance::normal, 995},
+        wish_case{"lower", {base::importance::low, {}, false}, base::importance::low, 995},
+        wish_case{"higher", {base::importance::critical, {}, false}, base::importance::normal, 995},
+        wish_case{
+            "shorter", {{}, std::chrono::milliseconds(100), false}, base::importance::normal, 95},
+        wish_case{"longer", {{}, std::chrono::hours(1), false}, base::importance::normal, 995}));
+
+/// A node whose backend server runs one call (exchange 1) of workspace w at importance low.
+struct parent_fixture : traffic_fixture {
+    parent_fixture()
+    {
+        call.exchange = e1;
+        call.service = base::service_id("s");
+        call.context.workspace = base::workspace_id("w");
+        call.context.key = base::key_id("k");
+        call.context.call = base::call_id(500);
+        call.context.depth = base::call_depth(3);
+        call.context.importance = base::importance::low;
+        call.context.budget = std::chrono::milliseconds(400);
+        call.context.allowance = base::retry_count(3);
+        handle(call, 0);
+        handle(transfer_connected{t1}, 0);
+        onward.exchange = e2;
+        onward.path = "/keyed";
+        onward.parent = call.context;
+        onward.body_can_be_resent = true;
+    }
+
+    call_arrived call;
+    onward_call_arrived onward;
+};
+
+struct onward_case {
+    const char* name;
+    std::function<void(parent_fixture&)> change;
+    const char* effects;
+};
+
+void PrintTo(const onward_case& row, std::ostream* out)
+{
+    *out << row.name;
+}
+
+class onward_calls : public testing::TestWithParam<onward_case> {};
+
+// Guards against onward calls without a running parent, past the depth limit, or for a workspace
+// that the route does not admit.
+TEST_P(onward_calls, are_checked)
+{
+    parent_fixture fixture;
+    GetParam().change(fixture);
+    EXPECT_EQ(fixture.handle(fixture.onward, 100), GetParam().effects);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, onward_calls,
+    testing::Values(
+        onward_case{"runs without a token", [](auto&) {}, "forward t2 e2\n"},
+        onward_case{"runs while the node stops", [](auto& f) { f.handle(stop_requested{}, 0); },
+                    "forward t2 e2\n"},
+        onward_case{"parent unknown", [](auto& f) { f.onward.parent.call = base::call_id(9); },
+                    "refuse e2 403 not-run parent-not-running\n"},
+        onward_case{"parent ended",
+                    [](auto& f) {
+                        f.handle(answer_started{t1, answer_class::served, {}, {}}, 1);
+                        f.handle(answer_finished{t1, nullptr}, 2);
+                    },
+                    "refuse e2 403 not-run parent-not-running\n"},
+        onward_case{"no time left",
+                    [](auto& f) { f.onward.wishes.timeout = std::chrono::milliseconds(1); },
+                    "refuse e2 504 not-run deadline\n"},
+        onward_case{"key withdrawn meanwhile", [](auto& f) { f.key.active = false; },
+                    "refuse e2 403 not-run key-withdrawn\n"},
+        onward_case{"other workspace",
+                    [](auto& f) { f.keyed.workspaces = {base::workspace_id("v")}; },
+                    "refuse e2 403 not-run key-not-allowed\n"},
+        onward_case{"non-idempotent without id", [](auto& f) { f.onward.path = "/once"; },
+                    "refuse e2 400 not-run request-id-required\n"},
+        onward_case{"no route", [](auto& f) { f.onward.path = "/none"; },
+                    "refuse e2 404 not-run no-route\n"}));
+
+// Guards against an onward call that is more important than its parent, has more time, or more
+// extra attempts.
+TEST(onward_call, inherits_within_the_parents_bounds)
+{
+    parent_fixture fixture;
+    fixture.onward.wishes.importance = base::importance::critical;
+    fixture.handle(fixture.onward, 100);
+    const call_context& context = fixture.last_forward.context;
+    EXPECT_EQ(context.importance, base::importance::low);
+    EXPECT_EQ(context.depth, base::call_depth(4));
+    EXPECT_EQ(context.workspace, base::workspace_id("w"));
+    // 400 ms less 100 ms spent, less 5 ms for each of the two ways back.
+    EXPECT_EQ(context.budget, std::chrono::milliseconds(290));
+    // The parent lends 2 of 3, and the onward call keeps 1 of them back.
+    EXPECT_EQ(context.allowance, base::retry_count(1));
+}
+
+// Guards against allowance that is lost on the way back, or counted twice.
+TEST(onward_call, unused_allowance_returns_to_the_parent)
+{
+    parent_fixture fixture;
+    fixture.handle(fixture.onward, 100);
+    fixture.handle(answer_started{t2, answer_class::served, base::retry_count(1), {}}, 110);
+    fixture.handle(answer_finished{t2, nullptr}, 111);
+    EXPECT_EQ(fixture.handle(answer_started{t1, answer_class::served, {}, {}}, 120),
+              "relay e1 t1 left 3\n");
+}
+
+// Guards against work for a caller that has gone further up.
+TEST(onward_call, is_cancelled_with_its_parent)
+{
+    parent_fixture fixture;
+    fixture.handle(fixture.onward, 100);
+    fixture.handle(transfer_connected{t2}, 101);
+    EXPECT_EQ(fixture.handle(caller_gone{e1}, 110),
+              "cancel t1\ncancel t2\nrefuse e2 504 unknown caller-gone\n");
+    EXPECT_EQ(fixture.machine.running(), 0U);
+}
+
+} // namespace
+} // namespace damaskladder::node
--- /dev/null
+++ b/src/node/entry_request.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "base/byte_count.hpp"
+#include "base/node_id.hpp"
+#include "base/service_id.hpp"
+#include "base/time.hpp"
+#include "node/call_context.hpp"
+#include "node/entry_phase.hpp"
+#include "node/exchange_id.hpp"
+#include "node/refusal_reason.hpp"
+#include "node/token_grant_id.hpp"
+#include "node/transfer_id.hpp"
+#include "retry/request_identity.hpp"
+#include "routing/attempt_result.hpp"
+
+#include <optional>
+#include <vector>
+
+namespace damaskladder::node {
+
+/// A request at its entry node, or an onward call at the node of its backend server.
+struct entry_request {
+    exchange_id exchange;
+    entry_phase phase = entry_phase::waits_for_tokens;
+    base::service_id service;
+    /// As sent with the next attempt, but for call, budget and allowance. Its call id is that of
+    /// the request itself, under which the ledger holds its allowance.
+    call_context context;
+    base::time_point deadline;
+    base::duration max_staleness{};
+    /// The route needs no key.
+    bool open = false;
+    bool body_can_be_resent = false;
+    /// Set if repeats of the request can join it.
+    std::optional<retry::request_identity> identity;
+    /// Set for onward calls.
+    std::optional<base::call_id> parent;
+    std::optional<token_grant_id> grant;
+
+    int attempts = 0;
+    /// Some earlier attempt ended with an unknown outcome.
+    bool may_have_run = false;
+    /// Gatekeepers that refused it.
+    std::vector<base::node_id> tried;
+
+    /// The present attempt.
+    transfer_id transfer;
+    base::call_id attempt;
+    base::retry_count lent;
+    base::node_id gatekeeper;
+    base::time_point forwarded_at;
+    /// Bytes of the present attempt may have been sent.
+    bool sent = false;
+    routing::attempt_result answer_result = routing::attempt_result::answered;
+};
+
+} // namespace damaskladder::node
--- /dev/null
+++ b/src/node/gatekeeper_service.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "admission/controller.hpp"
+#include "base/service_id.hpp"
+
+namespace damaskladder::node {
+
+/// Admission to the local backend server of one service.
+struct gatekeeper_service {
+    explicit gatekeeper_service(const admission::controller_options& options) : control(options) {}
+
+    admission::controller control;
+    /// The backend server asked to drain, and the view has not shown a later announcement yet.
+    bool drain_requested = false;
+    /// The view has shown the drain, so that an announcement without it is a later one.
+    bool drain_seen = false;
+    bool closed = false;
+};
+
+} // namespace damaskladder::node
--- /dev/null
+++ b/src/node/traffic_machine.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "node/effect.hpp"
+#include "node/entry_machine.hpp"
+#include "node/event.hpp"
+#include "node/gatekeeper_machine.hpp"
+#include "node/node_view.hpp"
+#include "node/traffic_options.hpp"
+#include "node/traffic_state.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace damaskladder::node {
+
+/// The per-request state machine of a node: entry part and gatekeeper part. See the manual in
+/// damaskladder/node.hpp.
+class traffic_machine {
+public:
+    explicit traffic_machine(traffic_options options);
+
+    ~traffic_machine() = default;
+    traffic_machine(const traffic_machine&) = delete;
+    traffic_machine& operator=(const traffic_machine&) = delete;
+
+    /// Takes one event and appends the effects that follow from it.
+    void handle(const event& happened, const node_view& view, base::time_point now,
+                std::vector<effect>& out);
+
+    /// When the next tick is needed; nothing while no request is under way.
+    std::optional<base::time_point> next_deadline() const;
+
+    /// Requests under way; a graceful stop is complete when there are none.
+    std::size_t running() const { return m_entry.size() + m_gatekeeper.size(); }
+
+    /// Admission of a local service, for metrics; null if no call has come for it.
+    const admission::controller* control_of(const base::service_id& service) const
+    {
+        return m_gatekeeper.control_of(service);
+    }
+
+private:
+    traffic_state m_shared;
+    entry_machine m_entry;
+    gatekeeper_machine m_gatekeeper;
+};
+
+} // namespace damaskladder::node
--- a/src/node/traffic_options.hpp
+++ b/src/node/traffic_options.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/controller_options.hpp"
 #include "base/byte_count.hpp"
 #include "base/call_depth.hpp"
 #include "base/random_source.hpp"
@@ -17,10 +18,11 @@
     base::duration return_margin{std::chrono::milliseconds(5)};
     /// Onward calls deeper than this are refused.
     base::call_depth max_depth{16};
-    /// Longest first pause before another attempt at a backend server that may be overloaded.
-    base::duration retry_pause{std::chrono::milliseconds(10)};
+    /// An answer whose headers came in time may take this long; then it is cut.
+    base::duration longest_answer{std::chrono::minutes(5)};
     /// Longest path of a request.
     base::byte_count max_path{8192};
+    admission::controller_options admission;
     /// Baseline for comparison: random choice among the announced backend servers, no admission
     /// and no early shedding, and three attempts at every level without allowance or budget.
     bool pass_through = false;
--- a/src/retry/repeat_table.cpp
+++ b/src/retry/repeat_table.cpp
@@ -84,6 +84,12 @@
     return ran ? std::optional(waiting.front()) : std::nullopt;
 }
 
+bool repeat_table::holds(const request_identity& identity) const
+{
+    auto found = m_entries.find(identity);
+    return found != m_entries.end() && found->second.answer;
+}
+
 void repeat_table::expire(base::time_point now)
 {
     while (!m_by_age.empty() && m_entries.at(m_by_age.front()).expires <= now) {
--- a/src/retry/repeat_table.hpp
+++ b/src/retry/repeat_table.hpp
@@ -41,6 +41,9 @@
     /// Forgets answers that have been kept long enough.
     void expire(base::time_point now);
 
+    /// The answer to this request is kept.
+    bool holds(const request_identity& identity) const;
+
     base::byte_count kept() const { return m_kept; }
     std::size_t size() const { return m_entries.size(); }
 
