--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -23,6 +23,7 @@
 
 fail() {
   echo "demo failed: $*" >&2
+  cat "$work/answer" >&2 || true
   tail -n 20 "$work"/*.log >&2
   exit 1
 }
@@ -31,7 +32,7 @@
 wait_for() {
   local what=$1
   shift
-  for _ in $(seq 150); do
+  for _ in $(seq ${DEMO_PATIENCE:-150}); do
     if "$@" >/dev/null 2>&1; then return 0; fi
     sleep 0.1
   done
