Membership: summaries between failure domains, by service

Cause: nodes need the backend servers of the services they call in other failure domains, without every node knowing 4,100 others.

Change: domain_exchange. Nodes tell the two relays of their failure domain which services they call; relays say hello to relays of other failure domains, send changes at once and a full summary in parts when digests differ.

A test found that a failure domain that restarts as a whole with its clock set back was ignored by the others for ever; the relays that remember a higher incarnation now tell the nodes.

--- /dev/null
+++ b/src/membership/domain_states.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "membership/domain_state.hpp"
+
+#include <vector>
+
+namespace damaskladder::membership {
+
+/// Answer of a relay to subscribe, and sent when the reachability of a failure domain changes.
+struct domain_states {
+    std::vector<domain_state> states;
+
+    friend bool operator==(const domain_states&, const domain_states&) = default;
+};
+
+} // namespace damaskladder::membership
--- a/src/membership/fake_fleet_test.hpp
+++ b/src/membership/fake_fleet_test.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -43,7 +44,6 @@
     membership_options options;
     std::uint64_t messages = 0;
     std::int64_t bytes = 0;
-    /// Tombstones of running nodes seen at any node, checked at each of its ticks on demand.
     base::time_point now{};
 
     membership_node& start(const base::node_id& name, const std::string& domain,
@@ -96,6 +96,17 @@
         perform(name, at(name).set_backends({backend}, now));
     }
 
+    /// Wants the given services of other failure domains; all if none is given.
+    void want(const base::node_id& name, const std::set<std::string>& services)
+    {
+        service_subscription wanted;
+        wanted.all = services.empty();
+        for (const std::string& service : services) {
+            wanted.services.emplace(service);
+        }
+        perform(name, at(name).want(wanted, now));
+    }
+
     void perform(const base::node_id& from, effects result)
     {
         for (send& item : result.sends) {
--- a/src/membership/join.hpp
+++ b/src/membership/join.hpp
@@ -8,6 +8,8 @@
 /// receiver in the same failure domain answers with sync_records.
 struct join {
     member_record joiner;
+    /// The joiner knows no other member of its failure domain.
+    bool alone = true;
     /// True if a node of another failure domain passed the message on; it is not passed on again.
     bool passed_on = false;
 
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -119,6 +119,45 @@
     return nodes;
 }
 
+std::vector<base::node_id> member_table::first_alive(std::size_t count) const
+{
+    std::vector<base::node_id> nodes;
+    for (auto it = m_entries.begin(); it != m_entries.end() && nodes.size() < count; ++it) {
+        if (it->second.record.status == member_status::alive) {
+            nodes.push_back(it->first);
+        }
+    }
+    return nodes;
+}
+
+std::vector<member_record> member_table::wanted_records(const service_subscription& wanted) const
+{
+    std::vector<member_record> found;
+    for (const auto& [node, held] : m_entries) {
+        if (held.record.status == member_status::alive && wanted.matches(held.record)) {
+            found.push_back(held.record);
+        }
+    }
+    return found;
+}
+
+table_digest member_table::wanted_digest(const service_subscription& wanted) const
+{
+    table_digest digest;
+    for (const auto& [node, held] : m_entries) {
+        if (held.record.status == member_status::alive && wanted.matches(held.record)) {
+            digest = toggled(digest, digest_of(held.record));
+        }
+    }
+    return digest;
+}
+
+base::time_point member_table::changed_at(const base::node_id& node) const
+{
+    auto found = m_entries.find(node);
+    return found == m_entries.end() ? base::time_point{} : found->second.changed;
+}
+
 std::vector<base::node_id> member_table::dead() const
 {
     std::vector<base::node_id> nodes;
--- a/src/membership/member_table.hpp
+++ b/src/membership/member_table.hpp
@@ -5,6 +5,7 @@
 #include "membership/bucket_digests.hpp"
 #include "membership/member_record.hpp"
 #include "membership/merge_verdict.hpp"
+#include "membership/service_subscription.hpp"
 #include "membership/table_digest.hpp"
 
 #include <cstddef>
@@ -35,6 +36,14 @@
 
     /// Alive nodes in the order of their ids, which is their rank.
     std::vector<base::node_id> alive() const;
+    /// The alive nodes of lowest rank, at most count.
+    std::vector<base::node_id> first_alive(std::size_t count) const;
+    /// Alive records that announce a wanted service.
+    std::vector<member_record> wanted_records(const service_subscription& wanted) const;
+    /// Digest over wanted_records().
+    table_digest wanted_digest(const service_subscription& wanted) const;
+    /// When the record of a known node last changed; the epoch for an unknown one.
+    base::time_point changed_at(const base::node_id& node) const;
     /// Nodes marked dead. Nodes that left are not listed.
     std::vector<base::node_id> dead() const;
     /// All records in the order of their ids.
--- a/src/membership/membership_limits.hpp
+++ b/src/membership/membership_limits.hpp
@@ -16,6 +16,8 @@
     std::size_t records_per_message = 64;
     /// Services in one subscription; 190 services are the design size.
     std::size_t services_per_subscription = 1'024;
+    /// Parts of one summary; holds all members of a failure domain.
+    std::size_t parts_per_summary = 32;
     /// Endpoints in one list of relays.
     std::size_t relays_per_domain = 4;
 };
--- a/src/membership/membership_node.cpp
+++ b/src/membership/membership_node.cpp
@@ -54,6 +54,7 @@
       m_repairs(m_options.sync_interval, m_options.sync_after),
       m_contests(m_options.contest_time),
       m_refutation(m_options.longest_refutation_delay),
+      m_domains({m_self.node, m_self.messages}, m_self.domain, m_options.domains, m_random),
       m_view(std::make_shared<const service_view>())
 {
 }
@@ -86,6 +87,7 @@
     if (m_pending_load.has_value()) {
         set_load(*m_pending_load, now);
     }
+    m_domains.tick(context());
     send_heartbeats();
     return finish();
 }
@@ -137,6 +139,13 @@
     return finish();
 }
 
+effects membership_node::want(service_subscription wanted, base::time_point now)
+{
+    begin(now);
+    m_domains.want(std::move(wanted));
+    return finish();
+}
+
 effects membership_node::leave(base::time_point now)
 {
     begin(now);
@@ -173,6 +182,10 @@
 effects membership_node::finish()
 {
     flush_urgent();
+    for (send& item : m_domains.take_sends()) {
+        m_sends.push_back(std::move(item));
+    }
+    m_view_stale = m_domains.take_changed() || m_view_stale;
     if (!m_left) {
         refresh_rings();
         refresh_view();
@@ -242,11 +255,54 @@
 
 void membership_node::handle(const base::node_id& from, const join& body)
 {
-    if (body.joiner.node != from || body.joiner.domain != m_self.domain) {
+    const member_record& joiner = body.joiner;
+    if ((joiner.node != from && !body.passed_on) || joiner.node == m_self.node) {
+        return;
+    }
+    if (joiner.domain != m_self.domain) {
+        for (const endpoint& relay : m_domains.relays_of(joiner.domain)) {
+            if (!body.passed_on) {
+                reply(relay.node, relay.address, join{joiner, body.alone, true});
+            }
+        }
         return;
     }
-    take(from, body.joiner);
-    send_records({from, body.joiner.messages}, m_table.records());
+    take(from, joiner);
+    const bool knows_us =
+        body.passed_on && !body.alone && m_table.find_alive(joiner.node) != nullptr;
+    if (!knows_us) {
+        send_records({joiner.node, joiner.messages}, m_table.records());
+    }
+}
+
+void membership_node::handle(const base::node_id& /*from*/, const domain_hello& body)
+{
+    m_domains.handle(body, context());
+}
+
+void membership_node::handle(const base::node_id& /*from*/, const domain_news& body)
+{
+    m_domains.handle(body, context());
+}
+
+void membership_node::handle(const base::node_id& /*from*/, const domain_summary& body)
+{
+    m_domains.handle(body, context());
+}
+
+void membership_node::handle(const base::node_id& from, const subscribe& body)
+{
+    m_domains.handle(from, body, context());
+}
+
+void membership_node::handle(const base::node_id& /*from*/, const domain_states& body)
+{
+    m_domains.handle(body, context());
+}
+
+domain_context membership_node::context() const
+{
+    return {m_table, relays(), is_relay(), m_options.seeds, m_now, m_awake.elapsed()};
 }
 
 void membership_node::handle(const base::node_id& from, const sync_request& body)
@@ -281,11 +337,15 @@
         consider_own(from, record);
         return;
     }
+    const member_record* held = m_table.find(record.node);
+    const std::optional<member_record> before =
+        held == nullptr ? std::nullopt : std::optional(*held);
     const merge_verdict verdict = m_table.merge(record, m_now);
     if (verdict == merge_verdict::ignored || verdict == merge_verdict::refused_full) {
         return;
     }
     m_view_stale = true;
+    m_domains.member_changed(before.has_value() ? &*before : nullptr, record, context());
     m_contests.settle(record.node);
     if (!m_quiet) {
         m_queue.add(record.node);
@@ -398,7 +458,7 @@
 void membership_node::send_join(const base::message_address& address)
 {
     if (address != m_self.messages) {
-        reply(base::node_id(), address, join{m_self, false});
+        reply(base::node_id(), address, join{m_self, m_table.alive_count() <= 1, false});
     }
 }
 
@@ -564,13 +624,22 @@
 
 void membership_node::refresh_rings()
 {
-    if (!std::exchange(m_rings_stale, false)) {
+    // Rebuilding costs some 0.3 ms at 373 members, so a burst of changes shares one.
+    if (!m_rings_stale || m_now < m_next_rings) {
         return;
     }
+    m_rings_stale = false;
+    m_next_rings = m_now + m_options.tick_interval;
+    const bool had_observers = !m_rings.observers_of(m_self.node).empty();
     m_rings = observer_rings(m_table.alive(), m_options.observer_count);
     m_detector.observe(
         m_rings, [&](const base::node_id& node) { return m_table.find(node)->incarnation; },
         m_awake.elapsed());
+    if (!had_observers && !m_rings.observers_of(m_self.node).empty()) {
+        // What was published before there was anyone to tell.
+        m_urgent.push_back(m_self);
+        flush_urgent();
+    }
 }
 
 void membership_node::refresh_view()
@@ -584,6 +653,7 @@
     for (const member_record& record : m_table.records()) {
         next->add(record, reachability::reachable);
     }
+    m_domains.add_to(*next);
     if (*next != *m_view) {
         m_view = std::move(next);
         m_view_changed = true;
@@ -593,10 +663,7 @@
 std::vector<endpoint> membership_node::relays() const
 {
     std::vector<endpoint> found;
-    for (const base::node_id& node : m_table.alive()) {
-        if (found.size() == relay_count) {
-            break;
-        }
+    for (const base::node_id& node : m_table.first_alive(relay_count)) {
         found.push_back({node, m_table.find(node)->messages});
     }
     return found;
@@ -604,9 +671,8 @@
 
 bool membership_node::is_relay() const
 {
-    const std::vector<endpoint> found = relays();
-    return std::any_of(found.begin(), found.end(),
-                       [&](const endpoint& relay) { return relay.node == m_self.node; });
+    const std::vector<base::node_id> first = m_table.first_alive(relay_count);
+    return std::find(first.begin(), first.end(), m_self.node) != first.end();
 }
 
 } // namespace damaskladder::membership
--- a/src/membership/membership_node.hpp
+++ b/src/membership/membership_node.hpp
@@ -5,6 +5,7 @@
 #include "base/time.hpp"
 #include "membership/awake_clock.hpp"
 #include "membership/contested_deaths.hpp"
+#include "membership/domain_exchange.hpp"
 #include "membership/effects.hpp"
 #include "membership/failure_detector.hpp"
 #include "membership/member_table.hpp"
@@ -46,6 +47,9 @@
     effects set_backends(std::vector<backend_server> backends, base::time_point now);
     /// Publishes the load; changes within load_interval are held back and the last one is sent.
     effects set_load(load_level load, base::time_point now);
+    /// Replaces the services whose backend servers in other failure domains the view shows. Those
+    /// of the own failure domain are always in it.
+    effects want(service_subscription wanted, base::time_point now);
     /// Tells the fleet that this node stops. Go on calling tick() for some intervals, since the
     /// news is repeated against loss.
     effects leave(base::time_point now);
@@ -73,6 +77,12 @@
     void handle(const base::node_id& from, const join& body);
     void handle(const base::node_id& from, const sync_request& body);
     void handle(const base::node_id& from, const sync_records& body);
+    void handle(const base::node_id& from, const domain_hello& body);
+    void handle(const base::node_id& from, const domain_news& body);
+    void handle(const base::node_id& from, const domain_summary& body);
+    void handle(const base::node_id& from, const subscribe& body);
+    void handle(const base::node_id& from, const domain_states& body);
+    domain_context context() const;
 
     void take(const base::node_id& from, const member_record& record);
     void take_repaired(const base::node_id& from, const member_record& record);
@@ -110,6 +120,7 @@
     repair_monitor m_repairs;
     contested_deaths m_contests;
     refutation_timer m_refutation;
+    domain_exchange m_domains;
 
     base::time_point m_now{};
     /// Awake time of the last message of anyone.
@@ -120,6 +131,7 @@
     base::time_point m_next_load{};
     base::time_point m_next_view{};
     base::time_point m_next_cleaning{};
+    base::time_point m_next_rings{};
     std::optional<load_level> m_pending_load;
     base::incarnation m_highest_heard;
     base::node_id m_informer;
--- a/src/membership/membership_options.hpp
+++ b/src/membership/membership_options.hpp
@@ -3,6 +3,7 @@
 #include "base/message_address.hpp"
 #include "base/time.hpp"
 #include "membership/detector_options.hpp"
+#include "membership/domain_options.hpp"
 #include "membership/membership_limits.hpp"
 
 #include <chrono>
@@ -45,6 +46,9 @@
     /// Least time between two rebuilt views.
     base::duration view_interval = std::chrono::milliseconds(100);
 
+    /// Exchange between failure domains.
+    domain_options domains;
+
     membership_limits limits;
 };
 
--- a/src/membership/message_check.cpp
+++ b/src/membership/message_check.cpp
@@ -32,6 +32,37 @@
         return name(body.reply_to) && list(body.records);
     }
 
+    bool operator()(const domain_hello& body) const
+    {
+        return name(body.domain) && name(body.sender.address) && endpoints(body.relays) &&
+               (!body.wanted.has_value() || wanted(*body.wanted)) &&
+               body.others.size() <= m_limits.failure_domains &&
+               std::all_of(body.others.begin(), body.others.end(),
+                           [&](const domain_relays& other) { return place(other); });
+    }
+    bool operator()(const domain_news& body) const
+    {
+        return name(body.domain) && list(body.records);
+    }
+    bool operator()(const domain_summary& body) const
+    {
+        return name(body.domain) && body.parts <= m_limits.parts_per_summary &&
+               body.part < body.parts && list(body.records);
+    }
+    bool operator()(const subscribe& body) const
+    {
+        return name(body.reply_to) && wanted(body.wanted) &&
+               body.held.size() <= m_limits.failure_domains &&
+               std::all_of(body.held.begin(), body.held.end(),
+                           [&](const domain_digest& held) { return name(held.domain); });
+    }
+    bool operator()(const domain_states& body) const
+    {
+        return body.states.size() <= m_limits.failure_domains &&
+               std::all_of(body.states.begin(), body.states.end(),
+                           [&](const domain_state& state) { return place(state.place); });
+    }
+
     bool record(const member_record& item) const
     {
         return item.incarnation <= largest_incarnation && name(item.node) && name(item.domain) &&
@@ -49,6 +80,26 @@
         return !text.empty() && text.size() <= m_limits.text_length;
     }
 
+    bool endpoints(const std::vector<endpoint>& list) const
+    {
+        return list.size() <= m_limits.relays_per_domain &&
+               std::all_of(list.begin(), list.end(), [&](const endpoint& one) {
+                   return name(one.address) && one.node.value().size() <= m_limits.text_length;
+               });
+    }
+
+    bool place(const domain_relays& item) const
+    {
+        return name(item.domain) && endpoints(item.relays);
+    }
+
+    bool wanted(const service_subscription& item) const
+    {
+        return item.services.size() <= m_limits.services_per_subscription &&
+               std::all_of(item.services.begin(), item.services.end(),
+                           [&](const base::service_id& service) { return name(service); });
+    }
+
     bool server(const backend_server& backend) const
     {
         return name(backend.service) && backend.slots >= base::slot_count(0) &&
--- a/src/membership/message_size.cpp
+++ b/src/membership/message_size.cpp
@@ -61,6 +61,29 @@
     return size;
 }
 
+std::int64_t size_of_endpoints(const std::vector<endpoint>& list)
+{
+    std::int64_t size = 1;
+    for (const endpoint& one : list) {
+        size += 1 + size_of_text(one.node.value()) + size_of_text(one.address.value());
+    }
+    return size;
+}
+
+std::int64_t size_of_place(const domain_relays& place)
+{
+    return 1 + size_of_text(place.domain.value()) + size_of_endpoints(place.relays);
+}
+
+std::int64_t size_of_wanted(const service_subscription& wanted)
+{
+    std::int64_t size = flag_size + size_of_number(wanted.services.size());
+    for (const base::service_id& service : wanted.services) {
+        size += size_of_text(service.value());
+    }
+    return size;
+}
+
 struct size_visitor {
     std::int64_t operator()(const heartbeat& body) const
     {
@@ -76,7 +99,7 @@
     }
     std::int64_t operator()(const join& body) const
     {
-        return size_of_record(body.joiner) + flag_size;
+        return size_of_record(body.joiner) + 2 * flag_size;
     }
     std::int64_t operator()(const sync_request& body) const
     {
@@ -87,6 +110,42 @@
     {
         return size_of_text(body.reply_to.value()) + size_of_records(body.records);
     }
+    std::int64_t operator()(const domain_hello& body) const
+    {
+        std::int64_t size = size_of_text(body.domain.value()) + size_of_endpoints({body.sender}) +
+                            size_of_endpoints(body.relays) + 3 * digest_size + flag_size;
+        size += body.wanted.has_value() ? size_of_wanted(*body.wanted) : flag_size;
+        for (const domain_relays& other : body.others) {
+            size += size_of_place(other);
+        }
+        return size;
+    }
+    std::int64_t operator()(const domain_news& body) const
+    {
+        return size_of_text(body.domain.value()) + size_of_records(body.records);
+    }
+    std::int64_t operator()(const domain_summary& body) const
+    {
+        return size_of_text(body.domain.value()) + size_of_number(body.summary.value()) +
+               size_of_number(body.part) + size_of_number(body.parts) +
+               size_of_records(body.records);
+    }
+    std::int64_t operator()(const subscribe& body) const
+    {
+        std::int64_t size = size_of_text(body.reply_to.value()) + size_of_wanted(body.wanted);
+        for (const domain_digest& held : body.held) {
+            size += size_of_text(held.domain.value()) + digest_size;
+        }
+        return size;
+    }
+    std::int64_t operator()(const domain_states& body) const
+    {
+        std::int64_t size = size_of_number(body.states.size());
+        for (const domain_state& state : body.states) {
+            size += size_of_place(state.place) + flag_size;
+        }
+        return size;
+    }
 };
 
 } // namespace
--- /dev/null
+++ b/src/membership/service_subscription.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "base/service_id.hpp"
+#include "membership/member_record.hpp"
+#include "membership/table_digest.hpp"
+
+#include <set>
+
+namespace damaskladder::membership {
+
+/// Services whose backend servers in other failure domains a node wants to know.
+struct service_subscription {
+    /// Wants every service; fit for small fleets.
+    bool all = false;
+    std::set<base::service_id> services;
+
+    /// True if the record announces a service that is wanted.
+    bool matches(const member_record& record) const;
+    /// Wants what either wants.
+    void add(const service_subscription& other);
+    table_digest digest() const;
+
+    friend bool operator==(const service_subscription&, const service_subscription&) = default;
+};
+
+} // namespace damaskladder::membership
