Quota: a lend costs the same with many nodes

Cause: each borrow line looked at all sessions of the workspace for ended ones. Change: the look happens every 50 ms; tokens of an ended session count until then, which is on the safe side. Sessions are kept in a hash table.

--- a/src/quota/workspace_pool.cpp
+++ b/src/quota/workspace_pool.cpp
@@ -10,6 +10,9 @@
 /// An ended session is remembered this long, so that late copies of its lines begin no new one.
 constexpr base::duration session_memory = std::chrono::seconds(10);
 
+/// Sessions that have ended are found within this time.
+constexpr base::duration session_check_interval = std::chrono::milliseconds(50);
+
 /// A received transfer is sent again this many times less often, until it is final.
 constexpr int received_resend_factor = 5;
 
@@ -247,6 +250,11 @@
 
 void workspace_pool::end_sessions(base::time_point now)
 {
+    // A look at all sessions costs more than a lend; until then their tokens count, which is safe.
+    if (now < m_next_session_check) {
+        return;
+    }
+    m_next_session_check = now + session_check_interval;
     for (auto& [node, session] : m_sessions) {
         if (!session.ended && !session.pending && now >= session.valid_until) {
             end_session(session);
--- a/src/quota/workspace_pool.hpp
+++ b/src/quota/workspace_pool.hpp
@@ -19,6 +19,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace damaskladder::quota {
@@ -65,7 +66,7 @@
     std::vector<base::node_id> nodes() const;
 
 private:
-    using session_map = std::map<base::node_id, node_session>;
+    using session_map = std::unordered_map<base::node_id, node_session>;
 
     void advance(base::time_point now, holder_effects& effects);
     void end_session(node_session& session);
@@ -106,6 +107,7 @@
     token_account m_account;
     usage_estimate m_outflow;
     session_map m_sessions;
+    base::time_point m_next_session_check;
     /// Nodes whose demand waits, in order of arrival.
     std::deque<base::node_id> m_pending;
     std::vector<outgoing_transfer> m_outgoing;
