--- a/src/daemon/node_host.cpp
+++ b/src/daemon/node_host.cpp
@@ -70,7 +70,12 @@
 
 void node_host::start()
 {
-    perform(m_membership.start(http::event_loop::now()));
+    const auto now = http::event_loop::now();
+    perform(m_membership.start(now));
+    // Any node may be the entry node of any route.
+    membership::service_subscription all;
+    all.all = true;
+    perform(m_membership.want(all, now));
     tick();
 }
 
--- a/src/wire/enum_limit.hpp
+++ b/src/wire/enum_limit.hpp
@@ -6,6 +6,7 @@
 #include "membership/load_level.hpp"
 #include "membership/member_status.hpp"
 #include "membership/observer_verdict.hpp"
+#include "membership/reachability.hpp"
 #include "wire/context_purpose.hpp"
 #include "wire/message_kind.hpp"
 
@@ -34,6 +35,9 @@
 struct enum_limit<membership::member_status> : last_enumerator<membership::member_status::left> {
 };
 template <>
+struct enum_limit<membership::reachability>
+    : last_enumerator<membership::reachability::unreachable> {};
+template <>
 struct enum_limit<membership::observer_verdict>
     : last_enumerator<membership::observer_verdict::suspects> {
 };
--- a/src/wire/value_codec.hpp
+++ b/src/wire/value_codec.hpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <type_traits>
@@ -212,6 +213,19 @@
     }
 };
 
+template <class T>
+struct converter<std::set<T>> {
+    static json write(const std::set<T>& values)
+    {
+        return value_codec::write(std::vector<T>(values.begin(), values.end()));
+    }
+    static std::set<T> read(const json& from)
+    {
+        const auto values = value_codec::read<std::vector<T>>(from);
+        return {values.begin(), values.end()};
+    }
+};
+
 template <class... Types>
 struct converter<std::variant<Types...>> {
     using any = std::variant<Types...>;
