Claims: the gatekeeper's side of at-most-once

Cause: a non-idempotent request may run at most once, and a refusal that says it did not run must be true, whatever messages to the replicated log are lost.

--- /dev/null
+++ b/src/claims/claim_ack.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "base/attempt_id.hpp"
+#include "base/sequence_number.hpp"
+
+namespace damaskladder::claims {
+
+/// The log has applied the release or completion of an attempt, or found nothing to do.
+struct claim_ack {
+    base::attempt_id attempt;
+    /// Numbers the submissions of the attempt; the ack repeats it.
+    base::sequence_number sequence;
+
+    friend bool operator==(const claim_ack&, const claim_ack&) = default;
+};
+
+} // namespace damaskladder::claims
--- /dev/null
+++ b/src/claims/request_id_age.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+
+namespace damaskladder::claims {
+
+/// Whether the time in a request id allows a claim.
+enum class request_id_age : std::uint8_t {
+    usable,
+    /// Older than the retention: whether it ran is not known.
+    too_old,
+    /// Ahead of this clock by more than clocks may differ; it would be kept too long.
+    in_future,
+};
+
+} // namespace damaskladder::claims
