--- /dev/null
+++ b/src/daemon/claims_host.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "claims/claim_client.hpp"
+#include "daemon/messenger.hpp"
+#include "daemon/process_settings.hpp"
+#include "daemon/replica_host.hpp"
+#include "node/ask_claim.hpp"
+#include "node/complete_claim.hpp"
+#include "node/event.hpp"
+#include "node/release_claim.hpp"
+#include "wire/claim_answer.hpp"
+#include "wire/claim_command.hpp"
+
+#include <functional>
+#include <optional>
+
+namespace damaskladder::daemon {
+
+/// Claims of non-idempotent requests, on the control thread: the gatekeeper's side of this node,
+/// and the way into the replicated log where this process runs a replica.
+class claims_host {
+public:
+    struct hooks {
+        /// Gives an event to the traffic decisions. Null where this process runs no node.
+        std::function<void(const node::event&)> deliver;
+        /// The control replica that leads, as far as this process knows.
+        std::function<std::optional<base::node_id>()> leader;
+    };
+
+    /// replica is null where this process runs none.
+    claims_host(http::event_loop& loop, messenger& messages, const process_settings& settings,
+                replica_host* replica, hooks calls);
+
+    void start() { tick(); }
+    void ask(const node::ask_claim& wanted);
+    void release(const node::release_claim& wanted);
+    void complete(const node::complete_claim& wanted);
+
+private:
+    using submission = decltype(wire::claim_command::submission);
+
+    void tick();
+    void perform(const claims::claim_effects& effects);
+    void submit(const submission& wanted);
+    void receive(const wire::claim_answer& answer);
+    void receive(const base::node_id& sender, const wire::claim_command& command);
+
+    http::event_loop& m_loop;
+    messenger& m_messages;
+    const process_settings& m_settings;
+    replica_host* m_replica;
+    hooks m_hooks;
+    claims::claim_client m_client;
+};
+
+} // namespace damaskladder::daemon
--- a/src/daemon/content_hasher.cpp
+++ b/src/daemon/content_hasher.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::size_t hash_size = 16;
+constexpr std::size_t hash_size = 32;
 
 void add(crypto_generichash_state& state, std::string_view part)
 {
@@ -31,12 +31,10 @@
     add(state, head.target);
     add(state, head.body_size ? std::to_string(head.body_size->value()) : "chunked");
     add(state, body);
-    std::array<unsigned char, hash_size> digest{};
-    crypto_generichash_final(&state, digest.data(), digest.size());
-    std::string text(2 * hash_size + 1, '\0');
-    sodium_bin2hex(text.data(), text.size(), digest.data(), digest.size());
-    text.pop_back();
-    return base::content_hash(text);
+    std::string digest(hash_size, '\0');
+    crypto_generichash_final(&state, reinterpret_cast<unsigned char*>(digest.data()),
+                             digest.size());
+    return base::content_hash(digest);
 }
 
 } // namespace damaskladder::daemon
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -60,6 +60,15 @@
                         m_node->confirm_settings(when);
                     }
                 }});
+    m_claims = std::make_unique<claims_host>(
+        m_loop, m_messages, m_settings, m_replica.get(),
+        claims_host::hooks{.deliver =
+                               [this](const node::event& event) {
+                                   m_traffic->post([event](traffic_front& front, traffic_quota&) {
+                                       front.deliver(event);
+                                   });
+                               },
+                           .leader = [this] { return m_feed->leader(); }});
     if (m_settings.node) {
         start_node_parts();
         BOOST_LEAF_CHECK(m_traffic->start(m_node->view()));
@@ -67,6 +76,7 @@
         m_node->start();
         m_quota->start();
         m_feed->start();
+        m_claims->start();
     }
     return {};
 }
@@ -105,12 +115,14 @@
 {
     control_requests requests;
     requests.ask_claim = [this](const node::ask_claim& wanted) {
-        m_traffic->post([wanted](traffic_front& front, traffic_quota&) {
-            front.deliver(node::claim_denied{wanted.attempt, node::claim_denial::unavailable});
-        });
+        m_loop.post([this, wanted] { m_claims->ask(wanted); });
+    };
+    requests.release_claim = [this](const node::release_claim& wanted) {
+        m_loop.post([this, wanted] { m_claims->release(wanted); });
+    };
+    requests.complete_claim = [this](const node::complete_claim& wanted) {
+        m_loop.post([this, wanted] { m_claims->complete(wanted); });
     };
-    requests.release_claim = [](const node::release_claim&) {};
-    requests.complete_claim = [](const node::complete_claim&) {};
     requests.announce = [this](local_api::action wanted, const membership::announcement& offer,
                                local_api::done done) {
         m_loop.post([this, wanted, offer, done = std::move(done)] {
--- a/src/daemon/control_thread.hpp
+++ b/src/daemon/control_thread.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/claims_host.hpp"
 #include "daemon/messenger.hpp"
 #include "daemon/node_host.hpp"
 #include "daemon/operator_api.hpp"
@@ -47,6 +48,7 @@
     std::unique_ptr<node_host> m_node;
     std::unique_ptr<quota_host> m_quota;
     std::unique_ptr<settings_feed> m_feed;
+    std::unique_ptr<claims_host> m_claims;
     std::unique_ptr<traffic_thread> m_traffic;
 
     bool m_stopping = false;
--- a/src/daemon/quota_host.cpp
+++ b/src/daemon/quota_host.cpp
@@ -72,7 +72,7 @@
         wire::message_kind::quota,
         [this](const auto& sender, const auto& message) { receive(sender, message); });
     m_messages.on_message<wire::holder_notice>(
-        wire::message_kind::holder_notice,
+        wire::message_kind::holder_notices,
         [this](const auto& sender, const auto& notice) { receive_notice(sender, notice); });
 }
 
@@ -177,12 +177,12 @@
                                      base::message_address(to_string(m_settings.messages))};
     for (const auto& node : m_members.members().alive()) {
         if (node != m_settings.name) {
-            send_to(node, wire::message_kind::holder_notice, notice);
+            send_to(node, wire::message_kind::holder_notices, notice);
         }
     }
     for (const auto& voter : m_other_voters) {
         if (m_members.members().find_alive(voter) == nullptr) {
-            send_to(voter, wire::message_kind::holder_notice, notice);
+            send_to(voter, wire::message_kind::holder_notices, notice);
         }
     }
     m_known_until = now + notice_lifetime;
@@ -213,7 +213,7 @@
     }
     // The holder of this failure domain may not be a voter that the sender reached.
     if (!m_holder && m_known_holder && m_known_holder->node != m_settings.name) {
-        send_to(m_known_holder->node, wire::message_kind::holder_notice, notice);
+        send_to(m_known_holder->node, wire::message_kind::holder_notices, notice);
     }
 }
 
--- a/src/daemon/settings_feed.cpp
+++ b/src/daemon/settings_feed.cpp
@@ -26,10 +26,10 @@
         m_replicas.push_back(name);
     }
     m_messages.on_message<wire::settings_poll>(
-        wire::message_kind::settings_poll,
+        wire::message_kind::settings_polls,
         [this](const auto& sender, const auto& poll) { receive(sender, poll); });
     m_messages.on_message<wire::settings_answer>(
-        wire::message_kind::settings_answer,
+        wire::message_kind::settings_answers,
         [this](const auto&, const auto& answer) { receive(answer); });
 }
 
@@ -48,12 +48,17 @@
         }
         else {
             m_messages.send(replica, to_string(m_settings.replicas.at(replica)),
-                            wire::message_kind::settings_poll, poll);
+                            wire::message_kind::settings_polls, poll);
         }
     }
     m_loop.call_at(now + poll_interval, [this] { tick(); });
 }
 
+std::optional<base::node_id> settings_feed::leader() const
+{
+    return m_replicas.empty() ? std::nullopt : std::optional(m_replicas[m_polled]);
+}
+
 void settings_feed::receive(const base::node_id& sender, const wire::settings_poll& poll)
 {
     if (m_replica == nullptr || !m_replica->leads()) {
@@ -78,7 +83,7 @@
         receive(reply);
     }
     else {
-        m_messages.send(to, address.value(), wire::message_kind::settings_answer, reply);
+        m_messages.send(to, address.value(), wire::message_kind::settings_answers, reply);
     }
 }
 
--- a/src/daemon/settings_feed.hpp
+++ b/src/daemon/settings_feed.hpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace damaskladder::daemon {
 
@@ -32,6 +33,9 @@
     /// Begins to poll.
     void start() { tick(); }
 
+    /// The control replica that confirmed the settings lately, which then led.
+    std::optional<base::node_id> leader() const;
+
 private:
     void tick();
     void receive(const base::node_id& sender, const wire::settings_poll& poll);
--- /dev/null
+++ b/src/wire/claim_answer.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "claims/claim_ack.hpp"
+#include "claims/claim_reply.hpp"
+
+#include <variant>
+
+namespace damaskladder::wire {
+
+/// Message: what the replicated log says of a claim_command.
+using claim_answer = std::variant<claims::claim_reply, claims::claim_ack>;
+
+} // namespace damaskladder::wire
--- a/src/wire/enum_limit.hpp
+++ b/src/wire/enum_limit.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/importance.hpp"
+#include "claims/claim_status.hpp"
 #include "consensus/member_role.hpp"
 #include "lease/lease_verdict.hpp"
 #include "membership/load_level.hpp"
@@ -36,7 +37,8 @@
 };
 template <>
 struct enum_limit<membership::reachability>
-    : last_enumerator<membership::reachability::unreachable> {};
+    : last_enumerator<membership::reachability::unreachable> {
+};
 template <>
 struct enum_limit<membership::observer_verdict>
     : last_enumerator<membership::observer_verdict::suspects> {
@@ -45,10 +47,13 @@
 struct enum_limit<lease::lease_verdict> : last_enumerator<lease::lease_verdict::stale_epoch> {
 };
 template <>
+struct enum_limit<claims::claim_status> : last_enumerator<claims::claim_status::conflict> {
+};
+template <>
 struct enum_limit<context_purpose> : last_enumerator<context_purpose::backend_server> {
 };
 template <>
-struct enum_limit<message_kind> : last_enumerator<message_kind::claim_answer> {
+struct enum_limit<message_kind> : last_enumerator<message_kind::claim_answers> {
 };
 
 } // namespace damaskladder::wire
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -4,6 +4,8 @@
 #include "lease/lease_message.hpp"
 #include "membership/message.hpp"
 #include "quota/quota_message.hpp"
+#include "wire/claim_answer.hpp"
+#include "wire/claim_command.hpp"
 #include "wire/envelope.hpp"
 #include "wire/holder_notice.hpp"
 #include "wire/sealed_context.hpp"
@@ -39,6 +41,10 @@
 template base::result<consensus::envelope> decode(std::string_view);
 template std::string encode(const holder_notice&);
 template base::result<holder_notice> decode(std::string_view);
+template std::string encode(const claim_command&);
+template base::result<claim_command> decode(std::string_view);
+template std::string encode(const claim_answer&);
+template base::result<claim_answer> decode(std::string_view);
 template std::string encode(const settings_poll&);
 template base::result<settings_poll> decode(std::string_view);
 template std::string encode(const settings_answer&);
--- a/src/wire/message_kind.hpp
+++ b/src/wire/message_kind.hpp
@@ -12,11 +12,11 @@
     lease = 4,
     quota = 5,
     claims = 6,
-    holder_notice = 7,
-    settings_poll = 8,
-    settings_answer = 9,
-    claim_command = 10,
-    claim_answer = 11,
+    holder_notices = 7,
+    settings_polls = 8,
+    settings_answers = 9,
+    claim_commands = 10,
+    claim_answers = 11,
 };
 
 } // namespace damaskladder::wire
