Consensus: cover rules that altered code could break unnoticed

A leader sends a silent follower no entries until it answers; each heartbeat carried up to max_append bytes to a dead VM before. Hand-over limits and promotions no longer wait for a heartbeat, which frequent reads put off.

--- a/include/damaskladder/consensus.hpp
+++ b/include/damaskladder/consensus.hpp
@@ -23,6 +23,11 @@
 ///   - The caller carries out effects in order. Persist effects may be gathered: write several,
 ///     sync once, and feed one sync_completed with the last token. Sends need not wait for the
 ///     sync; the replica holds back every message that does have to.
+///   - Writing may happen on a thread of its own that holds the persistence_queue: hand over the
+///     persist effects of all events in order, and hand back the event that flush returns. A
+///     snapshot blocks that thread for as long as the disk takes.
+///   - The replica answers heartbeats while a sync is under way, so a slow disk alone does not end
+///     an office.
 ///   - A read is linearizable if it is served from the state machine after read_confirmed.
 ///   - A proposal ends with apply_committed carrying its id, or with refused; refusal_reason says
 ///     whether it certainly did not happen. Apply is at least once across restarts: the state
@@ -48,7 +53,8 @@
 /// the call that failed). Decisions of a replica are effects, never failures.
 ///
 /// Limits: replica_options and file_storage_options; passing one gives refused (too_large,
-/// overloaded, too_many_members), snapshot_rejected, or a failure of kind too_large.
+/// overloaded, too_many_members), snapshot_rejected, or a failure of kind too_large. The transport
+/// must carry messages of max_append + max_command and of snapshot_chunk, plus their encoding.
 
 #include "consensus/effect.hpp"
 #include "consensus/event.hpp"
--- a/src/consensus/byte_writer.cpp
+++ b/src/consensus/byte_writer.cpp
@@ -1,5 +1,7 @@
 #include "consensus/byte_writer.hpp"
 
+#include <array>
+
 namespace damaskladder::consensus {
 
 namespace {
@@ -7,13 +9,21 @@
 template <class Integer>
 void put(std::string& bytes, Integer value)
 {
+    std::array<char, sizeof(value)> ordered{};
     for (std::size_t i = 0; i < sizeof(value); ++i) {
-        bytes.push_back(static_cast<char>((value >> (8 * i)) & 0xff));
+        ordered[i] = static_cast<char>((value >> (8 * i)) & 0xff);
     }
+    bytes.append(ordered.data(), ordered.size());
 }
 
 } // namespace
 
+byte_writer& byte_writer::reserve(std::size_t size)
+{
+    m_bytes.reserve(size);
+    return *this;
+}
+
 byte_writer& byte_writer::u8(std::uint8_t value)
 {
     m_bytes.push_back(static_cast<char>(value));
--- a/src/consensus/byte_writer.hpp
+++ b/src/consensus/byte_writer.hpp
@@ -1,14 +1,18 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace damaskladder::consensus {
 
 /// Builds the content of a file: integers in little-endian order, strings with their length first.
 class byte_writer {
 public:
+    /// Avoids copying while growing to this size.
+    byte_writer& reserve(std::size_t size);
     byte_writer& u8(std::uint8_t value);
     byte_writer& u32(std::uint32_t value);
     byte_writer& u64(std::uint64_t value);
--- a/src/consensus/cluster_test.cpp
+++ b/src/consensus/cluster_test.cpp
@@ -58,6 +58,8 @@
     options.snapshot_after_entries = 150;
     options.entries_kept_behind_snapshot = 10;
     options.snapshot_chunk = base::byte_count(32);
+    // One entry in each request, so that cases can come between two entries.
+    options.max_append = base::byte_count(1);
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
         test_cluster cluster(GetParam().replicas, seed, options);
         GetParam().play(cluster);
@@ -299,6 +301,44 @@
     EXPECT_EQ(cluster.accepted.count(request), 1U);
 }
 
+/// An entry of an older term reaches a majority through a later leader, and a leader of a term in
+/// between, which lacks it, is elected after that.
+void entry_of_older_term(test_cluster& cluster)
+{
+    const std::size_t first = formed_leader(cluster);
+    cluster.set_group(first, 1);
+    cluster.propose(first);
+    const log_index older = cluster.status(first).last_index;
+    // The second leader writes its first entry but reaches nobody with it.
+    cluster.on_elected = [&](std::size_t number) { cluster.set_group(number, 2); };
+    ASSERT_TRUE(
+        cluster.run_until([&] { return has_leader_besides(cluster, first); }, leader_target));
+    const std::size_t second = *cluster.leader();
+    cluster.crash(second, crash_tail::lost);
+    cluster.set_group(first, 0);
+    cluster.on_elected = [&](std::size_t /*number*/) { cluster.pause = true; };
+    ASSERT_TRUE(cluster.run_until([&] { return cluster.pause; }, leader_target * 3));
+    ASSERT_EQ(cluster.leader(), first);
+    const std::size_t third = 3 - first - second;
+    while (cluster.under_way() > 0) {
+        const auto* append = std::get_if<append_request>(&cluster.messages().front().body);
+        const bool newer = append != nullptr && !append->entries.empty() &&
+                           append->entries[0].index > older &&
+                           cluster.status(third).last_index == older;
+        newer ? cluster.drop(0) : cluster.deliver(0);
+    }
+    EXPECT_EQ(cluster.status(third).last_index, older);
+    cluster.crash(first, crash_tail::lost);
+    cluster.pause = false;
+    cluster.on_elected = nullptr;
+    cluster.start(second);
+    cluster.heal();
+    EXPECT_TRUE(cluster.converges(10s));
+    EXPECT_EQ(cluster.leader(), second);
+    cluster.start(first);
+    EXPECT_TRUE(cluster.converges(10s));
+}
+
 INSTANTIATE_TEST_SUITE_P(
     table, cluster_scenarios,
     testing::Values(scenario{"single_replica", 1, single_replica},
@@ -313,6 +353,7 @@
                     scenario{"second_lost_after_repair", 3, second_lost_after_repair},
                     scenario{"wiped_may_not_vote", 3, wiped_may_not_vote},
                     scenario{"bootstrap_needs_all", 3, bootstrap_needs_all},
+                    scenario{"entry_of_older_term", 3, entry_of_older_term},
                     scenario{"restart_after_hundreds", 3, restart_after_hundreds},
                     scenario{"far_behind", 3, far_behind}, scenario{"hand_over", 3, hand_over},
                     scenario{"removed_leader", 3, removed_leader},
--- a/src/consensus/file_encoding.cpp
+++ b/src/consensus/file_encoding.cpp
@@ -77,6 +77,7 @@
 std::string encode_entry(const entry& value)
 {
     byte_writer out;
+    out.reserve(static_cast<std::size_t>(size_of(value).value()));
     out.u64(value.index.value()).u64(value.term.value());
     if (const auto* content = std::get_if<command>(&value.payload)) {
         out.u8(static_cast<std::uint8_t>(payload_kind::command)).raw(content->bytes);
--- a/src/consensus/frame.cpp
+++ b/src/consensus/frame.cpp
@@ -26,6 +26,7 @@
 {
     const checksum sum = frame_checksum(segment, offset, synced_through, payload);
     byte_writer out;
+    out.reserve(payload.size() + static_cast<std::size_t>(frame_overhead.value()));
     out.u32(frame_magic).u32(static_cast<std::uint32_t>(payload.size()));
     out.u64(static_cast<std::uint64_t>(synced_through.value()));
     out.raw({sum.data(), sum.size()}).raw(payload);
--- a/src/consensus/replica_leader.cpp
+++ b/src/consensus/replica_leader.cpp
@@ -106,9 +106,10 @@
     }
     if (m_now >= m_lead->next_heartbeat) {
         begin_round();
-        check_transfer();
-        promote_learner_if_due();
     }
+    // Not tied to the heartbeat: frequent reads begin rounds of their own and put it off.
+    check_transfer();
+    promote_learner_if_due();
 }
 
 bool replica_core::heard_quorum(const configuration& members) const
@@ -141,6 +142,7 @@
 
 void replica_core::send_heartbeat(follower_progress& follower)
 {
+    // A silent follower gets no entries until it answers: each try would cost max_append bytes.
     const bool silent = m_now - follower.last_heard >= m_options.election_timeout;
     if (silent && follower.state == progress_state::replicating) {
         follower.state = progress_state::probing;
@@ -155,9 +157,11 @@
         }
         return;
     }
-    follower.probe_sent = false;
     const log_index before = follower.next;
-    send_entries(follower);
+    follower.probe_sent = false;
+    if (!silent) {
+        send_entries(follower);
+    }
     const bool sent = follower.probe_sent || follower.next != before;
     if (!sent && follower.state != progress_state::snapshotting) {
         send_append(follower, index_before(follower.next), {});
--- a/src/consensus/replica_test.cpp
+++ b/src/consensus/replica_test.cpp
@@ -3,8 +3,11 @@
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <optional>
 #include <string>
+#include <utility>
 #include <variant>
+#include <vector>
 
 namespace damaskladder::consensus {
 namespace {
@@ -16,8 +19,9 @@
 /// One replica that is alone in its cluster, or one of two that hears nobody.
 class lone_replica {
 public:
-    explicit lone_replica(const replica_options& options)
-        : m_core(options, {self, {}, nullptr, {}}, [] { return 0; })
+    explicit lone_replica(const replica_options& options,
+                          recovered_state state = {self, {}, nullptr, {}})
+        : m_core(options, std::move(state), [] { return 0; })
     {
         carry_out(m_core.start(m_now));
         handle(tick{});
@@ -33,6 +37,8 @@
 
     std::vector<refusal_reason> refusals;
     std::vector<snapshot_rejected> rejected;
+    std::vector<message> sent;
+    std::vector<log_disposition> installed;
     std::size_t wanted = 0;
     bool sync = true;
 
@@ -47,6 +53,13 @@
             if (const auto* large = std::get_if<snapshot_rejected>(&each)) {
                 rejected.push_back(*large);
             }
+            if (const auto* letter = std::get_if<send_message>(&each)) {
+                sent.push_back(letter->content.body);
+            }
+            if (const auto* content = std::get_if<persist_snapshot>(&each)) {
+                installed.push_back(content->log);
+                last = content->token;
+            }
             wanted += std::holds_alternative<snapshot_wanted>(each) ? 1 : 0;
             if (const auto* votes = std::get_if<persist_vote>(&each)) {
                 last = votes->token;
@@ -199,5 +212,160 @@
     EXPECT_EQ(replica.rejected.size(), 1U);
 }
 
+const replica_identity leader{replica_id("b"), identity_nonce(2)};
+const replica_identity other{replica_id("c"), identity_nonce(3)};
+
+/// Term 5, entries of the terms 1, 1, 2, 2, 2.
+recovered_state five_entries()
+{
+    const configuration members{
+        config_id(1),
+        {{self, member_role::voter}, {leader, member_role::voter}, {other, member_role::voter}}};
+    recovered_state state{self, {term_number(5), std::nullopt}, nullptr, {}};
+    state.entries.push_back({log_index(1), term_number(1), members});
+    for (const std::uint64_t term : {1, 2, 2, 2}) {
+        state.entries.push_back({log_index(state.entries.size() + 1), term_number(term), {}});
+    }
+    return state;
+}
+
+vote_request ask_vote(std::uint64_t term, std::uint64_t last_index, bool transfer = false)
+{
+    return {term_number(term), log_index(last_index), term_number(2), false, transfer};
+}
+
+append_request append(std::uint64_t term, std::uint64_t previous, std::uint64_t previous_term)
+{
+    return {term_number(term),
+            log_index(previous),
+            term_number(previous_term),
+            {},
+            round_number(1),
+            {}};
+}
+
+append_reply rejection(std::uint64_t term, std::uint64_t previous, std::uint64_t hint)
+{
+    return {term_number(term), false, {}, log_index(previous), log_index(hint), round_number(1)};
+}
+
+struct answer_case {
+    const char* name;
+    /// Sender and message; the replica hears its leader only if the first one comes from it.
+    std::vector<std::pair<replica_identity, message>> received;
+    std::vector<message> answers;
+    replica_identity to = self;
+};
+
+void PrintTo(const answer_case& value, std::ostream* out)
+{
+    *out << value.name;
+}
+
+class follower_answers : public testing::TestWithParam<answer_case> {};
+
+// Guards against votes and acknowledgements that a follower must not give.
+TEST_P(follower_answers, are_as_in_the_table)
+{
+    lone_replica replica({}, five_entries());
+    for (const auto& [from, body] : GetParam().received) {
+        replica.handle(message_received{{from, GetParam().to, body}});
+    }
+    EXPECT_EQ(replica.sent, GetParam().answers);
+}
+
+const append_reply met{term_number(5), true, log_index(5), log_index(5), {}, round_number(1)};
+const vote_reply granted{term_number(6), true};
+
+INSTANTIATE_TEST_SUITE_P(
+    table, follower_answers,
+    testing::Values(
+        answer_case{"vote", {{other, ask_vote(6, 5)}}, {granted}},
+        answer_case{
+            "vote_again", {{other, ask_vote(6, 5)}, {other, ask_vote(6, 5)}}, {granted, granted}},
+        answer_case{"second_vote_in_a_term",
+                    {{other, ask_vote(6, 5)}, {leader, ask_vote(6, 5)}},
+                    {granted, vote_reply{term_number(6), false}}},
+        answer_case{"second_vote_to_a_wiped_folder",
+                    {{other, ask_vote(6, 5)}, {{other.id, identity_nonce(9)}, ask_vote(6, 5)}},
+                    {granted, vote_reply{term_number(6), false}}},
+        answer_case{
+            "vote_of_an_old_term", {{other, ask_vote(4, 5)}}, {vote_reply{term_number(5), false}}},
+        answer_case{"vote_for_a_shorter_log",
+                    {{other, ask_vote(6, 4)}},
+                    {vote_reply{term_number(6), false}}},
+        answer_case{"vote_against_a_live_leader",
+                    {{leader, append(5, 5, 2)}, {other, ask_vote(6, 5)}},
+                    {met, vote_reply{term_number(5), false}}},
+        answer_case{"vote_in_a_hand_over",
+                    {{leader, append(5, 5, 2)}, {other, ask_vote(6, 5, true)}},
+                    {met, granted}},
+        answer_case{
+            "pre_vote",
+            {{other, pre_vote_request{term_number(6), log_index(5), term_number(2), false}}},
+            {pre_vote_reply{term_number(5), term_number(6), true, true}}},
+        answer_case{
+            "pre_vote_against_a_live_leader",
+            {{leader, append(5, 5, 2)},
+             {other, pre_vote_request{term_number(6), log_index(5), term_number(2), false}}},
+            {met, pre_vote_reply{term_number(5), term_number(6), false, true}}},
+        answer_case{
+            "second_formation_of_the_cluster",
+            {{other, pre_vote_request{term_number(6), {}, {}, true}},
+             {other, vote_request{term_number(6), log_index(9), term_number(9), true, false}}},
+            {pre_vote_reply{term_number(5), term_number(6), false, true},
+             vote_reply{term_number(6), false}}},
+        answer_case{"append_of_an_old_term", {{leader, append(4, 5, 2)}}, {rejection(5, 5, 0)}},
+        answer_case{"append_behind_the_end", {{leader, append(5, 8, 2)}}, {rejection(5, 8, 6)}},
+        answer_case{"append_to_another_term", {{leader, append(5, 5, 4)}}, {rejection(5, 5, 3)}},
+        answer_case{"append_to_a_wiped_folder",
+                    {{leader, append(5, 5, 2)}},
+                    {},
+                    {self.id, identity_nonce(9)}},
+        answer_case{"hand_over_by_another_than_the_leader",
+                    {{leader, append(5, 5, 2)}, {other, timeout_now{term_number(5)}}},
+                    {met}}),
+    [](const auto& each) { return std::string(each.param.name); });
+
+struct chunk_case {
+    std::uint64_t last_term;
+    log_disposition expected;
+};
+
+class received_snapshots : public testing::TestWithParam<chunk_case> {};
+
+// Guards against entries that stay behind a snapshot although they differ from the leader's.
+TEST_P(received_snapshots, keep_only_a_log_that_fits)
+{
+    lone_replica replica({}, five_entries());
+    const snapshot_chunk first{term_number(5),
+                               log_index(3),
+                               term_number(GetParam().last_term),
+                               {},
+                               base::byte_count(4),
+                               base::byte_count(0),
+                               "ab",
+                               round_number(1)};
+    snapshot_chunk second = first;
+    second.offset = base::byte_count(2);
+    second.data = "cd";
+    const std::vector<snapshot_chunk> chunks{second, first, first, second, second};
+    for (const snapshot_chunk& each : chunks) {
+        replica.handle(message_received{{leader, self, each}});
+    }
+    EXPECT_EQ(replica.installed, std::vector<log_disposition>{GetParam().expected});
+    const auto progress = [](std::int64_t next, bool installed) {
+        return snapshot_reply{term_number(5), log_index(3), base::byte_count(next), installed,
+                              round_number(1)};
+    };
+    EXPECT_EQ(replica.sent,
+              (std::vector<message>{progress(0, false), progress(2, false), progress(2, false),
+                                    progress(4, true), progress(0, true)}));
+}
+
+INSTANTIATE_TEST_SUITE_P(table, received_snapshots,
+                         testing::Values(chunk_case{2, log_disposition::keep_suffix},
+                                         chunk_case{3, log_disposition::discard_all}));
+
 } // namespace
 } // namespace damaskladder::consensus
--- a/src/consensus/schedule_test.cpp
+++ b/src/consensus/schedule_test.cpp
@@ -26,7 +26,7 @@
 class random_schedule {
 public:
     random_schedule(std::size_t replicas, std::uint64_t seed)
-        : m_random(seed), m_cluster(replicas, seed, options())
+        : m_random(seed), m_cluster(replicas, seed, options(seed))
     {
         m_cluster.delay_syncs = true;
     }
@@ -47,13 +47,14 @@
     test_cluster& cluster() { return m_cluster; }
 
 private:
-    static replica_options options()
+    static replica_options options(std::uint64_t seed)
     {
         replica_options small;
         small.snapshot_after_entries = 12;
         small.entries_kept_behind_snapshot = 3;
         small.snapshot_chunk = base::byte_count(50);
-        small.max_append = base::byte_count(150);
+        // In every other schedule requests hold one entry, in the rest a few.
+        small.max_append = base::byte_count(seed % 2 == 0 ? 1 : 150);
         small.promotion_lag_entries = 2;
         return small;
     }
--- a/src/consensus/test_cluster.hpp
+++ b/src/consensus/test_cluster.hpp
@@ -82,6 +82,10 @@
     bool duplicate = false;
     /// run() delivers the newest message first.
     bool reverse = false;
+    /// run() delivers nothing.
+    bool pause = false;
+    /// Called with the number of a replica that has just been elected.
+    std::function<void(std::size_t)> on_elected;
 
 private:
     struct node {
--- a/src/consensus/test_cluster_test.cpp
+++ b/src/consensus/test_cluster_test.cpp
@@ -158,7 +158,7 @@
 {
     // Bounds a loop of messages that answer each other; no order of delivery needs more.
     constexpr int max_deliveries = 5000;
-    for (int i = 0; i < max_deliveries && !m_messages.empty(); ++i) {
+    for (int i = 0; i < max_deliveries && !m_messages.empty() && !pause; ++i) {
         const std::size_t position = reverse ? m_messages.size() - 1 : 0;
         if (loss_percent > static_cast<int>(m_random() % 100)) {
             drop(position);
@@ -217,9 +217,9 @@
             continue;
         }
         const replica_status now = status(i);
-        out << "/" << now.identity.nonce << " role " << static_cast<int>(now.role) << " term "
-            << now.term << " commit " << now.commit_index << " last " << now.last_index
-            << " snapshot " << now.snapshot_index << " members";
+        out << "/" << now.identity.nonce << " " << to_string(now.role) << " term " << now.term
+            << " commit " << now.commit_index << " last " << now.last_index << " snapshot "
+            << now.snapshot_index << " members";
         for (const member& each : now.members.members) {
             out << " " << each.identity.id << "/" << each.identity.nonce << ":"
                 << static_cast<int>(each.role);
@@ -312,6 +312,9 @@
     const replica_identity identity = status(number).identity;
     const auto [found, is_new] = m_leaders.emplace(elected.term, identity);
     expect(is_new || found->second == identity, "one leader per term");
+    if (on_elected) {
+        on_elected(number);
+    }
 }
 
 void test_cluster::on(std::size_t /*number*/, refused& request)
