Control: store structs without field names, and large tables in pages

Change: structs are lists of their fields; tables are encoded in pages of 256 rows; restore checks that audit records are linked and leaves the hashes to verify.

--- a/src/control/audit_trail.hpp
+++ b/src/control/audit_trail.hpp
@@ -30,10 +30,14 @@
     std::vector<audit_record> find(const audit_query& query) const;
     std::optional<audit_fault> verify() const;
 
-    /// For restoring a snapshot. False if the chain does not hold.
+    /// For restoring a snapshot. False if a record does not follow the one before it. Does not hash
+    /// the records again: that is the business of verify, and the log storage checks the snapshot's
+    /// bytes.
     bool restore(const audit_anchor& anchor, std::vector<audit_record> records);
 
 private:
+    bool is_linked() const;
+
     std::size_t m_max_records;
     std::deque<audit_record> m_records;
     audit_anchor m_anchor;
--- a/src/control/json_reader.hpp
+++ b/src/control/json_reader.hpp
@@ -67,14 +67,12 @@
         }
     }
 
-    template <class T>
-    void operator()(const char* name, T& field)
+    template <class... T>
+    void operator()(T&... fields)
     {
-        ++m_expected;
-        auto found = m_source.find(name);
-        m_valid = m_valid && found != m_source.end() && read(*found, field);
+        std::size_t at = 0;
+        m_valid = m_source.size() == sizeof...(fields) && (read(m_source[at++], fields) && ...);
     }
-    void nothing() {}
 
 private:
     explicit json_reader(const json& source) : m_source(source) {}
@@ -82,12 +80,12 @@
     template <class T>
     static bool read_compound(const json& source, T& value)
     {
-        if (!source.is_object()) {
+        if (!source.is_array()) {
             return false;
         }
         json_reader reader(source);
         visit_fields(reader, value);
-        return reader.m_valid && reader.m_expected == source.size();
+        return reader.m_valid;
     }
     template <class T>
     static bool read_compound(const json& source, std::vector<T>& values)
@@ -212,8 +210,7 @@
     static bool is_field_value(const std::string& text);
 
     const json& m_source;
-    std::size_t m_expected = 0;
-    bool m_valid = true;
+    bool m_valid = false;
 };
 
 } // namespace damaskladder::control
--- a/src/control/json_writer.hpp
+++ b/src/control/json_writer.hpp
@@ -16,7 +16,8 @@
 
 namespace damaskladder::control {
 
-/// Turns stored types into CBOR values. An object holds the fields of a struct.
+/// Turns stored types into CBOR values. A struct is the list of its fields without
+/// their names, which would take most of the time and space of a snapshot.
 class json_writer {
 public:
     using json = nlohmann::json;
@@ -44,12 +45,12 @@
         }
     }
 
-    template <class T>
-    void operator()(const char* name, const T& field)
+    template <class... T>
+    void operator()(const T&... fields)
     {
-        m_object[name] = write(field);
+        m_fields.get_ref<json::array_t&>().reserve(sizeof...(fields));
+        (m_fields.push_back(write(fields)), ...);
     }
-    void nothing() {}
 
 private:
     template <class T>
@@ -57,7 +58,7 @@
     {
         json_writer writer;
         visit_fields(writer, value);
-        return std::move(writer.m_object);
+        return std::move(writer.m_fields);
     }
     template <class T>
     static json write_compound(const std::vector<T>& values)
@@ -102,7 +103,7 @@
         return list;
     }
 
-    json m_object = json::object();
+    json m_fields = json::array();
 };
 
 } // namespace damaskladder::control
--- a/src/control/snapshot_codec.cpp
+++ b/src/control/snapshot_codec.cpp
@@ -4,6 +4,7 @@
 #include "control/json_reader.hpp"
 #include "control/json_writer.hpp"
 
+#include <cstddef>
 #include <map>
 #include <utility>
 
@@ -16,61 +17,85 @@
 // Raised when the stored form changes.
 constexpr std::uint64_t snapshot_format = 1;
 
+// Rows of a large table that are encoded together, as bytes within the snapshot. Small values that
+// are made and dropped page by page stay in the cache.
+constexpr std::size_t rows_per_page = 256;
+
+/// Collects rows into a list of pages.
+class page_writer {
+public:
+    void add(json row)
+    {
+        m_page.push_back(std::move(row));
+        if (m_page.size() >= rows_per_page) {
+            end_page();
+        }
+    }
+
+    json take()
+    {
+        if (!m_page.empty()) {
+            end_page();
+        }
+        return std::move(m_pages);
+    }
+
+private:
+    void end_page()
+    {
+        m_pages.push_back(json::binary(json::to_cbor(m_page)));
+        m_page = json::array();
+    }
+
+    json m_page = json::array();
+    json m_pages = json::array();
+};
+
 template <class Container>
 json write_all(const Container& values)
 {
-    auto list = json::array();
+    page_writer pages;
     for (const auto& value : values) {
-        list.push_back(json_writer::write(value));
+        pages.add(json_writer::write(value));
     }
-    return list;
+    return pages.take();
 }
 
 template <class Map>
 json write_values(const Map& named)
 {
-    auto list = json::array();
+    page_writer pages;
     for (const auto& [name, value] : named) {
-        list.push_back(json_writer::write(value));
+        pages.add(json_writer::write(value));
     }
-    return list;
+    return pages.take();
 }
 
 json write_versions(const settings_history& history)
 {
-    auto list = json::array();
+    page_writer pages;
     for (const auto& [root, version] : history.versions()) {
-        list.push_back(json::array({root.text(), version.value()}));
+        pages.add(json_writer::write(subtree_version{root, version}));
     }
-    return list;
+    return pages.take();
 }
 
 json write_answers(const answer_table& answers)
 {
-    auto list = json::array();
+    page_writer pages;
     for (const auto& change : answers.order()) {
-        list.push_back(json_writer::write(*answers.find(change)));
+        pages.add(json_writer::write(*answers.find(change)));
     }
-    return list;
+    return pages.take();
 }
 
-/// Lists instead of objects: there may be hundreds of thousands of claims.
 json write_claims(const claim_table& claims)
 {
-    auto list = json::array();
+    page_writer pages;
     for (const auto& claim : claims.sorted()) {
-        const auto& [key, record] = *claim;
-        auto row = json::array();
-        row.push_back(json_writer::write(key.workspace));
-        row.push_back(json_writer::write(key.request));
-        row.push_back(json_writer::write(record.state));
-        row.push_back(json_writer::write(record.attempt));
-        row.push_back(json_writer::write(record.node));
-        row.push_back(json_writer::write(record.content));
-        row.push_back(json_writer::write(record.released));
-        list.push_back(std::move(row));
+        pages.add(json_writer::write(stored_claim{claim->first, claim->second}));
     }
-    return list;
+    return pages.take();
 }
 
 /// Reads the parts of a snapshot; the first one that fails makes it fail.
@@ -87,19 +112,41 @@
         return value;
     }
 
-    /// The rows of a list.
-    const json& rows(const char* name)
+    /// Calls take with each row of a table, in order.
+    template <class Row, class Take>
+    void rows(const char* name, Take take)
     {
-        static const json none = json::array();
         auto found = m_source.find(name);
         m_valid = m_valid && found != m_source.end() && found->is_array();
-        return m_valid ? *found : none;
+        if (!m_valid) {
+            return;
+        }
+        for (const auto& page : *found) {
+            read_page<Row>(page, take);
+        }
     }
 
     void require(bool condition) { m_valid = m_valid && condition; }
     bool valid() const { return m_valid; }
 
 private:
+    template <class Row, class Take>
+    void read_page(const json& page, Take& take)
+    {
+        auto rows = page.is_binary() ? parse_cbor(page.get_binary()) : std::nullopt;
+        m_valid = m_valid && rows && rows->is_array();
+        if (!m_valid) {
+            return;
+        }
+        for (const auto& source : *rows) {
+            Row row{};
+            m_valid = m_valid && json_reader::read(source, row);
+            if (m_valid) {
+                take(std::move(row));
+            }
+        }
+    }
+
     const json& m_source;
     bool m_valid = true;
 };
@@ -113,69 +160,58 @@
 
 void read_credentials(snapshot_reader& reader, control_state& state)
 {
-    for (const auto& entry : reader.part<std::vector<credential>>("credentials")) {
-        state.credentials.insert(entry);
-    }
+    reader.rows<credential>("credentials",
+                            [&](credential entry) { state.credentials.insert(entry); });
 }
 
 void read_proposals(snapshot_reader& reader, control_state& state)
 {
-    for (auto& entry : reader.part<std::vector<proposal>>("pending")) {
+    reader.rows<proposal>("pending", [&](proposal entry) {
         reader.require(entry.state == proposal_state::pending);
         state.proposals.insert(std::move(entry));
-    }
-    for (auto& entry : reader.part<std::vector<proposal>>("closed")) {
+    });
+    reader.rows<proposal>("closed", [&](proposal entry) {
         reader.require(entry.state != proposal_state::pending);
         state.proposals.insert(std::move(entry));
-    }
+    });
 }
 
 void read_history(snapshot_reader& reader, control_state& state)
 {
-    std::map<settings::setting_path, base::settings_version> versions;
-    for (const auto& row : reader.rows("versions")) {
-        settings::setting_path root;
-        base::settings_version version;
-        reader.require(row.is_array() && row.size() == 2 && json_reader::read(row[0], root) &&
-                       json_reader::read(row[1], version));
-        versions.emplace(std::move(root), version);
-    }
-    auto records = reader.part<std::vector<version_record>>("history");
     auto dropped = reader.part<base::settings_version>("dropped");
-    auto last = dropped;
-    for (const auto& record : records) {
+    std::vector<version_record> records;
+    reader.rows<version_record>("history", [&](version_record record) {
+        auto last = records.empty() ? dropped : records.back().version;
         reader.require(record.version > last);
-        last = record.version;
-    }
+        records.push_back(std::move(record));
+    });
+    std::map<settings::setting_path, base::settings_version> versions;
+    reader.rows<subtree_version>("versions", [&](const subtree_version& entry) {
+        versions.emplace(entry.versioned_root, entry.version);
+    });
     state.history.restore(std::move(records), std::move(versions), dropped);
 }
 
 void read_answers(snapshot_reader& reader, control_state& state)
 {
-    for (auto& entry : reader.part<std::vector<answered_change>>("answers")) {
-        state.answers.insert(std::move(entry));
-    }
+    reader.rows<answered_change>(
+        "answers", [&](answered_change entry) { state.answers.insert(std::move(entry)); });
 }
 
 void read_audit(snapshot_reader& reader, control_state& state)
 {
     auto anchor = reader.part<audit_anchor>("audit_anchor");
-    auto records = reader.part<std::vector<audit_record>>("audit");
+    std::vector<audit_record> records;
+    reader.rows<audit_record>("audit",
+                              [&](audit_record record) { records.push_back(std::move(record)); });
     reader.require(state.audit.restore(anchor, std::move(records)));
 }
 
 void read_claims(snapshot_reader& reader, control_state& state)
 {
-    for (const auto& row : reader.rows("claims")) {
-        claim_key key;
-        claim_record record;
-        bool valid =
-            row.is_array() && row.size() == 7 && json_reader::read(row[0], key.workspace) &&
-            json_reader::read(row[1], key.request) && json_reader::read(row[2], record.state) &&
-            json_reader::read(row[3], record.attempt) && json_reader::read(row[4], record.node) &&
-            json_reader::read(row[5], record.content) && json_reader::read(row[6], record.released);
-        reader.require(valid && state.claims.insert(key, std::move(record)));
-    }
+    reader.rows<stored_claim>("claims", [&](stored_claim claim) {
+        reader.require(state.claims.insert(claim.key, std::move(claim.record)));
+    });
 }
 
 } // namespace
--- /dev/null
+++ b/src/control/stored_claim.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "control/claim_key.hpp"
+#include "control/claim_record.hpp"
+
+namespace damaskladder::control {
+
+/// A claim as it stands in a snapshot.
+struct stored_claim {
+    claim_key key;
+    claim_record record;
+};
+
+} // namespace damaskladder::control
