--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -90,6 +90,20 @@
     return wish ? std::min(limit, *wish) : limit;
 }
 
+retry::budget_options floor_only()
+{
+    retry::budget_options options;
+    options.part_of_successes = 0;
+    return options;
+}
+
+retry::budget_options without_floor()
+{
+    retry::budget_options options;
+    options.floor = 0;
+    return options;
+}
+
 refuse refusal_of(exchange_id exchange, outcome said, refusal_reason reason)
 {
     refuse refusal;
@@ -105,7 +119,7 @@
 entry_machine::entry_machine(traffic_state& shared)
     : m_shared(shared),
       m_repeats(retry::repeat_options{}),
-      m_budget(retry::budget_options{}),
+      m_floor_budget(floor_only()),
       m_shed({}, shared.options.random)
 {
     m_retry_options.random = shared.options.random;
@@ -310,7 +324,7 @@
     }
     settle_allowance(*request);
     if (seen.answer == answer_class::served) {
-        m_budget.success(at.now);
+        budget_of(request->context.workspace).success(at.now);
     }
     request->phase = entry_phase::relaying;
     m_deadlines.set(request->exchange, at.now + m_shared.options.longest_answer);
@@ -553,7 +567,8 @@
                                                    step& at)
 {
     routing::router& router = router_of(request.service);
-    routing::choice_request wanted{at.view.own_domain, request.tried, request.context.idempotent};
+    routing::choice_request wanted{at.view.own_domain, request.tried, request.context.idempotent,
+                                   request.context.importance};
     for (int choice = 0; choice < choices_past_shedding; ++choice) {
         auto chosen = router.choose(service.servers, wanted, at.now);
         if (!chosen) {
@@ -562,14 +577,16 @@
         if (!m_shed.holds_back(*chosen, request.context.importance, at.now)) {
             return chosen;
         }
-        router.ended(*chosen, routing::attempt_result::cancelled, at.now);
+        router.ended(*chosen, request.context.importance, routing::attempt_result::cancelled,
+                     at.now);
         wanted.excluded.push_back(*chosen);
         held_back = true;
     }
     if (!held_back && !request.tried.empty()) {
         // All have refused; after the pause any of them may have room again.
         request.tried.clear();
-        return router.choose(service.servers, {at.view.own_domain, {}, wanted.may_probe}, at.now);
+        return router.choose(service.servers,
+                             {at.view.own_domain, {}, wanted.may_probe, wanted.importance}, at.now);
     }
     return std::nullopt;
 }
@@ -639,7 +656,7 @@
         pause = base::duration::zero();
     }
     else if (!pause || m_shared.ledger.left(request.context.call) < base::retry_count(1) ||
-             !m_budget.try_spend(at.now) || !m_shared.ledger.spend(request.context.call)) {
+             !may_spend(request, at) || !m_shared.ledger.spend(request.context.call)) {
         return false;
     }
     if (*pause == base::duration::zero()) {
@@ -654,7 +671,8 @@
 void entry_machine::end_attempt(entry_request& request, routing::attempt_result result, step& at)
 {
     m_transfers.erase(request.transfer);
-    router_of(request.service).ended(request.gatekeeper, result, at.now);
+    router_of(request.service)
+        .ended(request.gatekeeper, request.context.importance, result, at.now);
 }
 
 void entry_machine::refuse_request(entry_request& request, refusal_reason reason, step& at,
@@ -769,6 +787,17 @@
     refuse_request(request, refusal_reason::deadline, at);
 }
 
+bool entry_machine::may_spend(const entry_request& request, step& at)
+{
+    return budget_of(request.context.workspace).try_spend(at.now) ||
+           m_floor_budget.try_spend(at.now);
+}
+
+retry::budget& entry_machine::budget_of(const base::workspace_id& workspace)
+{
+    return m_budgets.try_emplace(workspace, without_floor()).first->second;
+}
+
 routing::router& entry_machine::router_of(const base::service_id& service)
 {
     auto found = m_routers.find(service);
--- a/src/node/entry_machine.hpp
+++ b/src/node/entry_machine.hpp
@@ -83,6 +83,8 @@
     void erase(exchange_id exchange, step& at);
     void hand_over(entry_request& from, exchange_id to, step& at);
     void time_is_up(entry_request& request, step& at);
+    bool may_spend(const entry_request& request, step& at);
+    retry::budget& budget_of(const base::workspace_id& workspace);
     routing::router& router_of(const base::service_id& service);
     base::duration return_time() const;
     base::call_id draw_call();
@@ -93,7 +95,10 @@
     std::unordered_map<transfer_id, exchange_id> m_transfers;
     deadline_set m_deadlines;
     retry::repeat_table m_repeats;
-    retry::budget m_budget;
+    /// The floor of all workspaces together, and what each earns by its own successes: a large
+    /// sender that is refused a lot uses up its own retries only.
+    retry::budget m_floor_budget;
+    std::unordered_map<base::workspace_id, retry::budget> m_budgets;
     retry::retry_options m_retry_options;
     admission::shed_memory m_shed;
     std::unordered_map<base::service_id, routing::router> m_routers;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,6 +1,7 @@
 #include "routing/router.hpp"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace damaskladder::routing {
@@ -15,6 +16,18 @@
 constexpr double fade = 0.9;
 constexpr base::duration forget_after = std::chrono::minutes(1);
 
+std::size_t index_of(base::importance level)
+{
+    return static_cast<std::size_t>(level);
+}
+
+/// Outstanding calls of this importance or more.
+std::int64_t total(const server_state& state, base::importance least)
+{
+    return std::accumulate(state.outstanding.begin() + static_cast<std::ptrdiff_t>(index_of(least)),
+                           state.outstanding.end(), std::int64_t{0});
+}
+
 } // namespace
 
 router::router(router_options options) : m_options(std::move(options)) {}
@@ -29,7 +42,7 @@
     if (request.may_probe) {
         if (const auto probe = due_probe(options, now)) {
             probe->state->probing = true;
-            return take(*probe, now);
+            return take(*probe, request, now);
         }
     }
     drop_ejected(options, servers.size());
@@ -38,21 +51,23 @@
     }
     std::vector<candidate> near;
     for (const auto& option : options) {
-        if (option.server->domain == request.own_domain && has_room(option, now)) {
+        if (option.server->domain == request.own_domain && has_room(option, request, now)) {
             near.push_back(option);
         }
     }
-    return take(choose_among(near.empty() ? options : near, now), now);
+    return take(choose_among(near.empty() ? options : near, request, now), request, now);
 }
 
-void router::ended(const base::node_id& node, attempt_result result, base::time_point now)
+void router::ended(const base::node_id& node, base::importance importance, attempt_result result,
+                   base::time_point now)
 {
     auto found = m_states.find(node);
     if (found == m_states.end()) {
         return;
     }
     server_state& state = found->second;
-    state.outstanding = std::max<std::int64_t>(0, state.outstanding - 1);
+    auto& outstanding = state.outstanding.at(index_of(importance));
+    outstanding = std::max<std::int64_t>(0, outstanding - 1);
     switch (result) {
     case attempt_result::answered:
         state.attempts = state.attempts * fade + 1;
@@ -92,7 +107,7 @@
 std::int64_t router::outstanding(const base::node_id& node) const
 {
     auto found = m_states.find(node);
-    return found == m_states.end() ? 0 : found->second.outstanding;
+    return found == m_states.end() ? 0 : total(found->second, base::importance::background);
 }
 
 bool router::is_ejected(const base::node_id& node) const
@@ -104,7 +119,8 @@
 void router::forget_old(base::time_point now)
 {
     std::erase_if(m_states, [&](const auto& item) {
-        return item.second.outstanding == 0 && now - item.second.last_used > forget_after;
+        return total(item.second, base::importance::background) == 0 &&
+               now - item.second.last_used > forget_after;
     });
 }
 
@@ -145,7 +161,8 @@
     return state;
 }
 
-router::candidate router::choose_among(const std::vector<candidate>& from, base::time_point now)
+router::candidate router::choose_among(const std::vector<candidate>& from,
+                                       const choice_request& request, base::time_point now)
 {
     const auto first = m_options.random() % from.size();
     if (from.size() == 1) {
@@ -153,7 +170,8 @@
     }
     auto second = m_options.random() % (from.size() - 1);
     second += second >= first ? 1 : 0;
-    const bool first_is_better = score(from[first], now) <= score(from[second], now);
+    const bool first_is_better =
+        score(from[first], request, now) <= score(from[second], request, now);
     return from[first_is_better ? first : second];
 }
 
@@ -182,19 +200,21 @@
     return found == from.end() ? std::nullopt : std::optional(*found);
 }
 
-bool router::has_room(const candidate& option, base::time_point now) const
+bool router::has_room(const candidate& option, const choice_request& request,
+                      base::time_point now) const
 {
     return !option.state->ejected && now >= option.state->full_until &&
-           score(option, now) < m_options.room;
+           score(option, request, now) < m_options.room;
 }
 
-double router::score(const candidate& option, base::time_point now) const
+double router::score(const candidate& option, const choice_request& request,
+                     base::time_point now) const
 {
     const server_state& state = *option.state;
     const auto slots = std::max<std::int64_t>(1, option.server->slots.value());
     const auto reported = std::clamp<std::int64_t>(option.server->reported_load.value(), 0, slots);
-    double load =
-        static_cast<double>(state.outstanding + reported + 1) / static_cast<double>(slots);
+    double load = static_cast<double>(total(state, request.importance) + reported + 1) /
+                  static_cast<double>(slots);
     if (state.ramp_from) {
         const double grown = static_cast<double>((now - *state.ramp_from).count()) /
                              static_cast<double>(m_options.ramp.count());
@@ -229,9 +249,10 @@
     state.ramp_from.reset();
 }
 
-base::node_id router::take(const candidate& chosen, base::time_point now)
+base::node_id router::take(const candidate& chosen, const choice_request& request,
+                           base::time_point now)
 {
-    ++chosen.state->outstanding;
+    ++chosen.state->outstanding.at(index_of(request.importance));
     chosen.state->last_used = now;
     return chosen.server->node;
 }
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -24,8 +24,10 @@
     std::optional<base::node_id> choose(const std::vector<backend_server>& servers,
                                         const choice_request& request, base::time_point now);
 
-    /// A chosen attempt ended. Unknown servers are ignored.
-    void ended(const base::node_id& node, attempt_result result, base::time_point now);
+    /// A chosen attempt ended, with the importance that it was chosen with. Unknown servers are
+    /// ignored.
+    void ended(const base::node_id& node, base::importance importance, attempt_result result,
+               base::time_point now);
 
     /// Attempts under way at a server.
     std::int64_t outstanding(const base::node_id& node) const;
@@ -45,15 +47,19 @@
     std::vector<candidate> usable(const std::vector<backend_server>& servers,
                                   const choice_request& request, base::time_point now);
     server_state& state_of(const backend_server& server, base::time_point now);
-    candidate choose_among(const std::vector<candidate>& from, base::time_point now);
+    candidate choose_among(const std::vector<candidate>& from, const choice_request& request,
+                           base::time_point now);
     void drop_ejected(std::vector<candidate>& from, std::size_t announced) const;
     std::optional<candidate> due_probe(const std::vector<candidate>& from,
                                        base::time_point now) const;
-    bool has_room(const candidate& option, base::time_point now) const;
-    double score(const candidate& option, base::time_point now) const;
+    bool has_room(const candidate& option, const choice_request& request,
+                  base::time_point now) const;
+    double score(const candidate& option, const choice_request& request,
+                 base::time_point now) const;
     void count_failure(server_state& state, bool unreachable, base::time_point now) const;
     void eject(server_state& state, base::time_point now) const;
-    static base::node_id take(const candidate& chosen, base::time_point now);
+    static base::node_id take(const candidate& chosen, const choice_request& request,
+                              base::time_point now);
 
     router_options m_options;
     std::unordered_map<base::node_id, server_state> m_states;
--- a/src/routing/router_bench.cpp
+++ b/src/routing/router_bench.cpp
@@ -19,13 +19,14 @@
     router_options options;
     options.random = [random = std::mt19937_64(1)]() mutable { return random(); };
     router chooser(options);
-    const choice_request request{base::failure_domain_id("domain-1"), {}, true};
+    const choice_request request{
+        base::failure_domain_id("domain-1"), {}, true, base::importance::background};
     base::time_point now{};
     for (auto step : state) {
         static_cast<void>(step);
         now += std::chrono::microseconds(100);
         const auto node = chooser.choose(servers, request, now);
-        chooser.ended(*node, attempt_result::answered, now);
+        chooser.ended(*node, base::importance::background, attempt_result::answered, now);
     }
 }
 BENCHMARK(BM_choose)->Arg(3)->Arg(22)->Arg(200);
--- a/src/routing/router_test.cpp
+++ b/src/routing/router_test.cpp
@@ -33,7 +33,7 @@
 
 choice_request from_domain(const std::string& domain)
 {
-    return {base::failure_domain_id(domain), {}, true};
+    return {base::failure_domain_id(domain), {}, true, base::importance::background};
 }
 
 struct choice_case {
@@ -63,7 +63,7 @@
     for (int n = 0; n < 200; ++n) {
         if (auto node = chooser.choose(row.servers, request, at_ms(n))) {
             chosen.insert(node->value());
-            chooser.ended(*node, attempt_result::answered, at_ms(n));
+            chooser.ended(*node, base::importance::background, attempt_result::answered, at_ms(n));
         }
     }
     EXPECT_EQ(chosen, row.chosen);
@@ -121,7 +121,8 @@
         const auto node = chooser.choose(servers, from_domain("a"), now);
         ASSERT_TRUE(node) << "a service was emptied";
         const bool is_bad = std::stoi(node->value()) < row.bad;
-        chooser.ended(*node, is_bad ? row.result : attempt_result::answered, now);
+        chooser.ended(*node, base::importance::background,
+                      is_bad ? row.result : attempt_result::answered, now);
         late += n >= 2'000 ? 1 : 0;
         late_on_bad += n >= 2'000 && is_bad ? 1 : 0;
     }
@@ -155,13 +156,14 @@
         const auto node = *chooser.choose(servers, from_domain("a"), at_ms(n));
         const bool fails = node == servers.front().node && n < 1'000;
         if (fails) {
-            chooser.ended(node, attempt_result::failed, at_ms(n));
+            chooser.ended(node, base::importance::background, attempt_result::failed, at_ms(n));
             continue;
         }
         on_returned[n / 500] += node == servers.front().node ? 1 : 0;
         running.push_back(node);
         if (running.size() > 30) {
-            chooser.ended(running.front(), attempt_result::answered, at_ms(n));
+            chooser.ended(running.front(), base::importance::background, attempt_result::answered,
+                          at_ms(n));
             running.erase(running.begin());
         }
     }
@@ -180,12 +182,34 @@
     std::vector<backend_server> servers{server_of("1", "a")};
     router chooser(seeded(3));
     EXPECT_EQ(chooser.choose(servers, from_domain("a"), at_ms(0)), base::node_id("1"));
-    chooser.ended(base::node_id("1"), attempt_result::draining, at_ms(1));
+    chooser.ended(base::node_id("1"), base::importance::background, attempt_result::draining,
+                  at_ms(1));
     EXPECT_EQ(chooser.choose(servers, from_domain("a"), at_ms(2)), std::nullopt);
     servers.front().incarnation = base::incarnation(2);
     EXPECT_EQ(chooser.choose(servers, from_domain("a"), at_ms(3)), base::node_id("1"));
 }
 
+// Guards against important requests that all go to one server because others have long queues of
+// unimportant ones, behind which they would not wait.
+TEST(router, less_important_calls_are_no_load)
+{
+    const std::vector<backend_server> servers{server_of("1", "a"), server_of("2", "a")};
+    router chooser(seeded(3));
+    auto low = from_domain("a");
+    low.importance = base::importance::low;
+    low.excluded = {base::node_id("2")};
+    for (int n = 0; n < 100; ++n) {
+        chooser.choose(servers, low, at_ms(0));
+    }
+    auto critical = from_domain("a");
+    critical.importance = base::importance::critical;
+    std::map<std::string, int> chosen;
+    for (int n = 0; n < 100; ++n) {
+        ++chosen[chooser.choose(servers, critical, at_ms(0))->value()];
+    }
+    EXPECT_NEAR(chosen["1"], 50, 1);
+}
+
 // Guards against testing an ejected server with a request that must not run twice.
 TEST(router, non_idempotent_requests_do_not_probe)
 {
@@ -195,15 +219,16 @@
     for (int n = 0; n < 50; ++n) {
         const auto node = *chooser.choose(servers, request, at_ms(n));
         const bool is_bad = node == servers.front().node;
-        chooser.ended(node, is_bad ? attempt_result::unreachable : attempt_result::answered,
-                      at_ms(n));
+        chooser.ended(node, base::importance::background,
+                      is_bad ? attempt_result::unreachable : attempt_result::answered, at_ms(n));
     }
     ASSERT_TRUE(chooser.is_ejected(servers.front().node));
     request.may_probe = false;
     for (int n = 0; n < 100; ++n) {
         const auto node = chooser.choose(servers, request, at_ms(20'000 + n));
         EXPECT_EQ(node, servers.back().node);
-        chooser.ended(*node, attempt_result::answered, at_ms(20'000 + n));
+        chooser.ended(*node, base::importance::background, attempt_result::answered,
+                      at_ms(20'000 + n));
     }
 }
 
--- a/src/routing/server_state.hpp
+++ b/src/routing/server_state.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "base/importance.hpp"
 #include "base/incarnation.hpp"
 #include "base/time.hpp"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 
@@ -11,8 +13,8 @@
 /// What a router has seen of one backend server itself.
 struct server_state {
     base::incarnation incarnation;
-    /// Calls sent and not ended.
-    std::int64_t outstanding = 0;
+    /// Calls sent and not ended, by importance.
+    std::array<std::int64_t, base::importance_levels> outstanding{};
     int failures_in_row = 0;
     int unreachable_in_row = 0;
     /// Attempts of late and the failed ones among them; both fade by 10% an attempt.
