Propagation: settings and freshness from control replicas through relays to nodes

Cause: a change must be in force on all nodes within 4 s and never revert, and a node must know how stale its settings may be without synchronised clocks.

Change: propagation_source answers a poll only after its replica confirmed a read that began after the poll arrived; propagation_node polls, falls over, fetches differences or full copies in chunks and bounds its staleness by its own send time plus the reported age, with drift 1 in 1,000; propagation_relay is a node that serves others, pushes changes and reports. report_table gives newest, oldest and the time of the latest change per failure domain. Poll ids start at random, since an answer to a poll of an earlier run would otherwise make a restarted node believe that it is fresh.

--- /dev/null
+++ b/src/propagation/clock_bound.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "base/time.hpp"
+
+namespace damaskladder::propagation {
+
+/// Most real time that can have passed while a local clock, whose rate is off by at most 1 in
+/// 1,000, counted the given time.
+constexpr base::duration longest_real_time(base::duration counted)
+{
+    constexpr base::duration::rep slowest_rate = 999;
+    return base::duration(counted.count() + counted.count() / slowest_rate + 1);
+}
+
+} // namespace damaskladder::propagation
--- /dev/null
+++ b/src/propagation/copy_transfer.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "base/time.hpp"
+#include "propagation/copy_chunk.hpp"
+#include "propagation/copy_offer.hpp"
+#include "propagation/peer.hpp"
+#include "propagation/propagation_options.hpp"
+#include "propagation/settings_copy.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace damaskladder::propagation {
+
+/// Fetches one full copy, a few chunks at a time, and asks again for lost ones.
+class copy_transfer {
+public:
+    copy_transfer(peer source, copy_offer offer, const propagation_options& options,
+                  base::time_point now);
+
+    const peer& source() const { return m_source; }
+    base::settings_version version() const { return m_offer.version; }
+
+    /// Chunks to ask for now.
+    std::vector<std::uint32_t> due(base::time_point now);
+    /// Chunks of other versions, unknown or oversized ones are ignored.
+    void add(const copy_chunk& chunk, base::time_point now);
+    bool stuck(base::time_point now) const;
+    /// The copy, once it is complete.
+    std::optional<settings_copy> complete() const;
+
+private:
+    peer m_source;
+    copy_offer m_offer;
+    std::size_t m_chunk_bytes;
+    std::size_t m_under_way;
+    base::duration m_chunk_timeout;
+    base::duration m_copy_timeout;
+    base::time_point m_progress;
+    std::map<std::uint32_t, settings_bytes> m_chunks;
+    std::map<std::uint32_t, base::time_point> m_asked;
+};
+
+} // namespace damaskladder::propagation
--- /dev/null
+++ b/src/propagation/freshness_keeper.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "base/settings_version.hpp"
+#include "base/time.hpp"
+#include "propagation/freshness_stamp.hpp"
+
+#include <deque>
+#include <optional>
+
+namespace damaskladder::propagation {
+
+/// Keeps the best stamp that the version in force lives up to. A stamp for a later version counts
+/// only once that version is in force; the few newest of these are kept.
+class freshness_keeper {
+public:
+    void add(const freshness_stamp& stamp, base::settings_version in_force);
+    void came_into_force(base::settings_version in_force);
+
+    /// The best stamp; none before the first answer.
+    const std::optional<freshness_stamp>& best() const { return m_best; }
+
+private:
+    void take(const freshness_stamp& stamp);
+
+    std::optional<freshness_stamp> m_best;
+    std::deque<freshness_stamp> m_waiting;
+};
+
+} // namespace damaskladder::propagation
--- /dev/null
+++ b/src/propagation/message.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "propagation/chunk_request.hpp"
+#include "propagation/copy_chunk.hpp"
+#include "propagation/poll.hpp"
+#include "propagation/report.hpp"
+#include "propagation/update.hpp"
+
+#include <variant>
+
+namespace damaskladder::propagation {
+
+/// Everything that is said about the propagation of settings.
+using message = std::variant<poll, update, chunk_request, copy_chunk, report>;
+
+} // namespace damaskladder::propagation
--- /dev/null
+++ b/src/propagation/message_check.cpp
@@ -0,0 +1,69 @@
+#include "propagation/message_check.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+
+namespace damaskladder::propagation {
+
+namespace {
+
+constexpr std::size_t most_text = 128;
+/// Far above any useful age; keeps sums of ages from overflowing.
+constexpr base::duration most_age = std::chrono::hours(24 * 365);
+
+bool named(const std::string& text)
+{
+    return !text.empty() && text.size() <= most_text;
+}
+
+struct checker {
+    const propagation_options& options;
+
+    bool operator()(const poll& body) const
+    {
+        return named(body.reply_to.value()) && named(body.domain.value());
+    }
+    bool operator()(const update& body) const
+    {
+        if (body.fresh.has_value() &&
+            (body.fresh->age < base::duration::zero() || body.fresh->age > most_age)) {
+            return false;
+        }
+        if (body.copy.has_value() && body.copy->chunks > options.chunks_per_copy) {
+            return false;
+        }
+        std::size_t bytes = 0;
+        for (const settings_difference& difference : body.differences) {
+            bytes += difference.bytes.value().size();
+            if (difference.to <= difference.from) {
+                return false;
+            }
+        }
+        // A single difference may be larger than an update usually is.
+        return body.differences.size() <= options.differences_kept &&
+               (body.differences.size() <= 1 || bytes <= options.bytes_of_differences_per_update) &&
+               bytes <= options.bytes_of_differences_kept;
+    }
+    bool operator()(const chunk_request& body) const { return named(body.reply_to.value()); }
+    bool operator()(const copy_chunk& body) const
+    {
+        return body.chunk < options.chunks_per_copy &&
+               body.bytes.value().size() <= options.chunk_bytes;
+    }
+    bool operator()(const report& body) const
+    {
+        return body.domains.size() <= options.domains &&
+               std::all_of(body.domains.begin(), body.domains.end(),
+                           [](const domain_report& part) { return named(part.domain.value()); });
+    }
+};
+
+} // namespace
+
+bool acceptable(const message& body, const propagation_options& options)
+{
+    return std::visit(checker{options}, body);
+}
+
+} // namespace damaskladder::propagation
--- /dev/null
+++ b/src/propagation/message_check.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "propagation/message.hpp"
+#include "propagation/propagation_options.hpp"
+
+namespace damaskladder::propagation {
+
+/// True if every list, text and number of the message is within the bounds of the options.
+bool acceptable(const message& body, const propagation_options& options);
+
+} // namespace damaskladder::propagation
--- /dev/null
+++ b/src/propagation/peer.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "base/message_address.hpp"
+#include "base/node_id.hpp"
+
+namespace damaskladder::propagation {
+
+/// A process that settings are asked from or sent to.
+struct peer {
+    base::node_id node;
+    base::message_address address;
+
+    friend bool operator==(const peer&, const peer&) = default;
+};
+
+} // namespace damaskladder::propagation
--- /dev/null
+++ b/src/propagation/propagation_relay.cpp
@@ -0,0 +1,101 @@
+#include "propagation/propagation_relay.hpp"
+
+#include "propagation/message_check.hpp"
+
+#include <utility>
+
+namespace damaskladder::propagation {
+
+propagation_relay::propagation_relay(const propagation_options& options,
+                                     const settings_hooks& hooks, base::random_source random)
+    : m_options(options),
+      m_node(options, hooks, std::move(random)),
+      m_server(options, hooks.copy),
+      m_reports(options)
+{
+    m_node.on_change([this](const std::optional<settings_difference>& difference) {
+        m_server.changed(m_node.version(), difference);
+    });
+}
+
+effects propagation_relay::tick(base::time_point now)
+{
+    add(m_node.tick(now));
+    if (m_node.version() != m_reported_latest) {
+        m_reported_latest = m_node.version();
+        m_reports.latest_is(m_reported_latest, now);
+    }
+    const bool completed = m_reports.refresh(now);
+    const std::vector<domain_report> domains = m_reports.reports();
+    const std::optional<peer> upstream = m_node.upstream();
+    if ((completed || now >= m_next_report) && !domains.empty() && upstream.has_value()) {
+        m_next_report = now + m_options.report_interval;
+        m_effects.sends.push_back({*upstream, report{domains}});
+    }
+    return finish(now);
+}
+
+effects propagation_relay::receive(const base::node_id& from, const message& body,
+                                   base::time_point now)
+{
+    if (!acceptable(body, m_options)) {
+        ++m_refused;
+        return finish(now);
+    }
+    std::visit([&](const auto& content) { handle(from, content, now); }, body);
+    return finish(now);
+}
+
+void propagation_relay::handle(const base::node_id& from, const poll& body, base::time_point now)
+{
+    m_reports.add(from, body, now);
+    std::optional<freshness> fresh;
+    const std::optional<freshness_stamp>& stamp = m_node.stamp();
+    if (stamp.has_value()) {
+        fresh = freshness{stamp->version, stamp->bound(now)};
+    }
+    m_effects.sends.push_back(m_server.answer(from, body, fresh, now));
+}
+
+void propagation_relay::handle(const base::node_id& from, const update& body, base::time_point now)
+{
+    add(m_node.receive(from, body, now));
+}
+
+void propagation_relay::handle(const base::node_id& from, const chunk_request& body,
+                               base::time_point /*now*/)
+{
+    std::optional<send> chunk = m_server.answer(from, body);
+    if (chunk.has_value()) {
+        m_effects.sends.push_back(std::move(*chunk));
+    }
+}
+
+void propagation_relay::handle(const base::node_id& from, const copy_chunk& body,
+                               base::time_point now)
+{
+    add(m_node.receive(from, body, now));
+}
+
+void propagation_relay::handle(const base::node_id& from, const report& body, base::time_point now)
+{
+    m_reports.add(from, body, now);
+}
+
+void propagation_relay::add(effects part)
+{
+    for (send& item : part.sends) {
+        m_effects.sends.push_back(std::move(item));
+    }
+    m_effects.version_changed = m_effects.version_changed || part.version_changed;
+}
+
+effects propagation_relay::finish(base::time_point now)
+{
+    for (send& push : m_server.take_pushes(now)) {
+        m_effects.sends.push_back(std::move(push));
+    }
+    return std::exchange(m_effects, {});
+}
+
+} // namespace damaskladder::propagation
--- /dev/null
+++ b/src/propagation/propagation_relay.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "propagation/effects.hpp"
+#include "propagation/message.hpp"
+#include "propagation/propagation_node.hpp"
+#include "propagation/report_table.hpp"
+#include "propagation/update_server.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace damaskladder::propagation {
+
+/// A node that also serves others. Every node may be one: it serves whoever polls it, and a node
+/// that nobody polls costs nothing more. Must stay where it was made, because it listens to its own
+/// node.
+class propagation_relay {
+public:
+    propagation_relay(const propagation_options& options, const settings_hooks& hooks,
+                      base::random_source random);
+    ~propagation_relay() = default;
+    propagation_relay(const propagation_relay&) = delete;
+    propagation_relay& operator=(const propagation_relay&) = delete;
+
+    /// The own polling side.
+    propagation_node& node() { return m_node; }
+    const propagation_node& node() const { return m_node; }
+
+    effects tick(base::time_point now);
+    /// Messages beyond the limits are dropped and counted.
+    effects receive(const base::node_id& from, const message& body, base::time_point now);
+
+    std::vector<domain_report> reports() const { return m_reports.reports(); }
+    std::uint64_t refused_messages() const { return m_refused; }
+
+private:
+    void handle(const base::node_id& from, const poll& body, base::time_point now);
+    void handle(const base::node_id& from, const update& body, base::time_point now);
+    void handle(const base::node_id& from, const chunk_request& body, base::time_point now);
+    void handle(const base::node_id& from, const copy_chunk& body, base::time_point now);
+    void handle(const base::node_id& from, const report& body, base::time_point now);
+    void add(effects part);
+    effects finish(base::time_point now);
+
+    propagation_options m_options;
+    propagation_node m_node;
+    update_server m_server;
+    report_table m_reports;
+    base::settings_version m_reported_latest;
+    base::time_point m_next_report{};
+    effects m_effects;
+    std::uint64_t m_refused = 0;
+};
+
+} // namespace damaskladder::propagation
--- /dev/null
+++ b/src/propagation/propagation_source.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "propagation/effects.hpp"
+#include "propagation/message.hpp"
+#include "propagation/report_table.hpp"
+#include "propagation/update_server.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace damaskladder::propagation {
+
+/// Serves settings at a control replica. A poll is answered only after the replica confirmed a read
+/// that began after the poll arrived, so a replica that is cut off answers nobody. Polls that
+/// arrive during a confirmation share the next one.
+class propagation_source {
+public:
+    /// The copy hook returns the settings that the replica has applied.
+    propagation_source(const propagation_options& options, std::function<settings_copy()> copy);
+
+    /// The replica applied a change; without a difference it restored a snapshot or has started.
+    effects changed(base::settings_version version,
+                    const std::optional<settings_difference>& difference, base::time_point now);
+
+    /// The replica confirmed with its quorum, after the request, that it knew every accepted
+    /// change, and has applied them and reported them through changed().
+    effects read_confirmed(read_id id, base::time_point now);
+    /// The replica could not confirm; the pollers are not answered.
+    effects read_refused(read_id id, base::time_point now);
+
+    /// Call each 100 ms or more often.
+    effects tick(base::time_point now);
+    /// Messages beyond the limits are dropped and counted.
+    effects receive(const base::node_id& from, const message& body, base::time_point now);
+
+    /// Per failure domain, for `status`; as of the last tick.
+    std::vector<domain_status> statuses() const { return m_reports.statuses(); }
+    std::uint64_t refused_messages() const { return m_refused; }
+
+private:
+    using waiting_polls = std::map<base::node_id, poll>;
+
+    void begin_read(base::time_point now, effects& result);
+
+    propagation_options m_options;
+    update_server m_server;
+    report_table m_reports;
+    base::settings_version m_version;
+    read_id m_last_read;
+    base::time_point m_read_began{};
+    /// Polls that the read under way will answer; empty if none is under way.
+    waiting_polls m_reading;
+    waiting_polls m_waiting;
+    std::uint64_t m_refused = 0;
+};
+
+} // namespace damaskladder::propagation
--- /dev/null
+++ b/src/propagation/read_id.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/strong_id.hpp"
+
+#include <cstdint>
+
+namespace damaskladder::propagation {
+
+/// Names a read confirmation that a source asks its replica for.
+using read_id = base::strong_id<struct read_id_tag, std::uint64_t>;
+
+} // namespace damaskladder::propagation
--- /dev/null
+++ b/src/propagation/report_table.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "base/failure_domain_id.hpp"
+#include "base/node_id.hpp"
+#include "base/settings_version.hpp"
+#include "base/time.hpp"
+#include "propagation/domain_report.hpp"
+#include "propagation/domain_status.hpp"
+#include "propagation/poll.hpp"
+#include "propagation/propagation_options.hpp"
+#include "propagation/report.hpp"
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+namespace damaskladder::propagation {
+
+/// Versions in force as pollers and the reports of relays tell them. Whoever was silent for the
+/// report window is left out. Bounded by pollers, reporters and domains of the options.
+class report_table {
+public:
+    explicit report_table(const propagation_options& options);
+
+    void add(const base::node_id& from, const poll& body, base::time_point now);
+    void add(const base::node_id& from, const report& body, base::time_point now);
+    /// A newer version exists from now on.
+    void latest_is(base::settings_version version, base::time_point now);
+
+    /// Drops what is old and notes which failure domains have the latest version. Returns true if
+    /// one has it since the last call, so that this can be reported at once.
+    bool refresh(base::time_point now);
+
+    /// One entry per failure domain, as of the last refresh.
+    std::vector<domain_report> reports() const;
+    std::vector<domain_status> statuses() const;
+
+private:
+    struct seen_poll {
+        base::failure_domain_id domain;
+        base::settings_version version;
+        base::time_point at;
+    };
+    struct seen_report {
+        report body;
+        base::time_point at;
+    };
+
+    void merge(const domain_report& part);
+
+    base::duration m_window;
+    std::size_t m_most_pollers;
+    std::size_t m_most_reporters;
+    std::size_t m_most_domains;
+    std::map<base::node_id, seen_poll> m_polls;
+    std::map<base::node_id, seen_report> m_reports;
+    std::map<base::failure_domain_id, domain_report> m_merged;
+    base::settings_version m_latest;
+    base::time_point m_latest_since{};
+    std::map<base::failure_domain_id, base::duration> m_took;
+};
+
+} // namespace damaskladder::propagation
--- /dev/null
+++ b/src/propagation/send.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "propagation/message.hpp"
+#include "propagation/peer.hpp"
+
+namespace damaskladder::propagation {
+
+/// Effect: send a message. It may be lost, doubled or reordered.
+struct send {
+    peer to;
+    message body;
+
+    friend bool operator==(const send&, const send&) = default;
+};
+
+} // namespace damaskladder::propagation
--- /dev/null
+++ b/src/propagation/settings_difference.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "base/settings_version.hpp"
+#include "propagation/settings_bytes.hpp"
+
+namespace damaskladder::propagation {
+
+/// What leads from one version of the settings to a later one.
+struct settings_difference {
+    base::settings_version from;
+    base::settings_version to;
+    settings_bytes bytes;
+
+    friend bool operator==(const settings_difference&, const settings_difference&) = default;
+};
+
+} // namespace damaskladder::propagation
--- /dev/null
+++ b/src/propagation/update_server.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "base/node_id.hpp"
+#include "base/settings_version.hpp"
+#include "base/time.hpp"
+#include "propagation/chunk_request.hpp"
+#include "propagation/difference_log.hpp"
+#include "propagation/freshness.hpp"
+#include "propagation/poll.hpp"
+#include "propagation/propagation_options.hpp"
+#include "propagation/send.hpp"
+#include "propagation/settings_copy.hpp"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace damaskladder::propagation {
+
+/// The serving side of a source or relay: answers polls with differences or an offer of a full
+/// copy, hands out chunks, and sends changes to those who polled lately.
+class update_server {
+public:
+    update_server(const propagation_options& options, std::function<settings_copy()> copy);
+
+    /// A version came into force, by the difference or, without one, by a full copy.
+    void changed(base::settings_version version,
+                 const std::optional<settings_difference>& difference);
+
+    /// Answers a poll and remembers who sent it.
+    send answer(const base::node_id& from, const poll& body, const std::optional<freshness>& fresh,
+                base::time_point now);
+    /// None if the copy is no longer held; the asker polls again.
+    std::optional<send> answer(const base::node_id& from, const chunk_request& body) const;
+
+    /// The changes since the last call, for those who polled lately.
+    std::vector<send> take_pushes(base::time_point now);
+
+private:
+    struct poller {
+        base::message_address address;
+        base::settings_version version;
+        base::time_point at;
+    };
+    struct prepared_copy {
+        settings_copy copy;
+        base::time_point made;
+    };
+
+    std::optional<copy_offer> offer_copy(base::time_point now);
+    std::uint32_t chunks_of(const settings_copy& copy) const;
+    bool leads_on(base::settings_version version) const;
+
+    propagation_options m_options;
+    std::function<settings_copy()> m_copy;
+    base::settings_version m_version;
+    difference_log m_log;
+    std::map<base::node_id, poller> m_pollers;
+    std::deque<prepared_copy> m_prepared;
+    bool m_push_due = false;
+};
+
+} // namespace damaskladder::propagation
