Daemon: settings and freshness through relays

Cause: each node polled a control replica, which cannot carry 4,100 nodes, and each change went out as a whole tree. Change: settings_feed joins the propagation library: relays ask the control replicas, other nodes their relays; changes go out as differences. Claims are passed on by a replica that does not lead, since nodes no longer know the leader. View tables are built once for each settings version.

--- a/src/daemon/claims_host.cpp
+++ b/src/daemon/claims_host.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr base::duration tick_interval = std::chrono::milliseconds(10);
+// A replica that has not answered for so long is replaced by the next one. Shorter than the first
+// resend of claim_client, so that the resend goes elsewhere.
+constexpr base::duration replica_patience = std::chrono::milliseconds(80);
 
 claims::content_hash to_claims(const base::content_hash& from)
 {
@@ -107,12 +110,23 @@
       m_hooks(std::move(calls)),
       m_client(claims::claim_options{}, secure_random())
 {
+    for (const auto& [name, address] : settings.replicas) {
+        m_replicas.push_back(name);
+    }
     m_messages.on_message<wire::claim_command>(
-        wire::message_kind::claim_commands,
-        [this](const auto& sender, const auto& command) { receive(sender, command); });
-    m_messages.on_message<wire::claim_answer>(
-        wire::message_kind::claim_answers,
-        [this](const auto&, const auto& answer) { receive(answer); });
+        wire::message_kind::claim_commands, [this](const auto& sender, const auto& command) {
+            // Only the gatekeeper itself or a replica may speak for an origin.
+            const bool passed_on = m_settings.replicas.contains(sender);
+            if (passed_on || command.origin == sender) {
+                receive(command, passed_on);
+            }
+        });
+    m_messages.on_message<wire::claim_answer>(wire::message_kind::claim_answers,
+                                              [this](const auto& sender, const auto& answer) {
+                                                  if (m_settings.replicas.contains(sender)) {
+                                                      receive(answer);
+                                                  }
+                                              });
 }
 
 void claims_host::tick()
@@ -173,23 +187,39 @@
 
 void claims_host::submit(const submission& wanted)
 {
-    const auto leader = m_hooks.leader();
-    if (!leader) {
+    if (m_replicas.empty()) {
         return;
     }
-    const wire::claim_command command{base::message_address(to_string(m_settings.messages)),
-                                      wanted};
-    if (*leader == m_settings.name) {
-        m_loop.post([this, command] { receive(m_settings.name, command); });
+    choose_replica(http::event_loop::now());
+    send(m_replicas[m_target],
+         {m_settings.name, base::message_address(to_string(m_settings.messages)), wanted});
+}
+
+void claims_host::choose_replica(base::time_point now)
+{
+    if (!m_unanswered_since) {
+        m_unanswered_since = now;
+    }
+    else if (now - *m_unanswered_since > replica_patience) {
+        m_target = (m_target + 1) % m_replicas.size();
+        m_unanswered_since = now;
+    }
+}
+
+void claims_host::send(const base::node_id& replica, const wire::claim_command& command)
+{
+    if (replica == m_settings.name) {
+        m_loop.post([this, command] { receive(command, false); });
         return;
     }
-    m_messages.send(*leader, to_string(m_settings.replicas.at(*leader)),
+    m_messages.send(replica, to_string(m_settings.replicas.at(replica)),
                     wire::message_kind::claim_commands, command);
 }
 
 void claims_host::receive(const wire::claim_answer& answer)
 {
     const auto now = http::event_loop::now();
+    m_unanswered_since.reset();
     if (const auto* reply = std::get_if<claims::claim_reply>(&answer)) {
         perform(m_client.on_reply(*reply, now));
     }
@@ -198,32 +228,42 @@
     }
 }
 
-void claims_host::receive(const base::node_id& sender, const wire::claim_command& command)
+void claims_host::receive(const wire::claim_command& command, bool passed_on)
 {
-    if (m_replica == nullptr || !m_replica->leads()) {
+    if (m_replica == nullptr) {
+        return;
+    }
+    if (!m_replica->leads()) {
+        const auto leader = m_replica->replica().status().known_leader;
+        // Passed on once at most, so that two replicas with old knowledge do not send it in
+        // circles.
+        if (leader && !passed_on && m_settings.replicas.contains(base::node_id(leader->value()))) {
+            send(base::node_id(leader->value()), command);
+        }
         return;
     }
     std::visit(
         [&](const auto& wanted) {
-            m_replica->submit(to_command(wanted), [this, sender, from = command.from,
-                                                   wanted](const auto& result) {
+            m_replica->submit(to_command(wanted), [this, command, wanted](const auto& result) {
                 const auto* reply = std::get_if<control::reply>(&result);
                 const auto* verdict =
                     reply == nullptr ? nullptr : std::get_if<control::claim_reply>(reply);
-                const auto answer = verdict == nullptr ? std::nullopt : answer_to(wanted, *verdict);
-                if (!answer) {
-                    return;
-                }
-                if (sender == m_settings.name) {
-                    receive(*answer);
-                }
-                else {
-                    m_messages.send(sender, from.value(), wire::message_kind::claim_answers,
-                                    *answer);
+                const auto text = verdict == nullptr ? std::nullopt : answer_to(wanted, *verdict);
+                if (text) {
+                    answer(command, *text);
                 }
             });
         },
         command.submission);
 }
 
+void claims_host::answer(const wire::claim_command& command, const wire::claim_answer& text)
+{
+    if (command.origin == m_settings.name) {
+        receive(text);
+        return;
+    }
+    m_messages.send(command.origin, command.from.value(), wire::message_kind::claim_answers, text);
+}
+
 } // namespace damaskladder::daemon
--- a/src/daemon/claims_host.hpp
+++ b/src/daemon/claims_host.hpp
@@ -14,6 +14,7 @@
 
 #include <functional>
 #include <optional>
+#include <vector>
 
 namespace damaskladder::daemon {
 
@@ -24,8 +25,6 @@
     struct hooks {
         /// Gives an event to the traffic decisions. Null where this process runs no node.
         std::function<void(const node::event&)> deliver;
-        /// The control replica that leads, as far as this process knows.
-        std::function<std::optional<base::node_id>()> leader;
     };
 
     /// replica is null where this process runs none.
@@ -45,7 +44,10 @@
     void report(const claims::claim_outcome& outcome);
     void submit(const submission& wanted);
     void receive(const wire::claim_answer& answer);
-    void receive(const base::node_id& sender, const wire::claim_command& command);
+    void receive(const wire::claim_command& command, bool passed_on);
+    void send(const base::node_id& replica, const wire::claim_command& command);
+    void answer(const wire::claim_command& command, const wire::claim_answer& text);
+    void choose_replica(base::time_point now);
 
     http::event_loop& m_loop;
     messenger& m_messages;
@@ -54,6 +56,11 @@
     hooks m_hooks;
     claims::claim_client m_client;
     claims::abandoned_attempts m_abandoned;
+    std::vector<base::node_id> m_replicas;
+    /// Position in m_replicas of the one that gets submissions.
+    std::size_t m_target = 0;
+    /// Time of the oldest submission since the last answer.
+    std::optional<base::time_point> m_unanswered_since;
 };
 
 } // namespace damaskladder::daemon
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -38,7 +38,12 @@
                                                             wire::message_kind::consensus, message);
                                         }
                                     },
-                                .settings_changed = [](base::settings_version) {}});
+                                .settings_changed =
+                                    [this](base::settings_version version) {
+                                        if (m_feed) {
+                                            m_feed->replica_changed(version);
+                                        }
+                                    }});
         m_messages.on_message<consensus::envelope>(
             wire::message_kind::consensus,
             [this](const base::node_id& sender, const consensus::envelope& message) {
@@ -59,25 +64,23 @@
                     if (m_node) {
                         m_node->confirm_settings(when);
                     }
-                }});
+                },
+            .relays = [this] { return m_node->upstream_relays(); }});
     m_claims = std::make_unique<claims_host>(
         m_loop, m_messages, m_settings, m_replica.get(),
-        claims_host::hooks{.deliver =
-                               [this](const node::event& event) {
-                                   m_traffic->post([event](traffic_front& front, traffic_quota&) {
-                                       front.deliver(event);
-                                   });
-                               },
-                           .leader = [this] { return m_feed->leader(); }});
+        claims_host::hooks{.deliver = [this](const node::event& event) {
+            m_traffic->post(
+                [event](traffic_front& front, traffic_quota&) { front.deliver(event); });
+        }});
     if (m_settings.node) {
         start_node_parts();
         BOOST_LEAF_CHECK(m_traffic->start(m_node->view()));
         m_traffic_stopped = false;
         m_node->start();
         m_quota->start();
-        m_feed->start();
         m_claims->start();
     }
+    m_feed->start();
     return {};
 }
 
--- a/src/daemon/node_host.cpp
+++ b/src/daemon/node_host.cpp
@@ -59,7 +59,8 @@
       m_hooks(std::move(calls)),
       m_announcements(announcement_options_of(*settings.node)),
       m_membership(identity_of(settings, incarnation), options_of(settings), secure_random()),
-      m_compiled(settings::compiled_settings::compile({}))
+      m_compiled(settings::compiled_settings::compile({})),
+      m_tables(make_tables(m_compiled))
 {
     m_messages.on_message<membership::message>(
         wire::message_kind::membership,
@@ -105,6 +106,7 @@
 void node_host::set_settings(std::shared_ptr<const settings::compiled_settings> settings)
 {
     m_compiled = std::move(settings);
+    m_tables = make_tables(m_compiled);
     log(log_level::info, "settings_in_force",
         {{"version", std::to_string(m_compiled->version().value())}});
     publish();
@@ -137,6 +139,17 @@
     return verdict;
 }
 
+std::vector<propagation::peer> node_host::upstream_relays() const
+{
+    std::vector<propagation::peer> peers;
+    if (!m_membership.is_relay()) {
+        for (const auto& relay : m_membership.relays()) {
+            peers.push_back({relay.node, relay.address});
+        }
+    }
+    return peers;
+}
+
 void node_host::leave()
 {
     m_announcements.drain_all();
@@ -149,7 +162,7 @@
     view_sources from;
     from.self = m_settings.name;
     from.domain = m_settings.domain;
-    from.settings = m_compiled;
+    from.settings = m_tables;
     from.settings_confirmed_at = m_confirmed_at;
     from.services = m_membership.view();
     from.local = m_announcements.backends();
--- a/src/daemon/node_host.hpp
+++ b/src/daemon/node_host.hpp
@@ -4,12 +4,15 @@
 #include "daemon/messenger.hpp"
 #include "daemon/process_settings.hpp"
 #include "daemon/traffic_view.hpp"
+#include "daemon/view_builder.hpp"
 #include "membership/announcement_lease.hpp"
 #include "membership/membership_node.hpp"
+#include "propagation/peer.hpp"
 #include "settings/compiled_settings.hpp"
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace damaskladder::daemon {
 
@@ -39,6 +42,9 @@
     /// View from what is known now.
     std::shared_ptr<const traffic_view> view() const;
 
+    /// The relays that this node asks for settings; empty if it is one itself or knows none.
+    std::vector<propagation::peer> upstream_relays() const;
+
     const membership::membership_node& members() const { return m_membership; }
     std::shared_ptr<const settings::compiled_settings> settings() const { return m_compiled; }
 
@@ -54,6 +60,7 @@
     membership::announcement_lease m_announcements;
     membership::membership_node m_membership;
     std::shared_ptr<const settings::compiled_settings> m_compiled;
+    std::shared_ptr<const settings_tables> m_tables;
     base::time_point m_confirmed_at;
     bool m_view_stale = true;
 };
--- a/src/daemon/settings_feed.cpp
+++ b/src/daemon/settings_feed.cpp
@@ -1,16 +1,26 @@
 #include "daemon/settings_feed.hpp"
 
 #include "daemon/log.hpp"
+#include "daemon/secure_random.hpp"
 #include "settings/ini_reader.hpp"
+#include "settings/ini_writer.hpp"
 
 namespace damaskladder::daemon {
 
 namespace {
 
-// Short enough that a withdrawn key stops within 2 s.
-constexpr base::duration poll_interval = std::chrono::milliseconds(250);
-// A replica that has not confirmed anything for so long is not the leader.
-constexpr base::duration replica_patience = std::chrono::milliseconds(600);
+constexpr base::duration tick_interval = std::chrono::milliseconds(50);
+// A view is published when freshness has moved by this much; shorter steps cost processor time and
+// longer ones bring a slow node nearer to max_staleness.
+constexpr base::duration confirm_step = std::chrono::milliseconds(200);
+
+propagation::propagation_options make_options(const process_settings& settings)
+{
+    propagation::propagation_options options;
+    options.self = {settings.name, base::message_address(to_string(settings.messages))};
+    options.domain = settings.domain;
+    return options;
+}
 
 } // namespace
 
@@ -20,103 +30,184 @@
       m_messages(messages),
       m_settings(settings),
       m_replica(replica),
-      m_hooks(std::move(calls))
+      m_hooks(std::move(calls)),
+      m_own_source(settings.name.value() + "/control"),
+      m_relay(make_options(settings), make_settings_hooks(), secure_random())
+{
+    if (m_replica != nullptr) {
+        m_source.emplace(make_options(settings), [this] { return copy_of_replica(); });
+    }
+    m_messages.on_message<propagation::message>(
+        wire::message_kind::propagation,
+        [this](const auto& sender, const auto& body) { receive(sender, body); });
+}
+
+void settings_feed::start()
 {
-    for (const auto& [name, address] : settings.replicas) {
-        m_replicas.push_back(name);
+    if (m_replica != nullptr) {
+        replica_changed(m_replica->replica().state().tree().version());
     }
-    m_messages.on_message<wire::settings_poll>(
-        wire::message_kind::settings_polls,
-        [this](const auto& sender, const auto& poll) { receive(sender, poll); });
-    m_messages.on_message<wire::settings_answer>(
-        wire::message_kind::settings_answers,
-        [this](const auto&, const auto& answer) { receive(answer); });
+    tick();
 }
 
 void settings_feed::tick()
 {
     const auto now = http::event_loop::now();
-    if (now - m_confirmed_at > replica_patience && !m_replicas.empty()) {
-        m_polled = (m_polled + 1) % m_replicas.size();
+    if (m_settings.node) {
+        follow_upstreams();
+        perform_relay(m_relay.tick(now));
+        confirm();
     }
-    if (!m_replicas.empty()) {
-        const auto& replica = m_replicas[m_polled];
-        const wire::settings_poll poll{m_version,
-                                       base::message_address(to_string(m_settings.messages)), now};
-        if (replica == m_settings.name) {
-            receive(m_settings.name, poll);
-        }
-        else {
-            m_messages.send(replica, to_string(m_settings.replicas.at(replica)),
-                            wire::message_kind::settings_polls, poll);
-        }
+    if (m_source) {
+        perform_source(m_source->tick(now));
     }
-    m_loop.call_at(now + poll_interval, [this] { tick(); });
+    m_loop.call_at(now + tick_interval, [this] { tick(); });
 }
 
-std::optional<base::node_id> settings_feed::leader() const
+void settings_feed::follow_upstreams()
 {
-    return m_replicas.empty() ? std::nullopt : std::optional(m_replicas[m_polled]);
+    auto upstreams = m_hooks.relays();
+    if (upstreams.empty()) {
+        for (const auto& [name, address] : m_settings.replicas) {
+            upstreams.push_back({name == m_settings.name ? m_own_source : name,
+                                 base::message_address(to_string(address))});
+        }
+    }
+    m_relay.node().set_upstreams(std::move(upstreams));
 }
 
-void settings_feed::receive(const base::node_id& sender, const wire::settings_poll& poll)
+void settings_feed::confirm()
 {
-    if (m_replica == nullptr || !m_replica->leads()) {
-        return;
+    const auto now = http::event_loop::now();
+    const auto staleness = m_relay.node().staleness(now);
+    if (staleness && now - *staleness >= m_confirmed_at + confirm_step) {
+        m_confirmed_at = now - *staleness;
+        m_hooks.confirmed(m_confirmed_at);
     }
-    m_replica->query([this, sender, poll](const control::submission_refused* refused) {
-        if (refused == nullptr) {
-            answer(sender, poll.from, poll);
-        }
-    });
 }
 
-void settings_feed::answer(const base::node_id& to, const base::message_address& address,
-                           const wire::settings_poll& poll)
+void settings_feed::receive(const base::node_id& sender, const propagation::message& body)
 {
-    const auto& state = m_replica->replica().state();
-    wire::settings_answer reply{poll.sent_at, state.tree().version(), std::nullopt};
-    if (reply.version != poll.have) {
-        reply.tree = state.export_ini(settings::setting_path());
-    }
-    if (to == m_settings.name) {
-        receive(reply);
+    const auto now = http::event_loop::now();
+    const bool is_answer = std::holds_alternative<propagation::update>(body) ||
+                           std::holds_alternative<propagation::copy_chunk>(body);
+    const bool is_chunk_request = std::holds_alternative<propagation::chunk_request>(body);
+    // Polls and reports go to the source at the leader; a replica that does not lead serves them
+    // as a relay. A copy may have been offered in either role.
+    if (m_source && !is_answer && (leads() || is_chunk_request)) {
+        perform_source(m_source->receive(sender, body, now));
     }
-    else {
-        m_messages.send(to, address.value(), wire::message_kind::settings_answers, reply);
+    if (is_answer || is_chunk_request || !leads()) {
+        perform_relay(m_relay.receive(sender, body, now));
     }
 }
 
-void settings_feed::receive(const wire::settings_answer& answer)
+void settings_feed::perform(const propagation::effects& effects, const base::node_id& sender)
 {
-    if (answer.version < m_version) {
-        return;
+    for (const auto& send : effects.sends) {
+        if (send.to.node == m_own_source) {
+            m_loop.post([this, body = send.body] {
+                perform_source(m_source->receive(m_settings.name, body, http::event_loop::now()));
+            });
+        }
+        else if (send.to.node == m_settings.name) {
+            m_loop.post([this, sender, body = send.body] { receive(sender, body); });
+        }
+        else {
+            m_messages.send(send.to.node, send.to.address.value(), wire::message_kind::propagation,
+                            send.body);
+        }
     }
-    if (answer.version > m_version) {
-        take_tree(answer);
+    if (effects.confirm) {
+        confirm_read(*effects.confirm);
     }
-    // A poll cannot have been sent after now; a later time would be a forged or damaged one.
-    if (answer.version == m_version && answer.poll_sent_at <= http::event_loop::now() &&
-        answer.poll_sent_at > m_confirmed_at) {
-        m_confirmed_at = answer.poll_sent_at;
-        m_hooks.confirmed(m_confirmed_at);
+    if (effects.version_changed) {
+        confirm();
     }
 }
 
-void settings_feed::take_tree(const wire::settings_answer& answer)
+void settings_feed::confirm_read(propagation::read_id id)
 {
-    if (!answer.tree) {
+    m_replica->query([this, id](const control::submission_refused* refused) {
+        const auto now = http::event_loop::now();
+        perform_source(refused == nullptr ? m_source->read_confirmed(id, now)
+                                          : m_source->read_refused(id, now));
+    });
+}
+
+void settings_feed::replica_changed(base::settings_version version)
+{
+    if (!m_source) {
         return;
     }
-    auto document = settings::read_ini(*answer.tree, "settings");
+    const auto from = m_replica_version;
+    m_replica_version = version;
+    std::optional<propagation::settings_difference> difference;
+    const auto found =
+        m_replica->replica().state().difference(from, version, settings::setting_path());
+    if (found.complete && from != base::settings_version()) {
+        difference = {from, version, propagation::settings_bytes(wire::encode(found.diff))};
+    }
+    perform_source(m_source->changed(version, difference, http::event_loop::now()));
+}
+
+std::vector<propagation::domain_status> settings_feed::statuses() const
+{
+    return m_source ? m_source->statuses() : std::vector<propagation::domain_status>();
+}
+
+propagation::settings_hooks settings_feed::make_settings_hooks()
+{
+    return {.apply = [this](const auto& difference) { return apply(difference); },
+            .replace = [this](const auto& copy) { return replace(copy); },
+            .copy =
+                [this] {
+                    return propagation::settings_copy{
+                        m_tree.version(), propagation::settings_bytes(settings::write_ini(m_tree))};
+                }};
+}
+
+bool settings_feed::apply(const propagation::settings_difference& difference)
+{
+    return base::handle_failure(
+        [&]() -> base::result<bool> {
+            BOOST_LEAF_AUTO(diff, wire::decode<settings::setting_diff>(difference.bytes.value()));
+            if (!settings::apply(diff, m_tree)) {
+                return false;
+            }
+            m_tree.set_version(difference.to);
+            put_into_force();
+            return true;
+        },
+        [](const base::failure& error) {
+            log_failure(log_level::warn, "settings_difference_unreadable", error);
+            return false;
+        });
+}
+
+bool settings_feed::replace(const propagation::settings_copy& copy)
+{
+    auto document = settings::read_ini(copy.bytes.value(), "settings");
     if (!document.problems.empty()) {
         log(log_level::error, "settings_unreadable",
             {{"problem", to_string(document.problems.front())}});
-        return;
+        return false;
     }
-    document.tree.set_version(answer.version);
-    m_version = answer.version;
-    m_hooks.changed(settings::compiled_settings::compile(document.tree));
+    m_tree = std::move(document.tree);
+    m_tree.set_version(copy.version);
+    put_into_force();
+    return true;
+}
+
+void settings_feed::put_into_force()
+{
+    m_hooks.changed(settings::compiled_settings::compile(m_tree));
+}
+
+propagation::settings_copy settings_feed::copy_of_replica() const
+{
+    const auto& tree = m_replica->replica().state().tree();
+    return {tree.version(), propagation::settings_bytes(settings::write_ini(tree))};
 }
 
 } // namespace damaskladder::daemon
--- a/src/daemon/settings_feed.hpp
+++ b/src/daemon/settings_feed.hpp
@@ -3,57 +3,73 @@
 #include "daemon/messenger.hpp"
 #include "daemon/process_settings.hpp"
 #include "daemon/replica_host.hpp"
+#include "propagation/propagation_relay.hpp"
+#include "propagation/propagation_source.hpp"
 #include "settings/compiled_settings.hpp"
-#include "wire/settings_answer.hpp"
-#include "wire/settings_poll.hpp"
+#include "settings/setting_tree.hpp"
 
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace damaskladder::daemon {
 
-/// Keeps the settings of a node up to date: polls the control replicas, and answers the polls of
-/// other nodes where this process runs a replica.
-///
-/// The version in force never goes back. The settings are known to be the newest as of the time at
-/// which the answered poll was sent, so no clock but this node's own is used.
+/// Settings and their freshness on the control thread: this process as a node, as a relay for
+/// others, and as a source where it runs a control replica.
 class settings_feed {
 public:
     struct hooks {
         std::function<void(std::shared_ptr<const settings::compiled_settings>)> changed;
         /// The settings were certainly the newest at this local time.
         std::function<void(base::time_point)> confirmed;
+        /// Whom a node that is no relay asks: the relays of its failure domain. Empty for a relay,
+        /// and where none is known: the control replicas are asked then.
+        std::function<std::vector<propagation::peer>()> relays;
     };
 
     /// replica is null where this process runs none.
     settings_feed(http::event_loop& loop, messenger& messages, const process_settings& settings,
                   replica_host* replica, hooks calls);
 
-    /// Begins to poll.
-    void start() { tick(); }
+    void start();
 
-    /// The control replica that confirmed the settings lately, which then led.
-    std::optional<base::node_id> leader() const;
+    /// The replica has applied a change.
+    void replica_changed(base::settings_version version);
+
+    /// Versions in force by failure domain, as known at the control replica that leads.
+    std::vector<propagation::domain_status> statuses() const;
 
 private:
     void tick();
-    void receive(const base::node_id& sender, const wire::settings_poll& poll);
-    void receive(const wire::settings_answer& answer);
-    void answer(const base::node_id& to, const base::message_address& address,
-                const wire::settings_poll& poll);
-    void take_tree(const wire::settings_answer& answer);
+    void follow_upstreams();
+    void confirm();
+    void receive(const base::node_id& sender, const propagation::message& body);
+    /// Carries out effects of the relay or, with the other sender, of the source.
+    void perform(const propagation::effects& effects, const base::node_id& sender);
+    void perform_relay(const propagation::effects& effects) { perform(effects, m_settings.name); }
+    void perform_source(const propagation::effects& effects) { perform(effects, m_own_source); }
+    void confirm_read(propagation::read_id id);
+    bool leads() const { return m_replica != nullptr && m_replica->leads(); }
+
+    propagation::settings_hooks make_settings_hooks();
+    bool apply(const propagation::settings_difference& difference);
+    bool replace(const propagation::settings_copy& copy);
+    void put_into_force();
+    propagation::settings_copy copy_of_replica() const;
 
     http::event_loop& m_loop;
     messenger& m_messages;
     const process_settings& m_settings;
     replica_host* m_replica;
     hooks m_hooks;
-    std::vector<base::node_id> m_replicas;
-    /// Position in m_replicas of the one to poll.
-    std::size_t m_polled = 0;
-    base::settings_version m_version;
+    /// Name under which this process's node asks its own replica; a node does not ask itself.
+    base::node_id m_own_source;
+    settings::setting_tree m_tree;
     base::time_point m_confirmed_at;
+    base::settings_version m_replica_version;
+    propagation::propagation_relay m_relay;
+    std::optional<propagation::propagation_source> m_source;
 };
 
 } // namespace damaskladder::daemon
--- a/src/daemon/view_builder.cpp
+++ b/src/daemon/view_builder.cpp
@@ -5,8 +5,6 @@
 
 namespace damaskladder::daemon {
 
-namespace {
-
 /// The compiled settings in the form that the traffic decisions read; shared by the hooks of a
 /// view.
 struct settings_tables {
@@ -15,6 +13,8 @@
     std::unordered_map<base::key_id, node::key_entry> keys;
 };
 
+namespace {
+
 node::route_entry make_route(const settings::route_settings& from,
                              const settings::compiled_settings& settings)
 {
@@ -38,20 +38,6 @@
     return route;
 }
 
-std::shared_ptr<const settings_tables>
-make_tables(const std::shared_ptr<const settings::compiled_settings>& from)
-{
-    const auto tables = std::make_shared<settings_tables>();
-    tables->settings = from;
-    for (const auto& route : from->routes()) {
-        tables->routes[route.id] = make_route(route, *from);
-    }
-    for (const auto& key : from->keys()) {
-        tables->keys[key.id] = {key.id, key.workspace, key.state == settings::key_state::active};
-    }
-    return tables;
-}
-
 void set_hooks(node::node_view& view, const std::shared_ptr<const settings_tables>& tables)
 {
     view.match_route = [tables](std::string_view path) -> const node::route_entry* {
@@ -134,7 +120,7 @@
         local.slots = backend.slots;
         local.cold = backend.cold;
         local.draining = backend.draining;
-        local.max_staleness = longest_staleness(backend.service, *from.settings);
+        local.max_staleness = longest_staleness(backend.service, *from.settings->settings);
         view.local.push_back(local);
         out.local[backend.service] = {"127.0.0.1", backend.port.value()};
     }
@@ -142,6 +128,20 @@
 
 } // namespace
 
+std::shared_ptr<const settings_tables>
+make_tables(std::shared_ptr<const settings::compiled_settings> from)
+{
+    const auto tables = std::make_shared<settings_tables>();
+    for (const auto& route : from->routes()) {
+        tables->routes[route.id] = make_route(route, *from);
+    }
+    for (const auto& key : from->keys()) {
+        tables->keys[key.id] = {key.id, key.workspace, key.state == settings::key_state::active};
+    }
+    tables->settings = std::move(from);
+    return tables;
+}
+
 std::shared_ptr<const traffic_view> build_view(const view_sources& from)
 {
     auto out = std::make_shared<traffic_view>();
@@ -149,7 +149,7 @@
     view->self = from.self;
     view->own_domain = from.domain;
     view->settings_confirmed_at = from.settings_confirmed_at;
-    set_hooks(*view, make_tables(from.settings));
+    set_hooks(*view, from.settings);
     add_services(from, *out, *view);
     add_local(from, *out, *view);
     out->node = std::move(view);
--- a/src/daemon/view_builder.hpp
+++ b/src/daemon/view_builder.hpp
@@ -10,11 +10,18 @@
 
 namespace damaskladder::daemon {
 
+struct settings_tables;
+
+/// Brings the settings into the form that views hold. Once for each version, since it costs time in
+/// proportion to the settings.
+std::shared_ptr<const settings_tables>
+make_tables(std::shared_ptr<const settings::compiled_settings> from);
+
 /// What a view for the traffic thread is built from.
 struct view_sources {
     base::node_id self;
     base::failure_domain_id domain;
-    std::shared_ptr<const settings::compiled_settings> settings;
+    std::shared_ptr<const settings_tables> settings;
     base::time_point settings_confirmed_at;
     std::shared_ptr<const membership::service_view> services;
     /// Backend servers on this VM.
--- a/src/wire/enum_limit.hpp
+++ b/src/wire/enum_limit.hpp
@@ -8,6 +8,7 @@
 #include "membership/member_status.hpp"
 #include "membership/observer_verdict.hpp"
 #include "membership/reachability.hpp"
+#include "settings/change_kind.hpp"
 #include "wire/context_purpose.hpp"
 #include "wire/message_kind.hpp"
 
@@ -50,6 +51,9 @@
 struct enum_limit<claims::claim_status> : last_enumerator<claims::claim_status::conflict> {
 };
 template <>
+struct enum_limit<settings::change_kind> : last_enumerator<settings::change_kind::changed> {
+};
+template <>
 struct enum_limit<context_purpose> : last_enumerator<context_purpose::backend_server> {
 };
 template <>
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -3,18 +3,31 @@
 #include "consensus/envelope.hpp"
 #include "lease/lease_message.hpp"
 #include "membership/message.hpp"
+#include "propagation/message.hpp"
 #include "quota/quota_message.hpp"
+#include "settings/setting_diff.hpp"
 #include "wire/claim_answer.hpp"
 #include "wire/claim_command.hpp"
 #include "wire/envelope.hpp"
 #include "wire/holder_notice.hpp"
 #include "wire/sealed_context.hpp"
-#include "wire/settings_answer.hpp"
-#include "wire/settings_poll.hpp"
 #include "wire/value_codec.hpp"
 
 namespace damaskladder::wire {
 
+namespace value_codec {
+
+template <>
+struct converter<settings::setting_path> {
+    static json write(const settings::setting_path& path) { return path.text(); }
+    static settings::setting_path read(const json& from)
+    {
+        return settings::setting_path::parse(from.get<std::string>()).value();
+    }
+};
+
+} // namespace value_codec
+
 template <class Message>
 std::string encode(const Message& message)
 {
@@ -45,10 +58,10 @@
 template base::result<claim_command> decode(std::string_view);
 template std::string encode(const claim_answer&);
 template base::result<claim_answer> decode(std::string_view);
-template std::string encode(const settings_poll&);
-template base::result<settings_poll> decode(std::string_view);
-template std::string encode(const settings_answer&);
-template base::result<settings_answer> decode(std::string_view);
+template std::string encode(const propagation::message&);
+template base::result<propagation::message> decode(std::string_view);
+template std::string encode(const settings::setting_diff&);
+template base::result<settings::setting_diff> decode(std::string_view);
 template std::string encode(const lease::lease_message&);
 template base::result<lease::lease_message> decode(std::string_view);
 template std::string encode(const quota::quota_message&);
--- a/src/wire/message_kind.hpp
+++ b/src/wire/message_kind.hpp
@@ -13,10 +13,8 @@
     quota = 5,
     claims = 6,
     holder_notices = 7,
-    settings_polls = 8,
-    settings_answers = 9,
-    claim_commands = 10,
-    claim_answers = 11,
+    claim_commands = 8,
+    claim_answers = 9,
 };
 
 } // namespace damaskladder::wire
