Quota, claims: rows for faults that the tables did not see

Cause: trials with single checks removed on a scratch copy. Of 17, these passed all tests: validity bounded by foreign deadlines, transfers with an earlier deadline, lines of unknown sessions, answers to an earlier release, replies after a deadline that on_time had not noticed. Change: a row for each. No library code changes.

--- a/src/claims/claim_client_test.cpp
+++ b/src/claims/claim_client_test.cpp
@@ -84,9 +84,9 @@
 
 /// Steps of attempt 1, one letter each:
 ///   b begin   d deliver the next message   l lose it   2 deliver it and keep a copy at the end
-///   t 200 ms pass   g time passes until the deadline   n not started   a answered   u unknown
-///   s swap the next two messages   o another attempt has the claim
-///   O it releases it   x the gatekeeper restarts   D deliver all
+///   t 200 ms pass   g time passes until the deadline   w the same, unnoticed   n not started   a
+///   answered   u unknown s swap the next two messages   o another attempt has the claim O it
+///   releases it   x the gatekeeper restarts   D deliver all
 struct cut_case {
     std::string name;
     std::string steps;
@@ -155,6 +155,9 @@
         case 'g':
             m_now += milliseconds(995);
             return apply(m_client->on_time(m_now));
+        case 'w':
+            m_now += milliseconds(995);
+            return;
         case 'n':
             return apply(m_client->release(id, m_now));
         case 'a':
@@ -218,6 +221,8 @@
         cut_case{"reply_late", "bdgD", gone, is_free}, cut_case{"claim_late", "bgD", gone, is_free},
         cut_case{"release_overtakes_claim", "bgsD", gone, is_free},
         cut_case{"ack_of_overtaking_release_is_late", "bgsddsdD", gone, is_free},
+        cut_case{"ack_of_earlier_release", "bgsddsddltD", gone, is_free},
+        cut_case{"reply_after_unnoticed_deadline", "bdwdD", gone, is_free},
         cut_case{"claim_repeated", "b2dD", granted, is_held},
         cut_case{"reply_repeated", "bd2D", granted, is_held},
         cut_case{"restart_before_grant", "bxD", std::nullopt, is_held},
--- a/src/quota/domain_holder_test.cpp
+++ b/src/quota/domain_holder_test.cpp
@@ -67,6 +67,23 @@
                                       one_token.value());
     }
 
+    /// A transfer of the peer that may be used for 2 s arrives.
+    quota_sends move(std::uint64_t number, int amount, int ms)
+    {
+        return holder.on_transfer({peer, self, transfer_number(number), workspace,
+                                   one_token * amount, tokens(0), seconds(2)},
+                                  at(ms));
+    }
+
+    /// Milliseconds for which the answer to a line lets the node use its tokens.
+    int valid_for(const borrow_line& line, int ms)
+    {
+        const auto sends =
+            holder.on_borrow({base::node_id("n"), base::incarnation(1), self, {line}}, at(ms));
+        const auto* lent = sends.empty() ? nullptr : std::get_if<lend>(&sends.back().message);
+        return lent == nullptr ? -1 : static_cast<int>(lent->lines[0].valid_for / milliseconds(1));
+    }
+
     void acknowledge(std::uint64_t number, int returned, int ms)
     {
         holder.on_transfer_ack({self, peer, transfer_number(number), workspace, tokens(0),
@@ -226,6 +243,38 @@
                         return lent * 10 + x.balance();
                     },
                     60},
+        // Guards against tokens of another domain that are usable after it stops counting them.
+        holder_case{"foreign_tokens_bound_validity",
+                    [](f& x) {
+                        x.lend_to(f::line(1, 7), 2'000);
+                        x.move(1, 2, 2'001);
+                        const auto sends = x.move(1, 2, 2'002);
+                        const auto reply = x.valid_for(f::line(1, 7), 2'003);
+                        return sends.size() == 1 && reply > 0 && reply <= 2'000 ? 1 : 0;
+                    },
+                    1},
+        // Guards against a late transfer whose deadline is before the end of what was lent since.
+        holder_case{"transfer_with_earlier_deadline",
+                    [](f& x) {
+                        x.lend_to(f::line(1, 7), 2'000);
+                        x.holder.on_time(at(2'050));
+                        auto line = f::line(2, 7);
+                        line.received_total = one_token * 5;
+                        x.lend_to(line, 2'350);
+                        x.move(2, 1, 2'351);
+                        const auto sends = x.move(1, 1, 2'352);
+                        const auto& ack = std::get<transfer_ack>(sends[0].message);
+                        return ack.final && ack.returned == one_token ? 1 : 0;
+                    },
+                    1},
+        // Guards against lending to a session whose tokens the holder does not know.
+        holder_case{"unknown_session_with_tokens",
+                    [](f& x) {
+                        auto line = f::line(9, 2);
+                        line.received_total = one_token * 3;
+                        return x.lend_to(line, 2'000) * 10 + x.balance();
+                    },
+                    5},
         holder_case{"transfer_never_asked",
                     [](f& x) {
                         x.holder.on_transfer({peer, self, transfer_number(9), workspace,
