Quota: add a workspace's line to a message only when it needs one soon

Cause: with eight workspaces in use each message carried a line of every one that had any use to report, so that lines grew with the square of the workspaces. The header states the message rates. Conclusion: fewer lines for more messages; which is cheaper in bytes is for wire to measure.

--- a/include/damaskladder/quota.hpp
+++ b/include/damaskladder/quota.hpp
@@ -35,8 +35,9 @@
 ///
 /// Messages: totals of a session, or identified by (lender, borrower, number); all may be lost,
 /// delayed, repeated and reordered. One message of a node carries the lines of all its workspaces.
-/// With burst >= 1.6 s of rate, a node that uses a workspace steadily sends about one borrow per
-/// 150 ms for all of them together; smaller bursts need more (options.ahead_of).
+/// With bursts of at least 1.6 s of the rate, a node that uses workspaces steadily sends about 7
+/// borrows a second for one workspace and 20 for eight, and gets as many lends. Smaller bursts need
+/// more (options.ahead_of). Holders exchange transfers per workspace.
 ///
 /// Units: tokens and rates in millionths; one request costs one_token. Times are on the caller's
 /// monotonic clock, which must not stop while the VM is suspended.
--- a/src/quota/node_bucket.cpp
+++ b/src/quota/node_bucket.cpp
@@ -119,7 +119,9 @@
         return false;
     }
     const bool low = now >= m_ahead_again && balance(now) < tokens(target(now).value() / 2);
-    return m_unreported > tokens(0) || low;
+    const bool report =
+        m_unreported > tokens(0) && now >= m_unreported_since + m_options.report_interval / 2;
+    return report || low;
 }
 
 borrow_line node_bucket::make_line(base::time_point now)
