--- a/src/membership/domain_exchange.cpp
+++ b/src/membership/domain_exchange.cpp
@@ -1,9 +1,12 @@
 #include "membership/domain_exchange.hpp"
 
+#include "membership/stable_hash.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <optional>
 #include <set>
+#include <string>
 #include <utility>
 
 namespace damaskladder::membership {
@@ -124,7 +127,7 @@
 void domain_exchange::send_hellos(const domain_context& context)
 {
     ++m_hellos;
-    for (auto& [domain, known] : m_domains) {
+    for (const auto& [domain, known] : m_domains) {
         for (const endpoint& relay : known.relays) {
             send_hello(relay, domain, context);
         }
@@ -168,7 +171,9 @@
 
 void domain_exchange::call_seeds(const domain_context& context)
 {
-    if (context.seeds.empty()) {
+    // Once other failure domains are known, seeds are only asked in case one is missing.
+    const bool due = m_domains.empty() || m_hellos % hellos_per_list == 0;
+    if (context.seeds.empty() || !due) {
         return;
     }
     const base::message_address& seed = context.seeds[m_random() % context.seeds.size()];
@@ -177,14 +182,19 @@
                      std::any_of(alive.begin(), alive.end(), [&](const base::node_id& node) {
                          return context.members.find(node)->messages == seed;
                      });
-    if (!own) {
+    const bool known = std::any_of(m_domains.begin(), m_domains.end(), [&](const auto& item) {
+        const auto& relays = item.second.relays;
+        return std::any_of(relays.begin(), relays.end(),
+                           [&](const endpoint& relay) { return relay.address == seed; });
+    });
+    if (!own && !known) {
         send_hello({base::node_id(), seed}, {}, context);
     }
 }
 
 void domain_exchange::send_subscriptions(const domain_context& context)
 {
-    subscribe body{m_self.address, m_wanted, {}};
+    subscribe body{m_self.address, m_wanted, {}, states_digest()};
     for (const auto& [domain, known] : m_domains) {
         body.held.push_back({domain, known.members.wanted_digest(m_wanted)});
     }
@@ -243,12 +253,15 @@
     relay_link& link =
         listed(body.relays, body.sender.node) ? known->links[body.sender.node] : unlisted;
     link.wanted = body.wanted.value_or(link.wanted);
-    link.known_wanted = body.known_wanted;
-    if (!met || body.passed_on) {
+    if (body.held.has_value()) {
+        link.known_wanted = body.known_wanted;
+    }
+    if (!met || !body.held.has_value()) {
         send_hello(body.sender, body.domain, context);
     }
     const bool has_wanted = link.wanted.digest() == body.wanted_digest;
-    if (has_wanted && context.members.wanted_digest(link.wanted) != body.held) {
+    if (has_wanted && body.held.has_value() &&
+        context.members.wanted_digest(link.wanted) != *body.held) {
         send_summary(body.sender, m_domain, context.members, link.wanted, context);
     }
 }
@@ -273,7 +286,12 @@
     }
     m_subscribers[from] = {body.reply_to, body.wanted};
     const endpoint to{from, body.reply_to};
-    send_states(to);
+    if (body.states == states_digest()) {
+        m_sends.push_back({to, domain_states{true, {}}});
+    }
+    else {
+        send_states(to);
+    }
     for (const auto& [domain, known] : m_domains) {
         table_digest theirs;
         for (const domain_digest& held : body.held) {
@@ -291,6 +309,11 @@
     if (context.is_relay) {
         return;
     }
+    for (auto& item : m_domains) {
+        if (body.unchanged && item.second.reach == reachability::reachable) {
+            item.second.heard = context.awake;
+        }
+    }
     for (const domain_state& state : body.states) {
         if (state.place.domain == m_domain) {
             continue;
@@ -384,7 +407,7 @@
 
 void domain_exchange::send_states(const endpoint& to)
 {
-    m_sends.push_back({to, domain_states{states()}});
+    m_sends.push_back({to, domain_states{false, states()}});
 }
 
 void domain_exchange::send_summary(const endpoint& to, const base::failure_domain_id& domain,
@@ -447,6 +470,20 @@
     return all;
 }
 
+table_digest domain_exchange::states_digest() const
+{
+    table_digest digest;
+    for (const auto& [domain, known] : m_domains) {
+        std::string text = domain.value();
+        text += known.reach == reachability::reachable ? '+' : '-';
+        for (const endpoint& relay : known.relays) {
+            text += relay.node.value() + ' ' + relay.address.value() + ' ';
+        }
+        digest = toggled(digest, table_digest(stable_hash(text, 2)));
+    }
+    return digest;
+}
+
 foreign_domain* domain_exchange::find(const base::failure_domain_id& domain)
 {
     auto found = m_domains.find(domain);
--- a/src/membership/domain_exchange.hpp
+++ b/src/membership/domain_exchange.hpp
@@ -82,6 +82,7 @@
     void prune(const domain_context& context);
     service_subscription wanted_by_all(const domain_context& context) const;
     std::vector<domain_state> states() const;
+    table_digest states_digest() const;
 
     endpoint m_self;
     base::failure_domain_id m_domain;
--- a/src/membership/domain_exchange_test.cpp
+++ b/src/membership/domain_exchange_test.cpp
@@ -260,6 +260,19 @@
     EXPECT_TRUE(complete(fleet));
 }
 
+// Guards against full summaries that are sent again and again although nothing changed.
+TEST(domain_exchange, sends_no_summary_at_rest)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        fake_fleet fleet(seed);
+        start_three(fleet);
+        fleet.run(20s);
+        fleet.summaries = 0;
+        fleet.run(60s);
+        EXPECT_EQ(fleet.summaries, 0U) << "seed " << seed;
+    }
+}
+
 // Guards against summaries of services that nobody calls.
 TEST(domain_exchange, passes_on_only_what_is_wanted)
 {
--- a/src/membership/domain_hello.hpp
+++ b/src/membership/domain_hello.hpp
@@ -23,8 +23,9 @@
     std::optional<service_subscription> wanted;
     /// Digest of the receiver's subscription as the sender has it.
     table_digest known_wanted;
-    /// Digest of what the sender holds of the receiver's failure domain.
-    table_digest held;
+    /// Digest of what the sender holds of the receiver's failure domain; absent if the sender
+    /// called a seed and does not know whose it is.
+    std::optional<table_digest> held;
     /// Other failure domains that the sender knows; sent now and then.
     std::vector<domain_relays> others;
     bool passed_on = false;
--- a/src/membership/message_size.cpp
+++ b/src/membership/message_size.cpp
@@ -132,7 +132,8 @@
     }
     std::int64_t operator()(const subscribe& body) const
     {
-        std::int64_t size = size_of_text(body.reply_to.value()) + size_of_wanted(body.wanted);
+        std::int64_t size =
+            size_of_text(body.reply_to.value()) + size_of_wanted(body.wanted) + digest_size;
         for (const domain_digest& held : body.held) {
             size += size_of_text(held.domain.value()) + digest_size;
         }
@@ -140,7 +141,7 @@
     }
     std::int64_t operator()(const domain_states& body) const
     {
-        std::int64_t size = size_of_number(body.states.size());
+        std::int64_t size = flag_size + size_of_number(body.states.size());
         for (const domain_state& state : body.states) {
             size += size_of_place(state.place) + flag_size;
         }
