Node model: cancel waiting jobs without a search

node_test took up to 2 minutes beside other builds, mostly in the search of the pass-through backlog for cancelled jobs.

Cancelled jobs are now passed over when their turn comes.

--- a/src/node/model_backend_server.hpp
+++ b/src/node/model_backend_server.hpp
@@ -2,11 +2,11 @@
 
 #include "base/time.hpp"
 
-#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <unordered_map>
+#include <unordered_set>
+#include <utility>
 
 namespace damaskladder::node {
 
@@ -27,7 +27,7 @@
     void remove(std::uint64_t job)
     {
         if (m_running.erase(job) == 0) {
-            m_waiting.erase(std::remove(m_waiting.begin(), m_waiting.end(), job), m_waiting.end());
+            m_cancelled.insert(job);
         }
         start_more();
     }
@@ -40,15 +40,19 @@
         while (!m_waiting.empty() && static_cast<int>(m_running.size()) < m_slots) {
             const auto job = m_waiting.front();
             m_waiting.pop_front();
-            m_running.emplace(job, true);
-            m_run(job);
+            if (m_cancelled.erase(job) == 0) {
+                m_running.insert(job);
+                m_run(job);
+            }
         }
     }
 
     int m_slots;
     run_job m_run;
     std::deque<std::uint64_t> m_waiting;
-    std::unordered_map<std::uint64_t, bool> m_running;
+    std::unordered_set<std::uint64_t> m_running;
+    /// Waiting jobs that will not run.
+    std::unordered_set<std::uint64_t> m_cancelled;
 };
 
 } // namespace damaskladder::node
