--- a/src/cli/operator_client.cpp
+++ b/src/cli/operator_client.cpp
@@ -23,7 +23,7 @@
     const auto give_up = http::event_loop::now() + time_limit;
     while (http::event_loop::now() < give_up) {
         for (const auto& replica : m_replicas) {
-            const auto answer = ask_one(replica, wanted);
+            auto answer = ask_one(replica, wanted);
             if (answer && answer->status != unavailable) {
                 return answer;
             }
--- a/src/cli/operator_commands.cpp
+++ b/src/cli/operator_commands.cpp
@@ -131,7 +131,7 @@
             return std::nullopt;
         }
         operator_client client(*replicas, *token);
-        const auto answer = client.ask(wanted);
+        auto answer = client.ask(wanted);
         if (!answer) {
             const bool unknown = client.maybe_done() && !wanted.body.empty();
             m_failure = unknown ? exit_code::unknown : exit_code::unavailable;
--- a/src/cli/option_parser.cpp
+++ b/src/cli/option_parser.cpp
@@ -57,7 +57,8 @@
     added->store = [&into, raw = added.get()] {
         if (raw->text != nullptr) {
             into = raw->text;
-            std::free(raw->text); // allocated by popt
+            // popt allocates with malloc.
+            std::free(raw->text); // NOLINT(cppcoreguidelines-no-malloc)
             raw->text = nullptr;
         }
     };
--- a/src/daemon/quota_host.cpp
+++ b/src/daemon/quota_host.cpp
@@ -4,6 +4,7 @@
 #include "daemon/secure_random.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace damaskladder::daemon {
 
@@ -22,7 +23,7 @@
 
 quota::share_point point_at(double sum)
 {
-    return quota::share_point(static_cast<std::int64_t>(sum * interval_points + 0.5));
+    return quota::share_point(std::llround(sum * interval_points));
 }
 
 /// The part of the interval that belongs to a failure domain: those of the others before it, in
