--- a/src/node/traffic_machine_bench.cpp
+++ b/src/node/traffic_machine_bench.cpp
@@ -42,7 +42,7 @@
         request_arrived request;
         request.exchange = next_exchange();
         request.path = "/a/path/of/usual/length";
-        request.key = base::key_hash("0123456789abcdef0123456789abcdef");
+        request.key = base::key_hash{};
         request.body_can_be_resent = true;
         handle(request);
         handle(tokens_granted{request.exchange, token_grant_id(request.exchange.value())});
--- a/src/node/traffic_machine_test.cpp
+++ b/src/node/traffic_machine_test.cpp
@@ -78,7 +78,7 @@
         request_arrived request;
         request.exchange = arrive();
         request.path = pick(3) == 0 ? "/open" : pick(2) == 0 ? "/once" : "/keyed";
-        request.key = base::key_hash("k");
+        request.key = traffic_fixture::hash_of('k');
         if (pick(2) == 0) {
             request.request = base::request_id("1-" + std::to_string(pick(4)));
             request.content = base::content_hash(pick(8) == 0 ? "d" : "c");
--- a/src/node/traffic_model.hpp
+++ b/src/node/traffic_model.hpp
@@ -139,7 +139,7 @@
             return path == "/deep" ? &m_deep : &m_front;
         };
         node.view.find_key = [this](const base::key_hash& hash) {
-            return &m_keys.at(hash.value());
+            return &m_keys.at("w" + std::to_string(hash.bytes[0]));
         };
         node.view.key_active = [](const base::key_id&) { return true; };
         node.view.weight_of = [](const base::workspace_id&) { return base::share_weight(1); };
@@ -191,7 +191,7 @@
         request_arrived request;
         request.exchange = new_exchange({origin::kind::client, 0, id});
         request.path = m_options.two_levels ? "/front" : "/deep";
-        request.key = base::key_hash("w" + std::to_string(sent.sender));
+        request.key.emplace().bytes[0] = static_cast<std::uint8_t>(sent.sender);
         request.wishes.importance = m_options.senders[sent.sender].importance;
         request.body_can_be_resent = true;
         handle(0, request);
