Load: open-loop experiments with surges, commands and a report

Change: `damaskladder load EXPERIMENT.ini` sends a seeded Poisson schedule at its intended times whatever is outstanding. Schedule, classification and accounting are pure types; the runner joins them to src/http.

No run against nodes yet.

--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -1,5 +1,6 @@
 #include "cli/program.hpp"
 
+#include "cli/load_command.hpp"
 #include "cli/operator_commands.hpp"
 #include "cli/process_commands.hpp"
 
@@ -13,8 +14,9 @@
 std::vector<sub_command> all_commands()
 {
     auto commands = process_commands();
-    const auto verbs = operator_commands();
-    commands.insert(commands.end(), verbs.begin(), verbs.end());
+    for (const auto& more : {load_commands(), operator_commands()}) {
+        commands.insert(commands.end(), more.begin(), more.end());
+    }
     return commands;
 }
 
--- /dev/null
+++ b/src/load/classify.cpp
@@ -0,0 +1,52 @@
+#include "load/classify.hpp"
+
+#include "load/load_headers.hpp"
+
+namespace damaskladder::load {
+
+namespace {
+
+// Reasons beyond it are cut, since they become keys of the report.
+constexpr std::size_t longest_reason = 40;
+
+refusal_word reason_of(const http::response_head& head)
+{
+    const auto* text = head.headers.find(load_headers::reason);
+    return refusal_word(text == nullptr ? std::string() : text->substr(0, longest_reason));
+}
+
+result_class kind_of(const http::response_head& head)
+{
+    const auto* outcome = head.headers.find(load_headers::outcome);
+    if (outcome != nullptr && *outcome == "not-run") {
+        return result_class::refused_not_run;
+    }
+    if (outcome != nullptr && *outcome == "unknown") {
+        return result_class::refused_unknown;
+    }
+    constexpr int first_ok = 200;
+    constexpr int after_ok = 300;
+    const bool ok = head.status >= first_ok && head.status < after_ok;
+    return ok && outcome == nullptr ? result_class::whole : result_class::other_status;
+}
+
+} // namespace
+
+request_result classify(const http::transfer_end& end,
+                        const std::optional<http::response_head>& head)
+{
+    if (end.how == http::transfer_end::kind::not_sent) {
+        return {result_class::not_connected, {}};
+    }
+    if (end.how != http::transfer_end::kind::complete || !head) {
+        return {result_class::broken, {}};
+    }
+    return {kind_of(*head), reason_of(*head)};
+}
+
+bool is_refusal(result_class result)
+{
+    return result == result_class::refused_not_run || result == result_class::refused_unknown;
+}
+
+} // namespace damaskladder::load
--- /dev/null
+++ b/src/load/experiment_document.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "load/experiment.hpp"
+#include "settings/settings_problem.hpp"
+
+namespace damaskladder::load {
+
+/// An experiment read from a text, usable only if there are no problems.
+struct experiment_document {
+    experiment plan;
+    settings::settings_problems problems;
+};
+
+} // namespace damaskladder::load
--- /dev/null
+++ b/src/load/experiment_reader.cpp
@@ -0,0 +1,421 @@
+#include "load/experiment_reader.hpp"
+
+#include "load/planned_requests.hpp"
+#include "settings/ini_reader.hpp"
+#include "settings/value_parsers.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <set>
+
+namespace damaskladder::load {
+
+namespace {
+
+using settings::problem_kind;
+
+/// Reads one value into the experiment; false if it is malformed.
+using value_reader = std::function<bool(const std::string& value)>;
+
+struct field_spec {
+    std::string name;
+    std::string expected;
+    bool required;
+    value_reader read;
+};
+
+constexpr std::string_view whole_seconds = "whole seconds from 1s to 1h, such as 30s";
+constexpr std::string_view request_target = "a path that begins with '/', without spaces";
+constexpr std::string_view short_duration = "a duration such as 2s";
+
+template <class Into, class Parse>
+value_reader parsed_into(Into& into, Parse parse)
+{
+    return [&into, parse](const std::string& value) {
+        const auto parsed = parse(value);
+        if (parsed) {
+            into = Into(*parsed);
+        }
+        return parsed.has_value();
+    };
+}
+
+value_reader count_into(unsigned& into, unsigned lowest, unsigned highest)
+{
+    return [&into, lowest, highest](const std::string& value) {
+        const auto count = settings::parse_count(value);
+        if (!count || *count < lowest || *count > highest) {
+            return false;
+        }
+        into = static_cast<unsigned>(*count);
+        return true;
+    };
+}
+
+value_reader path_into(std::string& into)
+{
+    return [&into](const std::string& value) {
+        into = value;
+        const auto printable = [](char c) { return c > ' ' && c < '\x7f'; };
+        return value.starts_with('/') && std::all_of(value.begin(), value.end(), printable);
+    };
+}
+
+value_reader method_into(std::string& into)
+{
+    return [&into](const std::string& value) {
+        into = value;
+        const std::set<std::string> known = {"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"};
+        return known.contains(value);
+    };
+}
+
+value_reader positive_into(base::duration& into)
+{
+    return [&into](const std::string& value) {
+        into = settings::parse_duration(value).value_or(base::duration::zero());
+        return into > base::duration::zero();
+    };
+}
+
+value_reader whole_seconds_into(base::duration& into)
+{
+    return [&into](const std::string& value) {
+        into = settings::parse_duration(value).value_or(base::duration::zero());
+        return into > base::duration::zero() && into <= std::chrono::hours(1) &&
+               into % std::chrono::seconds(1) == base::duration::zero();
+    };
+}
+
+/// A factor is written like a rate without its unit: up to three decimals.
+value_reader factor_into(rate_factor& into)
+{
+    return [&into](const std::string& value) {
+        constexpr double thousandth = 0.001;
+        constexpr double highest = 1000;
+        const auto parsed = settings::parse_rate(value + "/s");
+        into = rate_factor(parsed ? static_cast<double>(parsed->value()) * thousandth : -1);
+        return into >= rate_factor(0) && into <= rate_factor(highest);
+    };
+}
+
+value_reader rate_into(request_rate& into)
+{
+    return [&into](const std::string& value) {
+        constexpr double thousandth = 0.001;
+        const auto parsed = settings::parse_rate(value);
+        into = request_rate(parsed ? static_cast<double>(parsed->value()) * thousandth : 0);
+        return into > request_rate(0);
+    };
+}
+
+std::optional<http::address> read_address(const std::string& value)
+{
+    return base::handle_failure(
+        [&]() -> base::result<std::optional<http::address>> {
+            BOOST_LEAF_AUTO(address, http::parse_address(value));
+            return std::optional(address);
+        },
+        [](const base::failure&) { return std::optional<http::address>(); });
+}
+
+std::vector<std::string> split(const std::string& value)
+{
+    std::vector<std::string> items;
+    std::size_t start = 0;
+    while (start <= value.size()) {
+        const auto end = std::min(value.find(", ", start), value.size());
+        items.push_back(value.substr(start, end - start));
+        start = end + 2;
+    }
+    return items;
+}
+
+class reader {
+public:
+    reader(std::string_view text, const std::string& file, address_policy allowed)
+        : m_file(file), m_allowed(allowed), m_document(settings::read_ini(text, file))
+    {
+    }
+
+    experiment_document read()
+    {
+        read_experiment_section();
+        for (const auto& [path, entry] : m_document.tree) {
+            read_named_section(path);
+        }
+        check_unknown_sections();
+        check_streams();
+        check_times();
+        check_size();
+        m_document.lines.locate(m_file, m_problems);
+        auto problems = m_document.problems;
+        problems.insert(problems.end(), m_problems.begin(), m_problems.end());
+        return {std::move(m_plan), std::move(problems)};
+    }
+
+private:
+    static settings::setting_path path_of(const std::string& section)
+    {
+        return settings::setting_path::parse(section).value();
+    }
+
+    void add(problem_kind kind, const std::string& section, const std::string& field,
+             std::string expected)
+    {
+        m_problems.push_back(
+            {kind, {}, {}, path_of(section), settings::field_name(field), std::move(expected)});
+    }
+
+    value_reader address_into(http::address& into) const
+    {
+        return [&into, this](const std::string& value) {
+            const auto address = read_address(value);
+            into = address.value_or(http::address());
+            return address && address->port != 0 &&
+                   (m_allowed == address_policy::any || address->ip.starts_with("127."));
+        };
+    }
+
+    std::string expected_address() const
+    {
+        return m_allowed == address_policy::any
+                   ? "IP:PORT"
+                   : "IP:PORT on loopback (127.x.x.x), or the option --any-address";
+    }
+
+    void read_section(const std::string& section, const std::vector<field_spec>& fields)
+    {
+        m_known.insert(section);
+        const auto* entry = m_document.tree.find(path_of(section));
+        for (const auto& field : fields) {
+            const auto* value =
+                entry == nullptr ? nullptr : entry->find(settings::field_name(field.name));
+            if (value == nullptr) {
+                if (field.required) {
+                    add(problem_kind::missing_field, section, field.name, field.expected);
+                }
+            }
+            else if (!field.read(value->value())) {
+                add(problem_kind::wrong_format, section, field.name, field.expected);
+            }
+        }
+        if (entry != nullptr) {
+            check_unknown_fields(section, *entry, fields);
+        }
+    }
+
+    void check_unknown_fields(const std::string& section, const settings::setting_entry& entry,
+                              const std::vector<field_spec>& fields)
+    {
+        std::string known;
+        for (const auto& field : fields) {
+            known += (known.empty() ? "one of " : ", ") + field.name;
+        }
+        for (const auto& [name, value] : entry) {
+            const auto same = [&](const field_spec& field) { return field.name == name.value(); };
+            if (std::none_of(fields.begin(), fields.end(), same)) {
+                add(problem_kind::unknown_field, section, name.value(), known);
+            }
+        }
+    }
+
+    void read_experiment_section()
+    {
+        auto& plan = m_plan;
+        read_section(
+            "experiment",
+            {{"seed", "a number", false, parsed_into(plan.seed, settings::parse_count)},
+             {"duration", std::string(whole_seconds), true, whole_seconds_into(plan.duration)},
+             {"targets", "a list of " + expected_address(), true,
+              [this](const std::string& value) { return read_targets(value); }},
+             {"max_outstanding",
+              "a number from 1 to " + std::to_string(experiment::max_outstanding_limit), false,
+              count_into(plan.max_outstanding, 1, experiment::max_outstanding_limit)},
+             {"timeout", std::string(short_duration), false, positive_into(plan.timeout)}});
+    }
+
+    bool read_targets(const std::string& value)
+    {
+        for (const auto& item : split(value)) {
+            if (!address_into(m_plan.targets.emplace_back())(item)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    void read_named_section(const settings::setting_path& path)
+    {
+        if (path.depth() != 2) {
+            return;
+        }
+        const std::string name(path.part(1));
+        if (path.part(0) == "streams") {
+            read_stream(path.text(), name);
+        }
+        else if (path.part(0) == "surges") {
+            read_surge(path.text());
+        }
+        else if (path.part(0) == "commands") {
+            read_command(path.text());
+        }
+        else if (path.part(0) == "workspaces") {
+            read_workspace(path.text(), name);
+        }
+    }
+
+    void read_stream(const std::string& section, const std::string& name)
+    {
+        constexpr unsigned most_retries = 100;
+        auto& stream = m_plan.streams.emplace_back();
+        stream.name = stream_name(name);
+        const auto importance = [&stream](const std::string& value) {
+            stream.importance = value;
+            return settings::parse_importance(value).has_value();
+        };
+        const auto workspace = [&stream](const std::string& value) {
+            stream.workspace = base::workspace_id(value);
+            return settings::is_name(value);
+        };
+        const auto key_file = [&stream](const std::string& value) {
+            stream.key_file = value;
+            return !value.empty();
+        };
+        read_section(
+            section,
+            {{"path", std::string(request_target), true, path_into(stream.path)},
+             {"workspace", "a name", true, workspace},
+             {"rate", "a rate above 0 such as 100/s", true, rate_into(stream.rate)},
+             {"key_file", "the path of a file with a key", false, key_file},
+             {"importance", "background, low, normal or critical", false, importance},
+             {"method", "GET, HEAD, POST, PUT, PATCH or DELETE", false, method_into(stream.method)},
+             {"non_idempotent", "yes or no", false,
+              parsed_into(stream.non_idempotent, settings::parse_yes_no)},
+             {"retries", "a number from 0 to 100", false,
+              count_into(stream.retries, 0, most_retries)},
+             {"within_rate", "yes or no", false,
+              parsed_into(stream.within_rate, settings::parse_yes_no)}});
+    }
+
+    void read_surge(const std::string& section)
+    {
+        auto& surge = m_plan.surges.emplace_back();
+        surge.name = cause_name(section);
+        const auto stream = [&surge](const std::string& value) {
+            surge.stream = stream_name(value);
+            return settings::is_name(value);
+        };
+        read_section(
+            section,
+            {{"stream", "the name of a stream", true, stream},
+             {"start", std::string(short_duration), true,
+              parsed_into(surge.start, settings::parse_duration)},
+             {"length", std::string(short_duration), true, positive_into(surge.length)},
+             {"factor", "a number from 0 to 1000 such as 2.5", true, factor_into(surge.factor)}});
+    }
+
+    void read_command(const std::string& section)
+    {
+        auto& command = m_plan.commands.emplace_back();
+        command.name = cause_name(section);
+        read_section(section, {{"at", std::string(short_duration), true,
+                                parsed_into(command.at, settings::parse_duration)},
+                               {"target", expected_address(), true, address_into(command.target)},
+                               {"path", std::string(request_target), true, path_into(command.path)},
+                               {"method", "GET, HEAD, POST, PUT, PATCH or DELETE", false,
+                                method_into(command.method)},
+                               {"ends_cause", "yes or no", false,
+                                parsed_into(command.ends_cause, settings::parse_yes_no)}});
+    }
+
+    void read_workspace(const std::string& section, const std::string& name)
+    {
+        constexpr unsigned highest = 1000;
+        unsigned weight = 1;
+        read_section(section,
+                     {{"weight", "a number from 1 to 1000", true, count_into(weight, 1, highest)}});
+        m_plan.weights[base::workspace_id(name)] = base::share_weight(weight);
+    }
+
+    void check_unknown_sections()
+    {
+        for (const auto& [path, entry] : m_document.tree) {
+            if (!m_known.contains(path.text())) {
+                add(problem_kind::unknown_path, path.text(), {},
+                    "one of experiment, streams/NAME, surges/NAME, commands/NAME, "
+                    "workspaces/NAME");
+            }
+        }
+    }
+
+    void check_streams()
+    {
+        if (m_plan.streams.empty()) {
+            add(problem_kind::missing_field, "experiment", {}, "a section [streams/NAME]");
+        }
+        std::set<stream_name> names;
+        std::set<base::workspace_id> workspaces;
+        for (const auto& stream : m_plan.streams) {
+            names.insert(stream.name);
+            workspaces.insert(stream.workspace);
+        }
+        for (const auto& surge : m_plan.surges) {
+            if (!surge.stream.value().empty() && !names.contains(surge.stream)) {
+                add(problem_kind::missing_reference, surge.name.value(), "stream",
+                    "the name of a section [streams/NAME]");
+            }
+        }
+        for (const auto& [workspace, weight] : m_plan.weights) {
+            if (!workspaces.contains(workspace)) {
+                add(problem_kind::missing_reference, "workspaces/" + workspace.value(), {},
+                    "a workspace that a stream names");
+            }
+        }
+    }
+
+    void check_times()
+    {
+        // Without a duration, every time would be reported as a consequence.
+        if (m_plan.duration <= base::duration::zero()) {
+            return;
+        }
+        for (const auto& surge : m_plan.surges) {
+            if (surge.start + surge.length > m_plan.duration) {
+                add(problem_kind::out_of_range, surge.name.value(), "length",
+                    "an end within the duration of the experiment");
+            }
+        }
+        for (const auto& command : m_plan.commands) {
+            if (command.at > m_plan.duration) {
+                add(problem_kind::out_of_range, command.name.value(), "at",
+                    "a time within the duration of the experiment");
+            }
+        }
+    }
+
+    void check_size()
+    {
+        if (planned_attempts(m_plan) > experiment::max_requests) {
+            add(problem_kind::too_many, "experiment", "duration",
+                "at most 5000000 attempts in all, surges and retries included");
+        }
+    }
+
+    std::string m_file;
+    address_policy m_allowed;
+    settings::ini_document m_document;
+    experiment m_plan;
+    settings::settings_problems m_problems;
+    std::set<std::string> m_known;
+};
+
+} // namespace
+
+experiment_document read_experiment(std::string_view text, const std::string& file,
+                                    address_policy allowed)
+{
+    return reader(text, file, allowed).read();
+}
+
+} // namespace damaskladder::load
--- /dev/null
+++ b/src/load/experiment_reader.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "load/address_policy.hpp"
+#include "load/experiment_document.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace damaskladder::load {
+
+/// Reads and checks the whole text; each problem names file, line, section, key and what was
+/// expected.
+experiment_document read_experiment(std::string_view text, const std::string& file,
+                                    address_policy allowed = address_policy::loopback_only);
+
+} // namespace damaskladder::load
--- /dev/null
+++ b/src/load/latency_quantiles.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "base/time.hpp"
+#include "load/request_count.hpp"
+
+namespace damaskladder::load {
+
+/// Latencies of the whole answers, from the intended send time to the last byte.
+struct latency_quantiles {
+    request_count count;
+    base::duration p50{0};
+    base::duration p90{0};
+    base::duration p99{0};
+    base::duration p999{0};
+    base::duration max{0};
+};
+
+} // namespace damaskladder::load
--- /dev/null
+++ b/src/load/request_result.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "load/refusal_word.hpp"
+#include "load/result_class.hpp"
+
+namespace damaskladder::load {
+
+/// What became of one attempt or request, and the reason given with a refusal.
+struct request_result {
+    result_class kind = result_class::broken;
+    refusal_word reason;
+
+    friend bool operator==(const request_result&, const request_result&) = default;
+};
+
+} // namespace damaskladder::load
--- /dev/null
+++ b/src/load/run_account.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "load/arrival.hpp"
+#include "load/experiment.hpp"
+#include "load/goodput_series.hpp"
+#include "load/latency_record.hpp"
+#include "load/request_result.hpp"
+#include "load/run_report.hpp"
+
+#include <vector>
+
+namespace damaskladder::load {
+
+/// Counts what happens in a run; times are given as offsets from its start.
+class run_account {
+public:
+    explicit run_account(const experiment& plan);
+
+    /// A request became due.
+    void due(const arrival& request);
+    /// An attempt of a request was sent; the first one counts towards the send delay.
+    void sent(const arrival& request, run_offset at, bool is_first);
+    /// An attempt was answered with a refusal or another result, further attempts or not.
+    void attempt_ended(const arrival& request, const request_result& result);
+    /// The request has its last result.
+    void ended(const arrival& request, const request_result& result, run_offset at);
+    void command_ended(const command_result& result);
+
+    run_report report() const;
+
+private:
+    struct stream_account {
+        stream_report counts;
+        latency_record latency;
+    };
+
+    stream_account& of(const arrival& request) { return m_streams[request.stream.value()]; }
+    std::vector<workspace_service> workspaces() const;
+
+    experiment m_plan;
+    std::vector<stream_account> m_streams;
+    goodput_series m_series;
+    latency_record m_latency;
+    latency_record m_send_delay;
+    std::vector<command_result> m_commands;
+};
+
+} // namespace damaskladder::load
--- /dev/null
+++ b/src/load/run_account_test.cpp
@@ -0,0 +1,237 @@
+#include "load/max_min_share.hpp"
+#include "load/recovery_time.hpp"
+#include "load/run_account.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace damaskladder::load {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct recovery_case {
+    const char* name;
+    /// Goodput in per cent of the demand of 100 in each second.
+    std::vector<std::uint64_t> good;
+    int end_ms;
+    int until_s;
+    std::optional<int> time_ms;
+};
+
+class recovery_after : public testing::TestWithParam<recovery_case> {};
+
+// Guards against a recovery time that takes a single good second, or one outside the time looked
+// at, for recovery.
+TEST_P(recovery_after, is_the_first_second_from_which_goodput_stays)
+{
+    std::vector<second_count> series;
+    for (const auto good : GetParam().good) {
+        series.push_back({request_count(100), request_count(good)});
+    }
+    const auto got =
+        recovery_time(series, milliseconds(GetParam().end_ms), seconds(GetParam().until_s));
+    ASSERT_EQ(got.has_value(), GetParam().time_ms.has_value());
+    if (got) {
+        EXPECT_EQ(*got, milliseconds(*GetParam().time_ms));
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, recovery_after,
+    testing::Values(recovery_case{"at_once", {100, 50, 100, 100}, 2000, 4, 0},
+                    recovery_case{"at_the_bound", {100, 50, 95, 95}, 2000, 4, 0},
+                    recovery_case{"below_the_bound", {100, 50, 94, 95}, 2000, 4, 1000},
+                    recovery_case{"with_a_relapse", {50, 50, 100, 50, 100, 100}, 2000, 6, 2000},
+                    recovery_case{"never", {100, 50, 50, 50}, 2000, 4, std::nullopt},
+                    recovery_case{
+                        "relapse_in_the_last_second", {50, 100, 100, 50}, 1000, 4, std::nullopt},
+                    recovery_case{"relapse_after_the_next_cause", {50, 100, 100, 50}, 1000, 3, 0},
+                    recovery_case{"end_within_a_second", {100, 50, 100, 100}, 1400, 4, 600},
+                    recovery_case{"nothing_to_observe", {100, 100}, 2000, 2, std::nullopt},
+                    recovery_case{"until_past_the_run", {100, 50, 100}, 2000, 9, 0}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
+struct share_case {
+    const char* name;
+    std::vector<std::uint64_t> demand;
+    std::vector<std::uint64_t> good;
+    std::vector<int> weight;
+    std::vector<double> share;
+};
+
+std::vector<workspace_service> services(const share_case& from)
+{
+    std::vector<workspace_service> made(from.demand.size());
+    for (std::size_t i = 0; i < made.size(); ++i) {
+        made[i].total = {request_count(from.demand[i]), request_count(from.good[i])};
+        made[i].weight = base::share_weight(from.weight[i]);
+    }
+    return made;
+}
+
+class max_min : public testing::TestWithParam<share_case> {};
+
+// Guards against shares that give a workspace more than its demand, or ignore weights.
+TEST_P(max_min, divides_what_was_served)
+{
+    auto made = services(GetParam());
+    fill_max_min_shares(made);
+    for (std::size_t i = 0; i < made.size(); ++i) {
+        EXPECT_NEAR(made[i].share, GetParam().share[i], 1e-9) << i;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, max_min,
+    testing::Values(share_case{"all_served", {10, 20}, {10, 20}, {1, 1}, {10, 20}},
+                    share_case{"equal_shares", {100, 100}, {60, 20}, {1, 1}, {40, 40}},
+                    share_case{
+                        "small_demand_first", {10, 100, 100}, {0, 70, 40}, {1, 1, 1}, {10, 50, 50}},
+                    share_case{"by_weight", {100, 100}, {45, 45}, {2, 1}, {60, 30}},
+                    share_case{"weight_beyond_demand", {40, 100}, {45, 45}, {2, 1}, {40, 50}},
+                    share_case{"nothing_served", {10, 10}, {0, 0}, {1, 1}, {0, 0}},
+                    share_case{"no_demand", {0, 10}, {0, 10}, {1, 1}, {0, 10}}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
+// Compares with filling in small steps: each step gives every workspace below its demand a little
+// by weight. 200 random cases.
+TEST(max_min, agrees_with_filling_in_steps)
+{
+    std::mt19937 random(3);
+    for (int round = 0; round < 200; ++round) {
+        share_case drawn{"", {}, {}, {}, {}};
+        for (auto count = 1 + random() % 6; count > 0; --count) {
+            drawn.demand.push_back(random() % 50);
+            drawn.good.push_back(drawn.demand.back() == 0 ? 0 : random() % drawn.demand.back());
+            drawn.weight.push_back(static_cast<int>(1 + random() % 4));
+        }
+        auto made = services(drawn);
+        fill_max_min_shares(made);
+        double left = 0;
+        for (const auto good : drawn.good) {
+            left += static_cast<double>(good);
+        }
+        constexpr double step = 0.001;
+        std::vector<double> filled(made.size(), 0);
+        bool grew = true;
+        while (left > 0 && grew) {
+            grew = false;
+            for (std::size_t i = 0; i < made.size(); ++i) {
+                const double room = static_cast<double>(drawn.demand[i]) - filled[i];
+                const double more = std::min({step * drawn.weight[i], room, left});
+                grew = grew || more > 0;
+                filled[i] += more;
+                left -= more;
+            }
+        }
+        for (std::size_t i = 0; i < made.size(); ++i) {
+            EXPECT_NEAR(made[i].share, filled[i], 0.05) << "round " << round;
+        }
+    }
+}
+
+experiment small_plan()
+{
+    experiment plan;
+    plan.duration = seconds(3);
+    for (const char* name : {"a", "b"}) {
+        auto& stream = plan.streams.emplace_back();
+        stream.name = stream_name(name);
+        stream.workspace = base::workspace_id(std::string("w-") + name);
+    }
+    plan.streams[0].within_rate = true;
+    return plan;
+}
+
+// Guards against results counted for another stream or second, and against rate refusals of a
+// stream that exceeds its rate counted as wrongful.
+TEST(run_account, counts_by_stream_second_and_workspace)
+{
+    run_account account(small_plan());
+    const arrival first{milliseconds(900), stream_index(0)};
+    const arrival second{milliseconds(1100), stream_index(0)};
+    const arrival other{milliseconds(1200), stream_index(1)};
+    for (const auto& request : {first, second, other}) {
+        account.due(request);
+        account.sent(request, request.due + milliseconds(1), true);
+    }
+    const request_result rate{result_class::refused_not_run, refusal_word("rate")};
+    const request_result whole{result_class::whole, {}};
+    account.attempt_ended(second, rate);
+    account.sent(second, milliseconds(1150), false);
+    account.attempt_ended(second, whole);
+    account.ended(second, whole, milliseconds(1300));
+    account.attempt_ended(first, whole);
+    account.ended(first, whole, milliseconds(2900));
+    account.attempt_ended(other, rate);
+    account.ended(other, rate, milliseconds(1210));
+
+    const auto report = account.report();
+    const std::vector<second_count> seconds_wanted = {
+        {request_count(1), request_count(1)}, {request_count(2), request_count(1)}, {}};
+    EXPECT_EQ(report.seconds, seconds_wanted);
+    EXPECT_EQ(report.streams[0].attempts, request_count(3));
+    EXPECT_EQ(report.streams[0].count(result_class::whole), request_count(2));
+    EXPECT_EQ(report.streams[0].wrongful_refusals, request_count(1));
+    EXPECT_TRUE(report.streams[0].reasons.empty());
+    EXPECT_EQ(report.streams[1].reasons.at(refusal_word("rate")), request_count(1));
+    EXPECT_EQ(report.wrongful_refusals, request_count(1));
+    EXPECT_EQ(report.latency.max, milliseconds(2000));
+    EXPECT_EQ(report.send_delay.count, request_count(3));
+    EXPECT_EQ(report.workspaces[1].workspace, base::workspace_id("w-b"));
+    EXPECT_EQ(report.workspaces[1].ratio(), 0);
+}
+
+struct quantile_case {
+    std::size_t count;
+    double part;
+};
+
+class quantile : public testing::TestWithParam<quantile_case> {};
+
+// Guards against a quantile off by a bin or a rank: compares with sorting.
+TEST_P(quantile, is_within_one_percent_of_sorting)
+{
+    std::mt19937 random(5);
+    std::lognormal_distribution<double> draw(8, 2);
+    latency_record record;
+    std::vector<std::int64_t> all;
+    for (std::size_t i = 0; i < GetParam().count; ++i) {
+        all.push_back(20 + static_cast<std::int64_t>(draw(random)));
+        record.add(base::duration(all.back()));
+    }
+    std::sort(all.begin(), all.end());
+    const auto rank =
+        static_cast<std::size_t>(std::ceil(GetParam().part * static_cast<double>(all.size())));
+    const auto exact = static_cast<double>(all[std::max<std::size_t>(rank, 1) - 1]);
+    const auto got = static_cast<double>(record.quantile(GetParam().part).count());
+    EXPECT_GE(got, exact);
+    // An edge is rounded up to a whole microsecond.
+    EXPECT_LE(got, exact * 1.01 + 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(table, quantile,
+                         testing::Values(quantile_case{1, 0.5}, quantile_case{2, 0.5},
+                                         quantile_case{3, 0.5}, quantile_case{1000, 0.5},
+                                         quantile_case{1000, 0.9}, quantile_case{1000, 0.99},
+                                         quantile_case{1000, 0.999}, quantile_case{1000, 1},
+                                         quantile_case{20000, 0.999}));
+
+// Guards against values outside the bins that vanish.
+TEST(latency_record, keeps_values_outside_its_bins)
+{
+    latency_record record;
+    EXPECT_EQ(record.quantile(0.5), base::duration(0));
+    record.add(base::duration(1));
+    EXPECT_EQ(record.quantile(1), base::duration(1));
+    record.add(seconds(1000));
+    EXPECT_EQ(record.quantile(1), seconds(1000));
+}
+
+} // namespace
+} // namespace damaskladder::load
--- /dev/null
+++ b/src/load/run_report.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "load/command_result.hpp"
+#include "load/recovery.hpp"
+#include "load/stream_report.hpp"
+#include "load/workspace_service.hpp"
+
+#include <vector>
+
+namespace damaskladder::load {
+
+/// Everything measured in one run.
+struct run_report {
+    std::uint64_t seed = 0;
+    base::duration duration{0};
+    /// The run was stopped before all requests were sent.
+    bool interrupted = false;
+    std::vector<second_count> seconds;
+    second_count total;
+    std::vector<stream_report> streams;
+    /// In order of their names.
+    std::vector<workspace_service> workspaces;
+    std::vector<recovery> recoveries;
+    std::vector<command_result> commands;
+    request_count wrongful_refusals;
+    latency_quantiles latency;
+    /// Delay of the sends behind their intended times. It is part of each latency; a large one
+    /// means that the load tool itself was too slow.
+    latency_quantiles send_delay;
+};
+
+} // namespace damaskladder::load
--- /dev/null
+++ b/src/load/text_report.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "load/run_report.hpp"
+
+#include <ostream>
+
+namespace damaskladder::load {
+
+/// Writes a summary for a person.
+void write_text(std::ostream& out, const run_report& report);
+
+} // namespace damaskladder::load
