--- a/src/cli/operator_commands.cpp
+++ b/src/cli/operator_commands.cpp
@@ -99,9 +99,9 @@
         return answer ? std::optional(answer->body) : std::nullopt;
     }
 
-    exit_code run_command(const json& command)
+    exit_code run_command(const json& command, const std::string& target = "/v1/command")
     {
-        const auto answer = ask({"/v1/command", command.dump()});
+        const auto answer = ask({target, command.dump()});
         if (!answer) {
             if (m_failure == exit_code::unknown) {
                 std::cerr << "No answer came. To learn what became of the change: damaskladder "
@@ -364,6 +364,34 @@
                          "&after=" + std::to_string(after));
 }
 
+exit_code run_add_replica(const std::vector<std::string>& arguments)
+{
+    std::string identity;
+    verb add("add-replica", "NAME");
+    add.parser().add("identity", identity, "number that status of the replica shows", "NUMBER");
+    if (!add.parse(arguments, 1)) {
+        return exit_code::usage;
+    }
+    const auto number = json::parse(identity, nullptr, false);
+    if (!number.is_number_unsigned()) {
+        std::cerr << "--identity: expected the number that status of the replica shows\n";
+        return exit_code::usage;
+    }
+    return add.run_command(
+        {{"verb", "add-replica"}, {"name", add.positional().front()}, {"identity", number}},
+        "/v1/replica");
+}
+
+exit_code run_remove_replica(const std::vector<std::string>& arguments)
+{
+    verb remove("remove-replica", "NAME");
+    if (!remove.parse(arguments, 1)) {
+        return exit_code::usage;
+    }
+    return remove.run_command({{"verb", "remove-replica"}, {"name", remove.positional().front()}},
+                              "/v1/replica");
+}
+
 exit_code run_status(const std::vector<std::string>& arguments)
 {
     verb ask("status", "");
@@ -426,6 +454,9 @@
         {"answer", "print what became of a change", run_answer},
         {"audit", "print audit records", run_audit},
         {"status", "print the state of a control replica", run_status},
+        {"add-replica", "add a control replica, or admit one with a new data folder",
+         run_add_replica},
+        {"remove-replica", "remove a control replica", run_remove_replica},
         {"watch", "print new versions of a subtree", run_watch},
     };
 }
--- a/src/control/control_replica.cpp
+++ b/src/control/control_replica.cpp
@@ -46,6 +46,15 @@
     return handle(std::move(wanted), now);
 }
 
+control_replica::effects control_replica::change_members(submission_id id,
+                                                         consensus::membership_change wanted,
+                                                         base::time_point now)
+{
+    return handle(consensus::membership_change_requested{consensus::proposal_id(id.value()),
+                                                         std::move(wanted)},
+                  now);
+}
+
 control_replica::effects control_replica::query(submission_id id, base::time_point now)
 {
     return handle(consensus::read_requested{consensus::read_id(id.value())}, now);
@@ -91,6 +100,12 @@
 {
     const auto* bytes = std::get_if<consensus::command>(&wanted.committed.payload);
     if (bytes == nullptr) {
+        if (wanted.proposal) {
+            // A change of the replicas, which the state machine has no part in.
+            change_reply answer;
+            answer.verdict = change_verdict::accepted;
+            out.emplace_back(submission_answered{submission_id(wanted.proposal->value()), answer});
+        }
         return;
     }
     const auto answer = base::handle_failure(
--- a/src/control/control_replica.hpp
+++ b/src/control/control_replica.hpp
@@ -32,6 +32,9 @@
     /// Replicates a command. wall_now becomes log time, unless that is later already.
     effects submit(submission_id id, const command& entry, base::wall_time wall_now,
                    base::time_point now);
+    /// Adds, replaces or removes a replica; answered with change_verdict::accepted.
+    effects change_members(submission_id id, consensus::membership_change wanted,
+                           base::time_point now);
     /// Asks for proof that state() is up to date.
     effects query(submission_id id, base::time_point now);
 
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -66,7 +66,10 @@
         return;
     }
     exchange->on_body([this, raw = exchange.get(), author = *author] {
-        if (raw->body_complete()) {
+        if (raw->body_complete() && raw->head().target == "/v1/replica") {
+            run_replica_change(raw->shared_from_this(), author);
+        }
+        else if (raw->body_complete()) {
             run_command(raw->shared_from_this(), author);
         }
         else if (raw->body().size() >= static_cast<std::size_t>(max_command_body.value())) {
@@ -93,18 +96,42 @@
         [&]() -> base::result<void> {
             BOOST_LEAF_AUTO(command,
                             parse_operator_command(exchange->body(), author, wall_clock_now()));
-            m_host.submit(command, [exchange, author](const auto& answer) {
-                if (const auto* refused = std::get_if<control::submission_refused>(&answer)) {
-                    respond(*exchange, unavailable, to_json(*refused));
-                    return;
-                }
-                const auto& reply =
-                    std::get<control::change_reply>(std::get<control::reply>(answer));
-                log(log_level::info, "operator_command",
-                    {{"author", author.value()},
-                     {"verdict", std::string(to_string(reply.verdict))},
-                     {"version", std::to_string(reply.version.value())}});
-                respond(*exchange, 200, to_json(reply));
+            m_host.submit(command, [this, exchange, author](const auto& result) {
+                answer(exchange, author, result);
+            });
+            return {};
+        },
+        [&](const base::failure& error) { respond_failure(*exchange, error); });
+}
+
+void operator_api::answer(const exchange_ptr& exchange, const base::operator_id& author,
+                          const std::variant<control::reply, control::submission_refused>& result)
+{
+    if (const auto* refused = std::get_if<control::submission_refused>(&result)) {
+        respond(*exchange, unavailable, to_json(*refused));
+        return;
+    }
+    const auto& reply = std::get<control::change_reply>(std::get<control::reply>(result));
+    log(log_level::info, "operator_command",
+        {{"author", author.value()},
+         {"verdict", std::string(to_string(reply.verdict))},
+         {"version", std::to_string(reply.version.value())}});
+    respond(*exchange, 200, to_json(reply));
+}
+
+void operator_api::run_replica_change(const exchange_ptr& exchange, const base::operator_id& author)
+{
+    const auto* credential = m_host.replica().state().credentials().find(author);
+    if (credential == nullptr || credential->role != control::credential_role::admin ||
+        credential->subtree != settings::setting_path()) {
+        respond(*exchange, forbidden, "only an admin of all settings may change the replicas\n");
+        return;
+    }
+    base::handle_failure(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(wanted, parse_replica_change(exchange->body()));
+            m_host.change_members(wanted, [this, exchange, author](const auto& result) {
+                answer(exchange, author, result);
             });
             return {};
         },
--- a/src/daemon/operator_api.hpp
+++ b/src/daemon/operator_api.hpp
@@ -22,6 +22,11 @@
 
     void arrived(const exchange_ptr& exchange);
     void run_command(const exchange_ptr& exchange, const base::operator_id& author);
+    /// POST /v1/replica: {"verb": "add-replica" | "remove-replica", "name": NAME, "identity": N}.
+    /// Only for admins of the root.
+    void run_replica_change(const exchange_ptr& exchange, const base::operator_id& author);
+    void answer(const exchange_ptr& exchange, const base::operator_id& author,
+                const std::variant<control::reply, control::submission_refused>& result);
     void run_query(const exchange_ptr& exchange, const base::operator_id& author);
     /// Nothing if the token is missing or unknown.
     std::optional<base::operator_id> authenticate(const http::request_head& head) const;
--- a/src/daemon/operator_command.cpp
+++ b/src/daemon/operator_command.cpp
@@ -147,4 +147,24 @@
                            "remove-credential");
 }
 
+base::result<consensus::membership_change> parse_replica_change(std::string_view text)
+{
+    const auto from = json::parse(text, nullptr, false);
+    if (!from.is_object()) {
+        return invalid("body", "a JSON object");
+    }
+    BOOST_LEAF_AUTO(verb, text_of(from, "verb"));
+    BOOST_LEAF_AUTO(name, text_of(from, "name"));
+    const consensus::replica_id id(name);
+    if (verb == "remove-replica") {
+        return consensus::membership_change(consensus::remove_replica{id});
+    }
+    if (verb != "add-replica") {
+        return invalid("verb", "add-replica or remove-replica");
+    }
+    BOOST_LEAF_AUTO(identity, number_of(from, "identity"));
+    return consensus::membership_change(
+        consensus::add_replica{{id, consensus::identity_nonce(identity)}});
+}
+
 } // namespace damaskladder::daemon
--- a/src/daemon/operator_command.hpp
+++ b/src/daemon/operator_command.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/result.hpp"
+#include "consensus/membership_change.hpp"
 #include "control/command.hpp"
 
 #include <string_view>
@@ -20,4 +21,8 @@
 base::result<control::command>
 parse_operator_command(std::string_view text, const base::operator_id& author, base::wall_time now);
 
+/// Reads a change of the replicas: {"verb": "add-replica" | "remove-replica", "name", "identity"}.
+/// The identity is the number that the replica's status shows; removing needs none.
+base::result<consensus::membership_change> parse_replica_change(std::string_view text);
+
 } // namespace damaskladder::daemon
--- a/src/daemon/operator_query.cpp
+++ b/src/daemon/operator_query.cpp
@@ -124,6 +124,7 @@
     const auto log = replica.status();
     const auto state = replica.state().status();
     ordered_json json = {{"replica", log.identity.id.value()},
+                         {"identity", log.identity.nonce.value()},
                          {"leads", replica.leads()},
                          {"leader", log.known_leader ? log.known_leader->value() : ""},
                          {"term", log.term.value()},
--- a/src/daemon/replica_host.cpp
+++ b/src/daemon/replica_host.cpp
@@ -78,6 +78,13 @@
     carry_out(m_replica->submit(id, entry, wall_clock_now(), http::event_loop::now()));
 }
 
+void replica_host::change_members(consensus::membership_change wanted, submit_done done)
+{
+    const control::submission_id id(++m_last_submission);
+    m_submissions[id] = std::move(done);
+    carry_out(m_replica->change_members(id, std::move(wanted), http::event_loop::now()));
+}
+
 void replica_host::query(query_done done)
 {
     const control::submission_id id(++m_last_submission);
--- a/src/daemon/replica_host.hpp
+++ b/src/daemon/replica_host.hpp
@@ -35,6 +35,7 @@
 
     void receive(consensus::envelope message);
     void submit(const control::command& entry, submit_done done);
+    void change_members(consensus::membership_change wanted, submit_done done);
     void query(query_done done);
     /// Hands leadership over, for a graceful stop.
     void hand_over();
