--- a/src/load/classify.cpp
+++ b/src/load/classify.cpp
@@ -2,6 +2,8 @@
 
 #include "load/load_headers.hpp"
 
+#include <algorithm>
+
 namespace damaskladder::load {
 
 namespace {
@@ -12,7 +14,11 @@
 refusal_word reason_of(const http::response_head& head)
 {
     const auto* text = head.headers.find(load_headers::reason);
-    return refusal_word(text == nullptr ? std::string() : text->substr(0, longest_reason));
+    auto word = text == nullptr ? std::string() : text->substr(0, longest_reason);
+    // Control characters of a server must not reach the terminal.
+    const auto is_odd = [](char c) { return c <= ' ' || c >= '\x7f'; };
+    std::replace_if(word.begin(), word.end(), is_odd, '?');
+    return refusal_word(std::move(word));
 }
 
 result_class kind_of(const http::response_head& head)
--- a/src/load/classify_test.cpp
+++ b/src/load/classify_test.cpp
@@ -54,6 +54,8 @@
         classify_case{"long_reason", end_kind::complete,
                       refusal(503, "not-run", "0123456789012345678901234567890123456789more"),
                       result_class::refused_not_run, "0123456789012345678901234567890123456789"},
+        classify_case{"odd_bytes", end_kind::complete, refusal(503, "not-run", "a\x1b[1m\xff b"),
+                      result_class::refused_not_run, "a?[1m??b"},
         classify_case{"short_answer", end_kind::broken, answer(200), result_class::broken, ""},
         classify_case{"no_answer", end_kind::broken, std::nullopt, result_class::broken, ""},
         classify_case{"cancelled", end_kind::cancelled, answer(200), result_class::broken, ""},
--- a/src/load/experiment_reader.cpp
+++ b/src/load/experiment_reader.cpp
@@ -212,10 +212,11 @@
         for (const auto& field : fields) {
             known += (known.empty() ? "one of " : ", ") + field.name;
         }
-        for (const auto& [name, value] : entry) {
-            const auto same = [&](const field_spec& field) { return field.name == name.value(); };
+        for (const auto& present : entry) {
+            const auto& name = present.first.value();
+            const auto same = [&](const field_spec& field) { return field.name == name; };
             if (std::none_of(fields.begin(), fields.end(), same)) {
-                add(problem_kind::unknown_field, section, name.value(), known);
+                add(problem_kind::unknown_field, section, name, known);
             }
         }
     }
--- a/src/load/run_account.cpp
+++ b/src/load/run_account.cpp
@@ -78,6 +78,7 @@
         }
     }
     std::vector<workspace_service> all;
+    all.reserve(by_name.size());
     for (const auto& [name, service] : by_name) {
         all.push_back(service);
     }
