--- /dev/null
+++ b/src/daemon/process_settings_test.cpp
@@ -0,0 +1,78 @@
+#include "daemon/process_settings.hpp"
+
+#include <gtest/gtest.h>
+
+namespace damaskladder::daemon {
+namespace {
+
+const std::string good = "[process]\n"
+                         "name = vm1\n"
+                         "failure_domain = west\n"
+                         "secret_file = cluster.secret\n"
+                         "messages = 127.0.0.1:7101\n"
+                         "[replicas/vm1]\n"
+                         "messages = 127.0.0.1:7101\n"
+                         "[node]\n"
+                         "callers = 127.0.0.1:7110\n"
+                         "peers = 127.0.0.1:7111\n"
+                         "backend_server = 127.0.0.1:7112\n"
+                         "stop_limit = 5s\n"
+                         "[control]\n"
+                         "operators = 127.0.0.1:7120\n"
+                         "data = data\n";
+
+TEST(process_settings, are_read)
+{
+    const auto document = read_process_settings(good, "vm1.ini");
+    ASSERT_TRUE(document.problems.empty()) << to_string(document.problems.front());
+    const auto& settings = document.settings;
+    EXPECT_EQ(settings.name, base::node_id("vm1"));
+    EXPECT_EQ(settings.messages, (http::address{"127.0.0.1", 7101}));
+    ASSERT_TRUE(settings.node && settings.replica);
+    EXPECT_EQ(settings.node->listen.peers.port, 7111);
+    EXPECT_EQ(settings.node->stop_limit, base::duration(std::chrono::seconds(5)));
+    EXPECT_EQ(settings.replica->data, "data");
+}
+
+struct problem_case {
+    std::string name;
+    std::string replaced;
+    std::string by;
+    /// How the first problem begins.
+    std::string problem;
+};
+
+class process_problems : public testing::TestWithParam<problem_case> {};
+
+// Guards against a process that starts half configured.
+TEST_P(process_problems, name_file_line_section_and_key)
+{
+    const auto& expected = GetParam();
+    auto text = good;
+    const auto at = text.find(expected.replaced);
+    ASSERT_NE(at, std::string::npos);
+    text.replace(at, expected.replaced.size(), expected.by);
+    const auto problems = read_process_settings(text, "vm1.ini").problems;
+    ASSERT_FALSE(problems.empty());
+    const auto line = to_string(problems.front());
+    EXPECT_EQ(line.substr(0, expected.problem.size()), expected.problem) << line;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, process_problems,
+    testing::Values(
+        problem_case{"missing_field", "name = vm1\n", "", "vm1.ini:1: [process] name: "},
+        problem_case{"unknown_field", "name = vm1", "nam = vm1", "vm1.ini:1: [process] name: "},
+        problem_case{"bad_address", "7110", "70000", "vm1.ini:9: [node] callers: expected IP:PORT"},
+        problem_case{"host_name", "callers = 127.0.0.1", "callers = localhost",
+                     "vm1.ini:9: [node] callers: expected IP:PORT"},
+        problem_case{"no_unit", "5s", "5", "vm1.ini:12: [node] stop_limit: expected a duration"},
+        problem_case{"unknown_section", "[control]", "[controll]", "vm1.ini:13: [controll]"},
+        problem_case{"twice", "peers = ", "callers = ", "vm1.ini:10: [node] callers: "},
+        problem_case{"not_listed", "[replicas/vm1]", "[replicas/vm2]", "vm1.ini:13: [control]"},
+        problem_case{"bad_list", "[node]\n", "[seeds]\naddresses = 1.2.3.4:5, x\n[node]\n",
+                     "vm1.ini:9: [seeds] addresses: expected a list of IP:PORT"}),
+    [](const auto& tested) { return tested.param.name; });
+
+} // namespace
+} // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/traffic_front_test.cpp
@@ -0,0 +1,310 @@
+#include "daemon/secure_random.hpp"
+#include "daemon/traffic_front.hpp"
+#include "node/traffic_machine.hpp"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+
+namespace damaskladder::daemon {
+namespace {
+
+constexpr const char* key = "workspace-key-1";
+
+/// A node with real decisions on one loop, whose backend server is given by the test. Tokens and
+/// claims are granted at once.
+class front_fixture {
+public:
+    using backend = std::function<void(const std::shared_ptr<http::exchange>&)>;
+
+    explicit front_fixture(backend serve)
+        : m_secret(wire::cluster_secret::parse(std::string(64, 'a')).value()),
+          m_backend(m_loop, {}, std::move(serve)),
+          m_client(m_loop),
+          m_machine(make_options()),
+          m_front(m_loop, m_secret, base::incarnation(1), {}, make_logic(), make_hooks())
+    {
+        EXPECT_TRUE(m_backend.listen({"127.0.0.1", 0}));
+        EXPECT_TRUE(m_front.listen({{"127.0.0.1", 0}, {"127.0.0.1", 0}, {"127.0.0.1", 0}}));
+        m_front.set_view(make_view());
+    }
+
+    http::event_loop& loop() { return m_loop; }
+    traffic_front& front() { return m_front; }
+
+    struct answer {
+        http::response_head head;
+        std::string body;
+        std::optional<http::transfer_end> end;
+
+        std::string field(std::string_view name) const
+        {
+            const auto* value = head.headers.find(name);
+            return value == nullptr ? "" : *value;
+        }
+    };
+
+    /// Sends a request to a port of the node and returns the transfer.
+    std::shared_ptr<http::transfer> send(std::uint16_t port, http::request_head head,
+                                         std::string body, const std::shared_ptr<answer>& into)
+    {
+        http::client_request request;
+        request.to = {"127.0.0.1", port};
+        request.head = std::move(head);
+        request.head.body_size = base::byte_count(static_cast<std::int64_t>(body.size()));
+        http::transfer::hooks hooks;
+        hooks.on_head = [into](http::response_head received) { into->head = std::move(received); };
+        hooks.on_body = [into](std::string_view data) {
+            into->body += data;
+            return true;
+        };
+        hooks.read_body = [body = std::move(body), at = std::size_t{0}](char* out,
+                                                                        std::size_t size) mutable {
+            const auto taken = body.copy(out, size, at);
+            at += taken;
+            return taken;
+        };
+        hooks.on_end = [into](const http::transfer_end& end) { into->end = end; };
+        return m_client.send(std::move(request), std::move(hooks));
+    }
+
+    answer call(std::uint16_t port, http::request_head head, std::string body = {})
+    {
+        const auto received = std::make_shared<answer>();
+        send(port, std::move(head), std::move(body), received);
+        run_until([&] { return received->end.has_value(); });
+        return *received;
+    }
+
+    /// Gives up after a long time, which only a failing test reaches.
+    void run_until(const std::function<bool()>& done)
+    {
+        const auto give_up = http::event_loop::now() + std::chrono::seconds(20);
+        while (!done() && http::event_loop::now() < give_up) {
+            m_loop.call_at(http::event_loop::now() + std::chrono::milliseconds(1),
+                           [this] { m_loop.stop(); });
+            m_loop.run();
+        }
+        EXPECT_TRUE(done());
+    }
+
+private:
+    static node::traffic_options make_options()
+    {
+        node::traffic_options options;
+        options.random = secure_random();
+        return options;
+    }
+
+    traffic_logic make_logic()
+    {
+        return {.handle = [this](const auto& event, const auto& view, auto now,
+                                 auto& effects) { m_machine.handle(event, view, now, effects); },
+                .next_deadline = [this] { return m_machine.next_deadline(); }};
+    }
+
+    traffic_hooks make_hooks()
+    {
+        traffic_hooks hooks;
+        hooks.ask_tokens = [this](const node::ask_tokens& wanted) {
+            m_front.deliver(node::tokens_granted{wanted.exchange, node::token_grant_id(1)});
+        };
+        hooks.give_token_back = [](const auto&) {};
+        hooks.exchange_ended = [](auto) {};
+        hooks.ask_claim = [this](const node::ask_claim& wanted) {
+            m_front.deliver(node::claim_granted{wanted.attempt});
+        };
+        hooks.release_claim = [](const auto&) {};
+        hooks.complete_claim = [](const auto&) {};
+        hooks.local_api = [](const auto&) {};
+        return hooks;
+    }
+
+    std::shared_ptr<const traffic_view> make_view()
+    {
+        auto view = std::make_shared<node::node_view>();
+        const base::service_id service("files");
+        view->self = base::node_id("n1");
+        view->own_domain = base::failure_domain_id("west");
+        view->settings_confirmed_at = http::event_loop::now();
+        m_route.service = service;
+        m_route.timeout = std::chrono::seconds(10);
+        m_route.retries = base::retry_count(0);
+        m_route.max_body = base::byte_count(4 << 20);
+        m_route.max_staleness = std::chrono::hours(1);
+        m_once = m_route;
+        m_once.idempotent = false;
+        m_key = {base::key_id("k1"), base::workspace_id("w1"), true};
+        view->match_route = [this](std::string_view path) -> const node::route_entry* {
+            return path.substr(0, 5) == "/once" ? &m_once : &m_route;
+        };
+        view->find_key =
+            [this, hash = wire::key_hasher(m_secret, wire::key_usage::key_hashes).hash(key)](
+                const base::key_hash& presented) { return presented == hash ? &m_key : nullptr; };
+        view->key_active = [](const base::key_id&) { return true; };
+        view->weight_of = [](const base::workspace_id&) { return base::share_weight(1); };
+        node::service_entry entry;
+        entry.service = service;
+        entry.servers.push_back({view->self, base::incarnation(1), view->own_domain,
+                                 base::slot_count(4), base::slot_count(0), false});
+        view->services.push_back(entry);
+        view->local.push_back({service, base::slot_count(4), false, false, std::chrono::hours(1)});
+        auto out = std::make_shared<traffic_view>();
+        out->node = view;
+        out->gatekeepers[view->self] = {"127.0.0.1", m_front.peers_port()};
+        out->local[service] = {"127.0.0.1", m_backend.port()};
+        return out;
+    }
+
+    http::event_loop m_loop;
+    wire::cluster_secret m_secret;
+    node::route_entry m_route;
+    node::route_entry m_once;
+    node::key_entry m_key;
+    http::server m_backend;
+    http::client m_client;
+    node::traffic_machine m_machine;
+    traffic_front m_front;
+};
+
+http::request_head request_for(std::string target, http::header_list headers = {})
+{
+    http::request_head head;
+    head.method = "POST";
+    head.target = std::move(target);
+    head.headers = std::move(headers);
+    return head;
+}
+
+const http::header_list with_key = {{"Damaskladder-Key", key}, {"Cookie", "c=1"}};
+
+class relayed_sizes : public testing::TestWithParam<std::size_t> {};
+
+// Guards against answers that are cut or mixed up, and against keys that reach a backend server.
+TEST_P(relayed_sizes, request_and_answer_pass_whole_and_the_key_stays)
+{
+    http::request_head seen;
+    front_fixture node([&](const std::shared_ptr<http::exchange>& request) {
+        seen = request->head();
+        http::response_head head;
+        head.headers.add("X-From", "backend");
+        head.headers.add("Damaskladder-Outcome", "not-run");
+        request->start(head);
+        const auto echo = [raw = request.get()] {
+            raw->write(raw->body());
+            raw->consume_body(raw->body().size());
+            if (raw->body_complete()) {
+                raw->finish();
+            }
+        };
+        request->on_body(echo);
+        if (seen.body_size == base::byte_count(0)) {
+            request->finish();
+        }
+    });
+    const std::string body(GetParam(), 'b');
+    const auto got =
+        node.call(node.front().callers_port(), request_for("/a/%2e?q=1", with_key), body);
+    EXPECT_EQ(got.end->how, http::transfer_end::kind::complete) << got.end->text;
+    EXPECT_EQ(got.head.status, 200);
+    EXPECT_EQ(got.body, body);
+    EXPECT_EQ(got.field("X-From"), "backend");
+    EXPECT_EQ(got.field("Damaskladder-Outcome"), "") << "a backend server may not refuse for us";
+    EXPECT_EQ(seen.target, "/a/%2e?q=1");
+    EXPECT_NE(seen.headers.find("Cookie"), nullptr);
+    EXPECT_NE(seen.headers.find("Damaskladder-Context"), nullptr);
+    for (const auto& field : seen.headers) {
+        EXPECT_EQ(field.value.find(key), std::string::npos) << field.name;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(table, relayed_sizes, testing::Values(0, 5, 60000, 1000000));
+
+struct refusal_case {
+    std::string name;
+    http::request_head head;
+    /// Sent to the port for other nodes rather than the one for callers.
+    bool to_peers;
+    int status;
+    std::string outcome;
+};
+
+class refusals : public testing::TestWithParam<refusal_case> {};
+
+// Guards against work for callers that may not have it, and against untrue outcomes.
+TEST_P(refusals, say_what_became_of_the_request)
+{
+    const auto& expected = GetParam();
+    bool ran = false;
+    front_fixture node([&](const std::shared_ptr<http::exchange>& request) {
+        ran = true;
+        request->on_body([raw = request.get()] { raw->consume_body(raw->body().size()); });
+        request->abort();
+    });
+    const auto port = expected.to_peers ? node.front().peers_port() : node.front().callers_port();
+    const auto got = node.call(port, expected.head, "body");
+    EXPECT_EQ(got.head.status, expected.status) << got.body;
+    EXPECT_EQ(got.field("Damaskladder-Outcome"), expected.outcome);
+    EXPECT_EQ(ran, expected.outcome == "unknown");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, refusals,
+    testing::Values(
+        refusal_case{"no_key", request_for("/a"), false, 401, "not-run"},
+        refusal_case{"unknown_key", request_for("/a", {{"Damaskladder-Key", "x"}}), false, 401,
+                     "not-run"},
+        refusal_case{"malformed_field",
+                     request_for("/a", {{"Damaskladder-Key", key}, {"Idempotency-Key", "a b"}}),
+                     false, 400, "not-run"},
+        refusal_case{"no_request_id", request_for("/once", with_key), false, 400, "not-run"},
+        refusal_case{
+            "backend_closes",
+            request_for("/once", {{"Damaskladder-Key", key}, {"Idempotency-Key", "1796380000-a"}}),
+            false, 502, "unknown"},
+        refusal_case{"no_context", request_for("/a", with_key), true, 403, "not-run"},
+        refusal_case{"forged_context",
+                     request_for("/a", {{"Damaskladder-Context", std::string(200, 'A')},
+                                        {"Damaskladder-Service", "files"}}),
+                     true, 403, "not-run"}),
+    [](const auto& tested) { return tested.param.name; });
+
+// Guards against work that goes on at the backend server for a caller that has left.
+TEST(traffic_front, caller_that_leaves_cancels_at_the_backend_server)
+{
+    bool running = false;
+    bool cancelled = false;
+    std::shared_ptr<http::exchange> held;
+    front_fixture node([&](const std::shared_ptr<http::exchange>& request) {
+        running = true;
+        held = request;
+        request->on_gone([&] { cancelled = true; });
+    });
+    const auto received = std::make_shared<front_fixture::answer>();
+    const auto transfer =
+        node.send(node.front().callers_port(), request_for("/a", with_key), "body", received);
+    node.run_until([&] { return running; });
+    transfer->cancel();
+    node.run_until([&] { return cancelled; });
+    node.run_until([&] { return node.front().running() == 0; });
+    held.reset();
+}
+
+// Guards against a context that a backend server uses to reach a gatekeeper without its node.
+TEST(traffic_front, context_of_a_backend_server_is_refused_between_nodes)
+{
+    std::string context;
+    front_fixture node([&](const std::shared_ptr<http::exchange>& request) {
+        context = *request->head().headers.find("Damaskladder-Context");
+        request->on_body([raw = request.get()] { raw->consume_body(raw->body().size()); });
+        request->respond({}, "ok");
+    });
+    EXPECT_EQ(node.call(node.front().callers_port(), request_for("/a", with_key)).head.status, 200);
+    const auto got = node.call(
+        node.front().peers_port(),
+        request_for("/a", {{"Damaskladder-Context", context}, {"Damaskladder-Service", "files"}}));
+    EXPECT_EQ(got.head.status, 403);
+}
+
+} // namespace
+} // namespace damaskladder::daemon
