Settings: one reader for settings files with fixed sections

Cause: the settings of a process and of a load experiment were read by two copies of the same section and field checks. Change: section_reader and split_list in settings serve both.

--- a/src/load/experiment_reader.cpp
+++ b/src/load/experiment_reader.cpp
@@ -1,7 +1,7 @@
 #include "load/experiment_reader.hpp"
 
 #include "load/planned_requests.hpp"
-#include "settings/ini_reader.hpp"
+#include "settings/section_reader.hpp"
 #include "settings/value_parsers.hpp"
 
 #include <algorithm>
@@ -14,15 +14,11 @@
 
 using settings::problem_kind;
 
-/// Reads one value into the experiment; false if it is malformed.
-using value_reader = std::function<bool(const std::string& value)>;
+using settings::field_spec;
+using settings::split_list;
 
-struct field_spec {
-    std::string name;
-    std::string expected;
-    bool required;
-    value_reader read;
-};
+/// Reads one value; false if it is malformed.
+using value_reader = std::function<bool(const std::string& value)>;
 
 constexpr std::string_view whole_seconds = "whole seconds from 1s to 1h, such as 30s";
 constexpr std::string_view request_target = "a path that begins with '/', without spaces";
@@ -119,54 +115,28 @@
         [](const base::failure&) { return std::optional<http::address>(); });
 }
 
-std::vector<std::string> split(const std::string& value)
-{
-    std::vector<std::string> items;
-    std::size_t start = 0;
-    while (start <= value.size()) {
-        const auto end = std::min(value.find(", ", start), value.size());
-        items.push_back(value.substr(start, end - start));
-        start = end + 2;
-    }
-    return items;
-}
-
 class reader {
 public:
     reader(std::string_view text, const std::string& file, address_policy allowed)
-        : m_file(file), m_allowed(allowed), m_document(settings::read_ini(text, file))
+        : m_allowed(allowed), m_reader(text, file)
     {
     }
 
     experiment_document read()
     {
         read_experiment_section();
-        for (const auto& [path, entry] : m_document.tree) {
+        for (const auto& [path, entry] : m_reader.tree()) {
             read_named_section(path);
         }
-        check_unknown_sections();
+        m_reader.check_unknown_sections(
+            "one of experiment, streams/NAME, surges/NAME, commands/NAME, workspaces/NAME");
         check_streams();
         check_times();
         check_size();
-        m_document.lines.locate(m_file, m_problems);
-        auto problems = m_document.problems;
-        problems.insert(problems.end(), m_problems.begin(), m_problems.end());
-        return {std::move(m_plan), std::move(problems)};
+        return {std::move(m_plan), m_reader.problems()};
     }
 
 private:
-    static settings::setting_path path_of(const std::string& section)
-    {
-        return settings::setting_path::parse(section).value();
-    }
-
-    void add(problem_kind kind, const std::string& section, const std::string& field,
-             std::string expected)
-    {
-        m_problems.push_back(
-            {kind, {}, {}, path_of(section), settings::field_name(field), std::move(expected)});
-    }
-
     value_reader address_into(http::address& into) const
     {
         return [&into, this](const std::string& value) {
@@ -184,47 +154,10 @@
                    : "IP:PORT on loopback (127.x.x.x), or the option --any-address";
     }
 
-    void read_section(const std::string& section, const std::vector<field_spec>& fields)
-    {
-        m_known.insert(section);
-        const auto* entry = m_document.tree.find(path_of(section));
-        for (const auto& field : fields) {
-            const auto* value =
-                entry == nullptr ? nullptr : entry->find(settings::field_name(field.name));
-            if (value == nullptr) {
-                if (field.required) {
-                    add(problem_kind::missing_field, section, field.name, field.expected);
-                }
-            }
-            else if (!field.read(value->value())) {
-                add(problem_kind::wrong_format, section, field.name, field.expected);
-            }
-        }
-        if (entry != nullptr) {
-            check_unknown_fields(section, *entry, fields);
-        }
-    }
-
-    void check_unknown_fields(const std::string& section, const settings::setting_entry& entry,
-                              const std::vector<field_spec>& fields)
-    {
-        std::string known;
-        for (const auto& field : fields) {
-            known += (known.empty() ? "one of " : ", ") + field.name;
-        }
-        for (const auto& present : entry) {
-            const auto& name = present.first.value();
-            const auto same = [&](const field_spec& field) { return field.name == name; };
-            if (std::none_of(fields.begin(), fields.end(), same)) {
-                add(problem_kind::unknown_field, section, name, known);
-            }
-        }
-    }
-
     void read_experiment_section()
     {
         auto& plan = m_plan;
-        read_section(
+        m_reader.read(
             "experiment",
             {{"seed", "a number", false, parsed_into(plan.seed, settings::parse_count)},
              {"duration", std::string(whole_seconds), true, whole_seconds_into(plan.duration)},
@@ -238,7 +171,7 @@
 
     bool read_targets(const std::string& value)
     {
-        for (const auto& item : split(value)) {
+        for (const auto& item : split_list(value)) {
             if (!address_into(m_plan.targets.emplace_back())(item)) {
                 return false;
             }
@@ -283,7 +216,7 @@
             stream.key_file = value;
             return !value.empty();
         };
-        read_section(
+        m_reader.read(
             section,
             {{"path", std::string(request_target), true, path_into(stream.path)},
              {"workspace", "a name", true, workspace},
@@ -307,7 +240,7 @@
             surge.stream = stream_name(value);
             return settings::is_name(value);
         };
-        read_section(
+        m_reader.read(
             section,
             {{"stream", "the name of a stream", true, stream},
              {"start", std::string(short_duration), true,
@@ -320,40 +253,30 @@
     {
         auto& command = m_plan.commands.emplace_back();
         command.name = cause_name(section);
-        read_section(section, {{"at", std::string(short_duration), true,
-                                parsed_into(command.at, settings::parse_duration)},
-                               {"target", expected_address(), true, address_into(command.target)},
-                               {"path", std::string(request_target), true, path_into(command.path)},
-                               {"method", "GET, HEAD, POST, PUT, PATCH or DELETE", false,
-                                method_into(command.method)},
-                               {"ends_cause", "yes or no", false,
-                                parsed_into(command.ends_cause, settings::parse_yes_no)}});
+        m_reader.read(section,
+                      {{"at", std::string(short_duration), true,
+                        parsed_into(command.at, settings::parse_duration)},
+                       {"target", expected_address(), true, address_into(command.target)},
+                       {"path", std::string(request_target), true, path_into(command.path)},
+                       {"method", "GET, HEAD, POST, PUT, PATCH or DELETE", false,
+                        method_into(command.method)},
+                       {"ends_cause", "yes or no", false,
+                        parsed_into(command.ends_cause, settings::parse_yes_no)}});
     }
 
     void read_workspace(const std::string& section, const std::string& name)
     {
         constexpr unsigned highest = 1000;
         unsigned weight = 1;
-        read_section(section,
-                     {{"weight", "a number from 1 to 1000", true, count_into(weight, 1, highest)}});
+        m_reader.read(
+            section, {{"weight", "a number from 1 to 1000", true, count_into(weight, 1, highest)}});
         m_plan.weights[base::workspace_id(name)] = base::share_weight(weight);
     }
 
-    void check_unknown_sections()
-    {
-        for (const auto& [path, entry] : m_document.tree) {
-            if (!m_known.contains(path.text())) {
-                add(problem_kind::unknown_path, path.text(), {},
-                    "one of experiment, streams/NAME, surges/NAME, commands/NAME, "
-                    "workspaces/NAME");
-            }
-        }
-    }
-
     void check_streams()
     {
         if (m_plan.streams.empty()) {
-            add(problem_kind::missing_field, "experiment", {}, "a section [streams/NAME]");
+            m_reader.add(problem_kind::missing_field, "experiment", {}, "a section [streams/NAME]");
         }
         std::set<stream_name> names;
         std::set<base::workspace_id> workspaces;
@@ -363,14 +286,14 @@
         }
         for (const auto& surge : m_plan.surges) {
             if (!surge.stream.value().empty() && !names.contains(surge.stream)) {
-                add(problem_kind::missing_reference, surge.name.value(), "stream",
-                    "the name of a section [streams/NAME]");
+                m_reader.add(problem_kind::missing_reference, surge.name.value(), "stream",
+                             "the name of a section [streams/NAME]");
             }
         }
         for (const auto& [workspace, weight] : m_plan.weights) {
             if (!workspaces.contains(workspace)) {
-                add(problem_kind::missing_reference, "workspaces/" + workspace.value(), {},
-                    "a workspace that a stream names");
+                m_reader.add(problem_kind::missing_reference, "workspaces/" + workspace.value(), {},
+                             "a workspace that a stream names");
             }
         }
     }
@@ -383,14 +306,14 @@
         }
         for (const auto& surge : m_plan.surges) {
             if (surge.start + surge.length > m_plan.duration) {
-                add(problem_kind::out_of_range, surge.name.value(), "length",
-                    "an end within the duration of the experiment");
+                m_reader.add(problem_kind::out_of_range, surge.name.value(), "length",
+                             "an end within the duration of the experiment");
             }
         }
         for (const auto& command : m_plan.commands) {
             if (command.at > m_plan.duration) {
-                add(problem_kind::out_of_range, command.name.value(), "at",
-                    "a time within the duration of the experiment");
+                m_reader.add(problem_kind::out_of_range, command.name.value(), "at",
+                             "a time within the duration of the experiment");
             }
         }
     }
@@ -398,17 +321,14 @@
     void check_size()
     {
         if (planned_attempts(m_plan) > experiment::max_requests) {
-            add(problem_kind::too_many, "experiment", "duration",
-                "at most 5000000 attempts in all, surges and retries included");
+            m_reader.add(problem_kind::too_many, "experiment", "duration",
+                         "at most 5000000 attempts in all, surges and retries included");
         }
     }
 
-    std::string m_file;
     address_policy m_allowed;
-    settings::ini_document m_document;
+    settings::section_reader m_reader;
     experiment m_plan;
-    settings::settings_problems m_problems;
-    std::set<std::string> m_known;
 };
 
 } // namespace
--- /dev/null
+++ b/src/settings/field_spec.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+namespace damaskladder::settings {
+
+/// How section_reader reads one field of a settings file.
+struct field_spec {
+    std::string name;
+    /// What the value should be, for problems.
+    std::string expected;
+    bool required = false;
+    /// Takes the value; false if it is malformed.
+    std::function<bool(const std::string& value)> read;
+};
+
+} // namespace damaskladder::settings
