--- a/src/daemon/request_parser.cpp
+++ b/src/daemon/request_parser.cpp
@@ -1,7 +1,7 @@
 #include "daemon/request_parser.hpp"
 
-#include "daemon/header_names.hpp"
 #include "daemon/importance_name.hpp"
+#include "http/header_names.hpp"
 
 #include <algorithm>
 #include <array>
@@ -29,9 +29,10 @@
 
 base::result<void> check_single_fields(const http::request_head& head)
 {
-    using namespace header_names;
+    using namespace http::header_names;
     constexpr std::array<std::string_view, 7> single = {
-        key, authorization, request_id, importance, header_names::timeout, idempotent, context};
+        key,        authorization, request_id, importance, http::header_names::timeout,
+        idempotent, context};
     for (const auto name : single) {
         if (head.headers.count(name) > 1) {
             return invalid(name, std::string(name) + " is given more than once");
@@ -42,29 +43,29 @@
 
 base::result<void> parse_key(const http::request_head& head, parsed_request& into)
 {
-    if (const auto* value = head.headers.find(header_names::key)) {
+    if (const auto* value = head.headers.find(http::header_names::key)) {
         into.key = *value;
     }
-    else if (const auto* authorization = head.headers.find(header_names::authorization)) {
+    else if (const auto* authorization = head.headers.find(http::header_names::authorization)) {
         if (std::string_view(*authorization).substr(0, bearer.size()) == bearer) {
             into.key = std::string_view(*authorization).substr(bearer.size());
             into.key_in_authorization = true;
         }
     }
     if (into.key && (into.key->empty() || into.key->size() > max_key_size)) {
-        return invalid(header_names::key, "expected a key of 1 to 512 bytes");
+        return invalid(http::header_names::key, "expected a key of 1 to 512 bytes");
     }
     return {};
 }
 
 base::result<void> parse_request_id(const http::request_head& head, parsed_request& into)
 {
-    const auto* value = head.headers.find(header_names::request_id);
+    const auto* value = head.headers.find(http::header_names::request_id);
     if (value == nullptr) {
         return {};
     }
     if (value->empty() || value->size() > max_request_id_size || !is_printable(*value)) {
-        return invalid(header_names::request_id,
+        return invalid(http::header_names::request_id,
                        "Idempotency-Key: expected 1 to 128 printable characters without spaces");
     }
     into.request = base::request_id(*value);
@@ -73,26 +74,26 @@
 
 base::result<void> parse_wishes(const http::request_head& head, node::request_wishes& into)
 {
-    if (const auto* value = head.headers.find(header_names::importance)) {
+    if (const auto* value = head.headers.find(http::header_names::importance)) {
         into.importance = parse_importance(*value);
         if (!into.importance) {
-            return invalid(header_names::importance,
+            return invalid(http::header_names::importance,
                            "Damaskladder-Importance: expected background, low, normal or critical");
         }
     }
-    if (const auto* value = head.headers.find(header_names::timeout)) {
+    if (const auto* value = head.headers.find(http::header_names::timeout)) {
         std::int64_t ms = 0;
         const char* end = value->data() + value->size();
         const auto parsed = std::from_chars(value->data(), end, ms);
         if (parsed.ec != std::errc() || parsed.ptr != end || ms <= 0 || ms > max_timeout_ms) {
-            return invalid(header_names::timeout,
+            return invalid(http::header_names::timeout,
                            "Damaskladder-Timeout-Ms: expected milliseconds from 1 to 86400000");
         }
         into.timeout = std::chrono::milliseconds(ms);
     }
-    if (const auto* value = head.headers.find(header_names::idempotent)) {
+    if (const auto* value = head.headers.find(http::header_names::idempotent)) {
         if (*value != "no") {
-            return invalid(header_names::idempotent, "Damaskladder-Idempotent: expected no");
+            return invalid(http::header_names::idempotent, "Damaskladder-Idempotent: expected no");
         }
         into.non_idempotent = true;
     }
@@ -112,7 +113,7 @@
     BOOST_LEAF_CHECK(parse_key(head, parsed));
     BOOST_LEAF_CHECK(parse_request_id(head, parsed));
     BOOST_LEAF_CHECK(parse_wishes(head, parsed.wishes));
-    if (const auto* context = head.headers.find(header_names::context)) {
+    if (const auto* context = head.headers.find(http::header_names::context)) {
         parsed.context = *context;
     }
     return parsed;
--- a/src/daemon/traffic_front.cpp
+++ b/src/daemon/traffic_front.cpp
@@ -1,9 +1,9 @@
 #include "daemon/traffic_front.hpp"
 
 #include "daemon/content_hasher.hpp"
-#include "daemon/header_names.hpp"
 #include "daemon/importance_name.hpp"
 #include "daemon/request_parser.hpp"
+#include "http/header_names.hpp"
 
 #include <charconv>
 
@@ -23,7 +23,7 @@
 
 std::optional<base::retry_count> read_allowance(const http::header_list& headers)
 {
-    const auto* value = headers.find(header_names::allowance_left);
+    const auto* value = headers.find(http::header_names::allowance_left);
     if (value == nullptr) {
         return std::nullopt;
     }
@@ -38,7 +38,7 @@
 
 std::optional<base::importance> read_shed(const http::header_list& headers)
 {
-    const auto* value = headers.find(header_names::shed);
+    const auto* value = headers.find(http::header_names::shed);
     return value == nullptr ? std::nullopt : parse_importance(*value);
 }
 
@@ -57,7 +57,7 @@
 http::header_list end_to_end(http::header_list headers)
 {
     headers.remove_hop_by_hop();
-    headers.remove_prefix(header_names::prefix);
+    headers.remove_prefix(http::header_names::prefix);
     return headers;
 }
 
@@ -65,10 +65,10 @@
                      const std::optional<base::importance>& shed)
 {
     if (allowance) {
-        headers.add(name(header_names::allowance_left), std::to_string(allowance->value()));
+        headers.add(name(http::header_names::allowance_left), std::to_string(allowance->value()));
     }
     if (shed) {
-        headers.add(name(header_names::shed), std::string(to_string(*shed)));
+        headers.add(name(http::header_names::shed), std::string(to_string(*shed)));
     }
 }
 
@@ -233,7 +233,7 @@
         [&]() -> base::result<void> {
             BOOST_LEAF_AUTO(parsed, parse_request(head));
             if (parsed.key_in_authorization) {
-                request->forwarded.remove(header_names::authorization);
+                request->forwarded.remove(http::header_names::authorization);
             }
             if (parsed.request) {
                 request->content = hash_content(head, request->exchange->body());
@@ -291,8 +291,8 @@
     const auto& head = request->exchange->head();
     base::handle_failure(
         [&]() -> base::result<void> {
-            const auto* text = head.headers.find(header_names::context);
-            const auto* service = head.headers.find(header_names::service);
+            const auto* text = head.headers.find(http::header_names::context);
+            const auto* service = head.headers.find(http::header_names::service);
             if (text == nullptr || service == nullptr) {
                 return base::fail(base::failure_kind::permission_denied, "receive call", {},
                                   "a call between nodes carries a context and a service");
@@ -325,8 +325,8 @@
     const bool denied = error.kind == base::failure_kind::permission_denied;
     http::response_head head;
     head.status = denied ? forbidden : bad_request;
-    head.headers.add(name(header_names::outcome), "not-run");
-    head.headers.add(name(header_names::reason),
+    head.headers.add(name(http::header_names::outcome), "not-run");
+    head.headers.add(name(http::header_names::reason),
                      std::string(to_string(node::refusal_reason::bad_request)));
     request->exchange->respond(std::move(head), error.text + "\n");
     m_metrics.refused(node::refusal_reason::bad_request, node::outcome::not_run);
@@ -372,8 +372,8 @@
     http::client_request call;
     call.to = address->second;
     call.head.headers = request->forwarded;
-    call.head.headers.add(name(header_names::context), m_contexts.seal(sealed));
-    call.head.headers.add(name(header_names::service), wanted.service.value());
+    call.head.headers.add(name(http::header_names::context), m_contexts.seal(sealed));
+    call.head.headers.add(name(http::header_names::service), wanted.service.value());
     // On a kept connection that the peer closes meanwhile the outcome would be unknown.
     call.fresh_connection = !wanted.context.idempotent;
     const auto out = std::make_shared<outbound>();
@@ -401,12 +401,12 @@
     http::client_request call;
     call.to = address->second;
     call.head.headers = request->forwarded;
-    call.head.headers.add(name(header_names::context), m_contexts.seal(sealed));
-    call.head.headers.add(name(header_names::importance),
+    call.head.headers.add(name(http::header_names::context), m_contexts.seal(sealed));
+    call.head.headers.add(name(http::header_names::importance),
                           std::string(to_string(wanted.context.importance)));
     const auto left =
         std::max<std::int64_t>(whole_ms(wanted.deadline - http::event_loop::now()), 1);
-    call.head.headers.add(name(header_names::timeout), std::to_string(left));
+    call.head.headers.add(name(http::header_names::timeout), std::to_string(left));
     call.fresh_connection = wanted.fresh_connection;
     const auto out = std::make_shared<outbound>();
     out->id = wanted.transfer;
@@ -468,7 +468,7 @@
     if (out->settled) {
         return;
     }
-    if (out->to_gatekeeper && out->head->headers.find(header_names::outcome) != nullptr) {
+    if (out->to_gatekeeper && out->head->headers.find(http::header_names::outcome) != nullptr) {
         gatekeeper_refused(out);
         return;
     }
@@ -487,10 +487,10 @@
     const auto& headers = out->head->headers;
     node::gatekeeper_refused event;
     event.transfer = out->id;
-    const auto* said = headers.find(header_names::outcome);
+    const auto* said = headers.find(http::header_names::outcome);
     event.said =
         *said == word(node::outcome::not_run) ? node::outcome::not_run : node::outcome::unknown;
-    if (const auto* reason = headers.find(header_names::reason)) {
+    if (const auto* reason = headers.find(http::header_names::reason)) {
         event.reason =
             node::parse_refusal_reason(*reason).value_or(node::refusal_reason::backend_failed);
     }
@@ -592,10 +592,10 @@
     http::response_head head;
     head.status = wanted.status.value();
     const std::string reason(to_string(wanted.reason));
-    head.headers.add(name(header_names::outcome), std::string(word(wanted.said)));
-    head.headers.add(name(header_names::reason), reason);
+    head.headers.add(name(http::header_names::outcome), std::string(word(wanted.said)));
+    head.headers.add(name(http::header_names::reason), reason);
     if (wanted.retry_after) {
-        head.headers.add(name(header_names::retry_after),
+        head.headers.add(name(http::header_names::retry_after),
                          std::to_string(whole_seconds(*wanted.retry_after)));
     }
     add_node_fields(head.headers, wanted.allowance_left, wanted.shed);
--- a/src/daemon/header_names.hpp
+++ b/src/http/header_names.hpp
@@ -2,7 +2,7 @@
 
 #include <string_view>
 
-namespace damaskladder::daemon {
+namespace damaskladder::http {
 
 /// Header fields of the HTTP surface, see docs/design.md section 2.
 namespace header_names {
@@ -22,4 +22,4 @@
 inline constexpr std::string_view retry_after = "Retry-After";
 } // namespace header_names
 
-} // namespace damaskladder::daemon
+} // namespace damaskladder::http
--- a/src/load/classify.cpp
+++ b/src/load/classify.cpp
@@ -1,6 +1,6 @@
 #include "load/classify.hpp"
 
-#include "load/load_headers.hpp"
+#include "http/header_names.hpp"
 
 #include <algorithm>
 
@@ -13,7 +13,7 @@
 
 refusal_word reason_of(const http::response_head& head)
 {
-    const auto* text = head.headers.find(load_headers::reason);
+    const auto* text = head.headers.find(http::header_names::reason);
     auto word = text == nullptr ? std::string() : text->substr(0, longest_reason);
     // Control characters of a server must not reach the terminal.
     const auto is_odd = [](char c) { return c <= ' ' || c >= '\x7f'; };
@@ -23,7 +23,7 @@
 
 result_class kind_of(const http::response_head& head)
 {
-    const auto* outcome = head.headers.find(load_headers::outcome);
+    const auto* outcome = head.headers.find(http::header_names::outcome);
     if (outcome != nullptr && *outcome == "not-run") {
         return result_class::refused_not_run;
     }
--- a/src/load/load_runner.cpp
+++ b/src/load/load_runner.cpp
@@ -1,7 +1,7 @@
 #include "load/load_runner.hpp"
 
+#include "http/header_names.hpp"
 #include "load/classify.hpp"
-#include "load/load_headers.hpp"
 #include "load/request_id_text.hpp"
 
 #include <algorithm>
@@ -119,13 +119,13 @@
     head.method = stream.method;
     head.target = stream.path;
     if (!key.value().empty()) {
-        head.headers.add(text(load_headers::key), key.value());
+        head.headers.add(text(http::header_names::key), key.value());
     }
     if (!stream.importance.empty()) {
-        head.headers.add(text(load_headers::importance), stream.importance);
+        head.headers.add(text(http::header_names::importance), stream.importance);
     }
     if (!request.id.value().empty()) {
-        head.headers.add(text(load_headers::request_id), request.id.value());
+        head.headers.add(text(http::header_names::request_id), request.id.value());
     }
     return head;
 }
--- a/src/load/run_account.cpp
+++ b/src/load/run_account.cpp
@@ -1,8 +1,9 @@
 #include "load/run_account.hpp"
 
+#include "http/header_names.hpp"
 #include "load/classify.hpp"
-#include "load/load_headers.hpp"
 #include "load/max_min_share.hpp"
+#include "load/rate_reason.hpp"
 #include "load/recovery_time.hpp"
 
 namespace damaskladder::load {
