--- a/src/load/run_account.cpp
+++ b/src/load/run_account.cpp
@@ -1,6 +1,5 @@
 #include "load/run_account.hpp"
 
-#include "http/header_names.hpp"
 #include "load/classify.hpp"
 #include "load/max_min_share.hpp"
 #include "load/rate_reason.hpp"
