HTTP: run another round when work comes up after its handler, and wait in microseconds

Cause: at 350 requests/s the path's p50 was 6.4 ms against 2.8 ms direct. A request sent from the server's handler set libcurl's timer after the client's part of the round had run, so the loop waited for its longest deadline, often the 10 ms tick of the decisions; and epoll_wait rounds up to 1 ms, once at each hop. Ruled out: the decisions (7.7 to 10.4 us a request in node_bench). Change: request_round() makes the loop run another round before it waits; epoll_pwait2 waits in nanoseconds.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -62,6 +62,7 @@
         }
         else {
             self->m_timer = event_loop::now() + std::chrono::milliseconds(timeout_ms);
+            self->m_loop.request_round();
         }
         return 0;
     }
@@ -74,8 +75,8 @@
     curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, client_callbacks::timer_changed);
     curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
     curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, max_kept_connections);
-    m_loop.each_round([this](base::time_point now) -> std::optional<base::time_point> {
-        if (m_timer && *m_timer <= now) {
+    m_loop.each_round([this](base::time_point) -> std::optional<base::time_point> {
+        if (m_timer && *m_timer <= event_loop::now()) {
             m_timer.reset();
             socket_ready(CURL_SOCKET_TIMEOUT, 0);
         }
--- a/src/http/event_loop.cpp
+++ b/src/http/event_loop.cpp
@@ -147,8 +147,9 @@
     }
 }
 
-int event_loop::run_rounds()
+base::duration event_loop::run_rounds()
 {
+    m_round_requested = false;
     const auto start = now();
     auto wait = longest_wait;
     run_timers(start);
@@ -160,7 +161,7 @@
     if (!m_timers.empty()) {
         wait = std::min(wait, std::max(m_timers.begin()->first - start, base::duration::zero()));
     }
-    return static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(wait).count());
+    return m_round_requested ? base::duration::zero() : wait;
 }
 
 void event_loop::run()
@@ -168,7 +169,7 @@
     std::array<epoll_event, max_events> events{};
     for (;;) {
         run_posted();
-        int wait_ms = run_rounds();
+        auto wait = run_rounds();
         {
             const std::lock_guard lock(m_mutex);
             if (m_stopping) {
@@ -176,10 +177,13 @@
                 return;
             }
             if (!m_posted.empty()) {
-                wait_ms = 0;
+                wait = base::duration::zero();
             }
         }
-        const int count = epoll_wait(m_epoll, events.data(), max_events, wait_ms);
+        // Milliseconds, the unit of epoll_wait, would add up along a chain of calls.
+        const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(wait);
+        const timespec timeout{seconds.count(), std::chrono::nanoseconds(wait - seconds).count()};
+        const int count = epoll_pwait2(m_epoll, events.data(), max_events, &timeout, nullptr);
         for (int i = 0; i < count; ++i) {
             const auto data = events.at(static_cast<std::size_t>(i)).data.u64;
             dispatch(static_cast<int>(data & 0xffffffffU), data >> 32U,
--- a/src/http/event_loop.hpp
+++ b/src/http/event_loop.hpp
@@ -40,6 +40,10 @@
     /// Adds a handler that runs in every round.
     void each_round(round_handler handler);
 
+    /// Runs another round before the loop waits. For work that came up in a round after the handler
+    /// concerned had run.
+    void request_round() { m_round_requested = true; }
+
     /// Runs a call once at or after a time.
     void call_at(base::time_point when, std::function<void()> call);
 
@@ -65,11 +69,12 @@
     void dispatch(int fd, std::uint64_t generation, std::uint32_t events);
     void run_posted();
     void run_timers(base::time_point now);
-    int run_rounds();
+    base::duration run_rounds();
 
     int m_epoll = -1;
     int m_wake = -1;
     std::uint64_t m_generation = 0;
+    bool m_round_requested = false;
     std::unordered_map<int, watched> m_watched;
     std::vector<round_handler> m_rounds;
     std::multimap<base::time_point, std::function<void()>> m_timers;
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -64,6 +64,7 @@
         m_suspended = false;
         MHD_resume_connection(m_connection);
         m_server.m_pending = true;
+        m_server.m_loop.request_round();
     }
 }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -223,6 +223,9 @@
         m_pending = false;
         MHD_run(m_daemon);
     }
+    if (m_pending) {
+        m_loop.request_round();
+    }
 }
 
 void server::drain()
