--- /dev/null
+++ b/src/http/event_loop_test.cpp
@@ -0,0 +1,51 @@
+#include "http/event_loop.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace damaskladder::http {
+namespace {
+
+struct round_case {
+    std::string name;
+    bool requests_round;
+    /// Rounds that the first handler has seen when the timer fires.
+    int rounds_before_timer;
+};
+
+class requested_rounds : public testing::TestWithParam<round_case> {};
+
+// Guards against work that comes up in a round after the handler concerned had run and then waits
+// for the loop's longest deadline: requests sent from a server's handler took up to 10 ms longer.
+TEST_P(requested_rounds, run_before_the_loop_waits)
+{
+    event_loop loop;
+    int rounds = 0;
+    int rounds_at_timer = 0;
+    loop.each_round([&](base::time_point) -> std::optional<base::time_point> {
+        ++rounds;
+        return std::nullopt;
+    });
+    loop.each_round(
+        [&, asked = false](base::time_point) mutable -> std::optional<base::time_point> {
+            if (GetParam().requests_round && !asked) {
+                asked = true;
+                loop.request_round();
+            }
+            return std::nullopt;
+        });
+    loop.call_at(event_loop::now() + std::chrono::milliseconds(200), [&] {
+        rounds_at_timer = rounds;
+        loop.stop();
+    });
+    loop.run();
+    EXPECT_EQ(rounds_at_timer, GetParam().rounds_before_timer);
+}
+
+INSTANTIATE_TEST_SUITE_P(table, requested_rounds,
+                         testing::Values(round_case{"none", false, 1}, round_case{"one", true, 2}),
+                         [](const auto& tested) { return tested.param.name; });
+
+} // namespace
+} // namespace damaskladder::http
