--- a/src/daemon/process_settings.cpp
+++ b/src/daemon/process_settings.cpp
@@ -12,8 +12,6 @@
 namespace {
 
 using settings::problem_kind;
-
-using settings::field_spec;
 using settings::split_list;
 
 /// Reads one value; false if it is malformed.
--- a/src/load/experiment_reader.cpp
+++ b/src/load/experiment_reader.cpp
@@ -13,8 +13,6 @@
 namespace {
 
 using settings::problem_kind;
-
-using settings::field_spec;
 using settings::split_list;
 
 /// Reads one value; false if it is malformed.
