--- a/src/control/snapshot_codec.cpp
+++ b/src/control/snapshot_codec.cpp
@@ -161,7 +161,7 @@
 void read_credentials(snapshot_reader& reader, control_state& state)
 {
     reader.rows<credential>("credentials",
-                            [&](credential entry) { state.credentials.insert(entry); });
+                            [&](const credential& entry) { state.credentials.insert(entry); });
 }
 
 void read_proposals(snapshot_reader& reader, control_state& state)
--- a/src/settings/fleet_settings_bench.hpp
+++ b/src/settings/fleet_settings_bench.hpp
@@ -8,6 +8,16 @@
 
 namespace damaskladder::settings {
 
+/// "LETTERTEAM.NUMBER", a name that is unique in the fleet.
+inline std::string fleet_name(char letter, int team, int number)
+{
+    std::string name(1, letter);
+    name += std::to_string(team);
+    name += '.';
+    name += std::to_string(number);
+    return name;
+}
+
 /// Settings of a fleet with 11 failure domains and this many teams, each with 2 routes, 4
 /// workspaces and 8 keys. 190 teams stand for 190 services.
 inline setting_tree fleet_settings(int teams)
@@ -29,21 +39,28 @@
         set(root + "/policy", "revision", "1");
         std::string workspaces;
         for (int j = 0; j < 4; ++j) {
-            auto name = "w" + team + "." + std::to_string(j);
-            workspaces += (j == 0 ? "" : ", ") + name;
-            set(root + "/workspaces/" + name, "rate", "100/s");
-            set(root + "/workspaces/" + name, "burst", "200");
+            auto name = fleet_name('w', i, j);
+            workspaces += j == 0 ? "" : ", ";
+            workspaces += name;
+            auto path = root + "/workspaces/";
+            path += name;
+            set(path, "rate", "100/s");
+            set(path, "burst", "200");
         }
         for (int j = 0; j < 8; ++j) {
-            auto name = "k" + team + "." + std::to_string(j);
+            auto path = root + "/keys/";
+            path += fleet_name('k', i, j);
             auto digits = std::to_string(1'000'000 + i * 8 + j);
-            set(root + "/keys/" + name, "workspace", "w" + team + "." + std::to_string(j / 2));
-            set(root + "/keys/" + name, "hash", digits + std::string(64 - digits.size(), '0'));
-            set(root + "/keys/" + name, "state", "active");
+            set(path, "workspace", fleet_name('w', i, j / 2));
+            set(path, "hash", digits + std::string(64 - digits.size(), '0'));
+            set(path, "state", "active");
         }
         for (int j = 0; j < 2; ++j) {
             auto path = root + "/routes/r" + std::to_string(j);
-            set(path, "prefix", "/service" + team + "/part" + std::to_string(j));
+            auto prefix = "/service" + team;
+            prefix += "/part";
+            prefix += std::to_string(j);
+            set(path, "prefix", prefix);
             set(path, "service", "s" + team);
             set(path, "idempotent", "yes");
             set(path, "workspaces", workspaces);
