Daemon: one reader of importance words, one way to answer a query

Cause: daemon read the importance words a second time beside settings::parse_importance, and the operators' API answered a query in two copies of the same block. Change: the front end calls settings::parse_importance; show_answer() serves both places. Behaviour is unchanged: daemon_test, control_test and settings_test pass without a change to any test.

--- a/src/daemon/importance_name.cpp
+++ b/src/daemon/importance_name.cpp
@@ -16,14 +16,4 @@
     return words.at(static_cast<std::size_t>(level));
 }
 
-std::optional<base::importance> parse_importance(std::string_view word)
-{
-    for (std::size_t i = 0; i < words.size(); ++i) {
-        if (words.at(i) == word) {
-            return static_cast<base::importance>(i);
-        }
-    }
-    return std::nullopt;
-}
-
 } // namespace damaskladder::daemon
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -138,18 +138,22 @@
         [&](const base::failure& error) { respond_failure(*exchange, error); });
 }
 
+void operator_api::show_answer(http::exchange& exchange, const base::operator_id& author)
+{
+    base::handle_failure(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(text, answer_query(exchange.head().target, author, m_host.replica()));
+            respond(exchange, 200, text);
+            return {};
+        },
+        [&](const base::failure& error) { respond_failure(exchange, error); });
+}
+
 void operator_api::run_query(const exchange_ptr& exchange, const base::operator_id& author)
 {
     // The status of each replica is of interest, leader or not.
     if (exchange->head().target == "/v1/status") {
-        base::handle_failure(
-            [&]() -> base::result<void> {
-                BOOST_LEAF_AUTO(text,
-                                answer_query(exchange->head().target, author, m_host.replica()));
-                respond(*exchange, 200, text);
-                return {};
-            },
-            [&](const base::failure& error) { respond_failure(*exchange, error); });
+        show_answer(*exchange, author);
         return;
     }
     m_host.query([this, exchange, author](const control::submission_refused* refused) {
@@ -157,14 +161,7 @@
             respond(*exchange, unavailable, to_json(*refused));
             return;
         }
-        base::handle_failure(
-            [&]() -> base::result<void> {
-                BOOST_LEAF_AUTO(text,
-                                answer_query(exchange->head().target, author, m_host.replica()));
-                respond(*exchange, 200, text);
-                return {};
-            },
-            [&](const base::failure& error) { respond_failure(*exchange, error); });
+        show_answer(*exchange, author);
     });
 }
 
--- a/src/daemon/operator_api.hpp
+++ b/src/daemon/operator_api.hpp
@@ -27,6 +27,7 @@
     void run_replica_change(const exchange_ptr& exchange, const base::operator_id& author);
     void answer(const exchange_ptr& exchange, const base::operator_id& author,
                 const std::variant<control::reply, control::submission_refused>& result);
+    void show_answer(http::exchange& exchange, const base::operator_id& author);
     void run_query(const exchange_ptr& exchange, const base::operator_id& author);
     /// Nothing if the token is missing or unknown.
     std::optional<base::operator_id> authenticate(const http::request_head& head) const;
--- a/src/daemon/request_parser.cpp
+++ b/src/daemon/request_parser.cpp
@@ -1,7 +1,7 @@
 #include "daemon/request_parser.hpp"
 
-#include "daemon/importance_name.hpp"
 #include "http/header_names.hpp"
+#include "settings/value_parsers.hpp"
 
 #include <algorithm>
 #include <array>
@@ -75,7 +75,7 @@
 base::result<void> parse_wishes(const http::request_head& head, node::request_wishes& into)
 {
     if (const auto* value = head.headers.find(http::header_names::importance)) {
-        into.importance = parse_importance(*value);
+        into.importance = settings::parse_importance(*value);
         if (!into.importance) {
             return invalid(http::header_names::importance,
                            "Damaskladder-Importance: expected background, low, normal or critical");
--- a/src/daemon/traffic_front.cpp
+++ b/src/daemon/traffic_front.cpp
@@ -4,6 +4,7 @@
 #include "daemon/importance_name.hpp"
 #include "daemon/request_parser.hpp"
 #include "http/header_names.hpp"
+#include "settings/value_parsers.hpp"
 
 #include <charconv>
 
@@ -39,7 +40,7 @@
 std::optional<base::importance> read_shed(const http::header_list& headers)
 {
     const auto* value = headers.find(http::header_names::shed);
-    return value == nullptr ? std::nullopt : parse_importance(*value);
+    return value == nullptr ? std::nullopt : settings::parse_importance(*value);
 }
 
 node::answer_class classify(int status)
