--- a/src/cli/process_commands.cpp
+++ b/src/cli/process_commands.cpp
@@ -3,9 +3,11 @@
 #include "cli/option_parser.hpp"
 #include "cli/text_file.hpp"
 #include "daemon/log.hpp"
+#include "daemon/own_dialect.hpp"
 #include "daemon/process.hpp"
 #include "daemon/process_settings.hpp"
 #include "daemon/signal_watch.hpp"
+#include "damaskladder/platform.hpp"
 #include "settings/checked_settings.hpp"
 #include "settings/ini_reader.hpp"
 #include "settings/value_parsers.hpp"
@@ -41,6 +43,13 @@
     return std::move(document.settings);
 }
 
+daemon::dialect make_dialect(const daemon::process_settings& settings,
+                             const wire::cluster_secret& secret)
+{
+    return settings.interface == "platform" ? platform::make_dialect(settings, secret)
+                                            : daemon::own_dialect();
+}
+
 exit_code run_process(const std::vector<std::string>& arguments)
 {
     option_parser parser("run", "SETTINGS-FILE");
@@ -53,7 +62,7 @@
     }
     return base::handle_failure(
         [&]() -> base::result<exit_code> {
-            BOOST_LEAF_CHECK(daemon::run_process(*settings));
+            BOOST_LEAF_CHECK(daemon::run_process(*settings, make_dialect));
             return exit_code::ok;
         },
         [](const base::failure& error) {
--- a/src/control/change_committer.cpp
+++ b/src/control/change_committer.cpp
@@ -110,6 +110,11 @@
     m_state.credentials.erase(effect.name);
 }
 
+void change_committer::carry_out(const set_document_effect& effect)
+{
+    m_state.document = effect.document;
+}
+
 void change_committer::close_outdated(const settings::setting_path& versioned_root)
 {
     for (auto id : m_state.proposals.pending_of(versioned_root)) {
--- a/src/control/change_committer.hpp
+++ b/src/control/change_committer.hpp
@@ -26,6 +26,7 @@
     void carry_out(const open_proposal_effect& effect);
     void carry_out(const add_credential_effect& effect);
     void carry_out(const remove_credential_effect& effect);
+    void carry_out(const set_document_effect& effect);
     void close_outdated(const settings::setting_path& versioned_root);
     void audit_fields(const apply_diff_effect& effect, const change_decision& decision,
                       const change_reply& reply);
--- a/src/control/change_decider.cpp
+++ b/src/control/change_decider.cpp
@@ -71,7 +71,9 @@
 
 change_decision change_decider::decide(const change_settings& asked)
 {
-    auto judged = judge_edit(asked.header, asked.subtree, asked.based_on, asked.edit);
+    auto judged = asked.document
+                      ? judge_document(asked)
+                      : judge_edit(asked.header, asked.subtree, asked.based_on, asked.edit);
     auto& decision = judged.decision;
     if (decision.reply.verdict != change_verdict::accepted) {
         return decision;
@@ -82,6 +84,9 @@
     }
     decision.effects.emplace_back(apply_diff_effect{asked.subtree.versioned_root(), asked.header,
                                                     proposal_id(), std::move(judged.diff)});
+    if (asked.document) {
+        decision.effects.emplace_back(set_document_effect{asked.document->document});
+    }
     return decision;
 }
 
@@ -295,6 +300,29 @@
     return judged;
 }
 
+change_decider::judged_edit change_decider::judge_document(const change_settings& asked)
+{
+    const auto present = m_state.history.version_of(asked.subtree.versioned_root());
+    const auto& wanted = *asked.document;
+    if (wanted.document == m_state.document) {
+        return judge_edit(asked.header, asked.subtree, present, settings::setting_diff{});
+    }
+    if (wanted.based_on != m_state.document.version ||
+        wanted.document.version <= m_state.document.version) {
+        auto judged = judge_edit(asked.header, asked.subtree, present, settings::setting_diff{});
+        if (judged.decision.reply.verdict == change_verdict::unchanged) {
+            judged.decision = conflict_since(present, asked.subtree);
+        }
+        return judged;
+    }
+    auto judged = judge_edit(asked.header, asked.subtree, present, asked.edit);
+    auto& verdict = judged.decision.reply.verdict;
+    if (verdict == change_verdict::unchanged) {
+        verdict = change_verdict::accepted;
+    }
+    return judged;
+}
+
 change_decision change_decider::conflict_since(base::settings_version based_on,
                                                const settings::setting_path& subtree) const
 {
--- a/src/control/change_decider.hpp
+++ b/src/control/change_decider.hpp
@@ -36,6 +36,8 @@
 
     judged_edit judge_edit(const command_header& header, const settings::setting_path& subtree,
                            base::settings_version based_on, const settings_edit& edit);
+    /// As judge_edit, on the condition of the document's version instead of the subtree's.
+    judged_edit judge_document(const change_settings& asked);
     change_decision conflict_since(base::settings_version based_on,
                                    const settings::setting_path& subtree) const;
     /// Verdict on a proposal that is not pending. Shows nothing to operators of other subtrees.
--- a/src/control/command_codec_test.cpp
+++ b/src/control/command_codec_test.cpp
@@ -120,7 +120,7 @@
     EXPECT_EQ(decoded(altered([](json& /*unchanged*/) {})), all_commands()[1]);
     EXPECT_EQ(json::from_cbor(encode(all_commands()[1])), json::parse(R"(
         [1, [["c1", "luz", 1700000000000000], "teams/a/policy", 7,
-             [0, [[[2, "teams/a/policy", "revision", "1", "2"]]]]]])"));
+             [0, [[[2, "teams/a/policy", "revision", "1", "2"]]]], null]])"));
 }
 
 class malformed_command : public testing::TestWithParam<malformed_case> {};
--- a/src/control/control_state.hpp
+++ b/src/control/control_state.hpp
@@ -7,6 +7,7 @@
 #include "control/credential_table.hpp"
 #include "control/log_position.hpp"
 #include "control/proposal_table.hpp"
+#include "control/settings_document.hpp"
 #include "control/settings_history.hpp"
 #include "control/state_options.hpp"
 #include "settings/checked_settings.hpp"
@@ -29,6 +30,8 @@
     log_position position;
     base::wall_time time;
     settings::checked_settings settings;
+    /// The operator's document that the settings were made from; version 0 if from none.
+    settings_document document;
     credential_table credentials;
     proposal_table proposals;
     settings_history history;
--- a/src/control/described_fields.hpp
+++ b/src/control/described_fields.hpp
@@ -36,10 +36,22 @@
     visit();
 }
 
+template <class V>
+void visit_fields(V& visit, maybe_const<settings_document> auto& value)
+{
+    visit(value.version, value.text);
+}
+
+template <class V>
+void visit_fields(V& visit, maybe_const<document_change> auto& value)
+{
+    visit(value.based_on, value.document);
+}
+
 template <class V>
 void visit_fields(V& visit, maybe_const<change_settings> auto& value)
 {
-    visit(value.header, value.subtree, value.based_on, value.edit);
+    visit(value.header, value.subtree, value.based_on, value.edit, value.document);
 }
 
 template <class V>
--- a/src/control/snapshot_codec.cpp
+++ b/src/control/snapshot_codec.cpp
@@ -15,7 +15,7 @@
 using json = nlohmann::json;
 
 // Raised when the stored form changes.
-constexpr std::uint64_t snapshot_format = 1;
+constexpr std::uint64_t snapshot_format = 2;
 
 // Rows of a large table that are encoded together, as bytes within the snapshot. Small values that
 // are made and dropped page by page stay in the cache.
@@ -156,6 +156,7 @@
     auto tree = reader.part<settings::setting_tree>("tree");
     reader.require(state.settings.apply(settings::difference({}, tree)).empty());
     state.settings.set_version(reader.part<base::settings_version>("version"));
+    state.document = reader.part<settings_document>("document");
 }
 
 void read_credentials(snapshot_reader& reader, control_state& state)
@@ -224,6 +225,7 @@
     parts["time"] = json_writer::write(state.time);
     parts["tree"] = json_writer::write(state.settings.tree());
     parts["version"] = json_writer::write(state.settings.tree().version());
+    parts["document"] = json_writer::write(state.document);
     parts["credentials"] = write_values(state.credentials);
     parts["pending"] = write_values(state.proposals.pending());
     parts["closed"] = write_all(state.proposals.closed());
--- a/src/control/state_machine.hpp
+++ b/src/control/state_machine.hpp
@@ -40,6 +40,8 @@
     // Queries. None checks permissions; see may_read.
 
     const settings::setting_tree& tree() const { return m_state.settings.tree(); }
+    /// The operator's document in force; version 0 if there is none.
+    const settings_document& document() const { return m_state.document; }
     /// Version to name in a change of this path.
     base::settings_version version_of(const settings::setting_path& path) const;
     std::vector<settings::setting_path> list(const settings::setting_path& root) const;
--- /dev/null
+++ b/src/daemon/announcement_parser.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "base/result.hpp"
+#include "membership/announcement.hpp"
+
+#include <string_view>
+
+namespace damaskladder::daemon {
+
+/// Reads an announcement in JSON. Fails with invalid_argument if a member is missing or has another
+/// type.
+base::result<membership::announcement> parse_announcement(std::string_view text);
+
+} // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/answer_verdict.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+namespace damaskladder::daemon {
+
+/// What the head of a backend server's answer says about the request it was sent for.
+enum class answer_verdict {
+    /// It answers the request.
+    answers,
+    /// The backend server has not run the request and will not.
+    not_run,
+    /// It belongs to another request, or lacks what an answer must have.
+    foreign,
+};
+
+} // namespace damaskladder::daemon
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -1,6 +1,7 @@
 #include "daemon/control_thread.hpp"
 
 #include "daemon/log.hpp"
+#include "daemon/replica_address.hpp"
 
 #include <csignal>
 
@@ -15,8 +16,9 @@
 } // namespace
 
 control_thread::control_thread(const process_settings& settings, const wire::cluster_secret& secret,
-                               base::incarnation incarnation)
-    : m_settings(settings),
+                               base::incarnation incarnation, dialect speech)
+    : m_dialect(std::move(speech)),
+      m_settings(settings),
       m_secret(secret),
       m_incarnation(incarnation),
       m_messages(m_loop, secret, settings.name, incarnation)
@@ -32,9 +34,8 @@
             replica_host::hooks{.send =
                                     [this](const consensus::envelope& message) {
                                         const base::node_id to(message.to.id.value());
-                                        const auto address = m_settings.replicas.find(to);
-                                        if (address != m_settings.replicas.end()) {
-                                            m_messages.send(to, to_string(address->second),
+                                        if (const auto address = replica_address(m_settings, to)) {
+                                            m_messages.send(to, to_string(*address),
                                                             wire::message_kind::consensus, message);
                                         }
                                     },
@@ -52,7 +53,8 @@
                 }
             });
         BOOST_LEAF_CHECK(m_replica->start());
-        m_operators = std::make_unique<operator_api>(m_loop, *m_replica, m_secret);
+        m_operators =
+            std::make_unique<operator_api>(m_loop, *m_replica, m_secret, m_settings, m_dialect);
         BOOST_LEAF_CHECK(m_operators->listen(m_settings.replica->operators));
     }
     m_feed = std::make_unique<settings_feed>(
@@ -91,27 +93,29 @@
         node_host::hooks{.publish = [this](auto view) { m_traffic->publish(std::move(view)); }});
     m_quota = std::make_unique<quota_host>(
         m_loop, m_messages, m_settings, m_incarnation, m_node->members(),
-        quota_host::hooks{.to_buckets =
-                              [this](const quota::quota_message& message) {
-                                  m_traffic->post(
-                                      [message](traffic_front&, traffic_quota& buckets) {
-                                          buckets.receive(message, http::event_loop::now());
-                                      });
-                              },
-                          .set_holder =
-                              [this](const std::optional<quota::holder_id>& holder) {
-                                  m_traffic->post([holder](traffic_front&, traffic_quota& buckets) {
-                                      buckets.set_holder(holder, http::event_loop::now());
-                                  });
-                              },
-                          .set_quotas =
-                              [this](const std::vector<quota::workspace_quota>& quotas) {
-                                  m_traffic->post([quotas](traffic_front&, traffic_quota& buckets) {
-                                      buckets.set_quotas(quotas, http::event_loop::now());
-                                  });
-                              }});
+        quota_host::hooks{
+            .control_voters =
+                [this] { return m_replica ? m_replica->voters() : std::vector<base::node_id>(); },
+            .to_buckets =
+                [this](const quota::quota_message& message) {
+                    m_traffic->post([message](traffic_front&, traffic_quota& buckets) {
+                        buckets.receive(message, http::event_loop::now());
+                    });
+                },
+            .set_holder =
+                [this](const std::optional<quota::holder_id>& holder) {
+                    m_traffic->post([holder](traffic_front&, traffic_quota& buckets) {
+                        buckets.set_holder(holder, http::event_loop::now());
+                    });
+                },
+            .set_quotas =
+                [this](const std::vector<quota::workspace_quota>& quotas) {
+                    m_traffic->post([quotas](traffic_front&, traffic_quota& buckets) {
+                        buckets.set_quotas(quotas, http::event_loop::now());
+                    });
+                }});
     m_traffic = std::make_unique<traffic_thread>(m_secret, m_settings.name, m_incarnation,
-                                                 *m_settings.node, make_requests());
+                                                 *m_settings.node, m_dialect, make_requests());
 }
 
 control_requests control_thread::make_requests()
--- a/src/daemon/control_thread.hpp
+++ b/src/daemon/control_thread.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/claims_host.hpp"
+#include "daemon/dialect.hpp"
 #include "daemon/messenger.hpp"
 #include "daemon/node_host.hpp"
 #include "daemon/operator_api.hpp"
@@ -22,7 +23,7 @@
 class control_thread {
 public:
     control_thread(const process_settings& settings, const wire::cluster_secret& secret,
-                   base::incarnation incarnation);
+                   base::incarnation incarnation, dialect speech);
 
     /// Opens sockets and files and starts the traffic thread. Fails if one cannot be had.
     base::result<void> start();
@@ -38,6 +39,7 @@
     void begin_stop();
     void finish_stop(base::time_point now);
 
+    dialect m_dialect;
     const process_settings& m_settings;
     const wire::cluster_secret& m_secret;
     base::incarnation m_incarnation;
--- a/src/daemon/local_api.hpp
+++ b/src/daemon/local_api.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/local_call.hpp"
 #include "http/exchange.hpp"
 #include "membership/announce_verdict.hpp"
 #include "membership/announcement.hpp"
@@ -24,6 +25,7 @@
     using done = std::function<void(membership::announce_verdict)>;
 
     struct hooks {
+        std::function<local_call(const http::request_head&, std::string_view body)> read_call;
         /// Calls done on the traffic thread.
         std::function<void(action, const membership::announcement&, done)> announce;
         std::function<bool()> ready;
@@ -35,7 +37,8 @@
     void serve(const std::shared_ptr<http::exchange>& exchange);
 
 private:
-    void serve_announcement(const std::shared_ptr<http::exchange>& exchange, action wanted);
+    void answer(http::exchange& exchange);
+    void announce(http::exchange& exchange, action wanted, const membership::announcement& offer);
 
     hooks m_hooks;
 };
--- a/src/daemon/node_host.cpp
+++ b/src/daemon/node_host.cpp
@@ -39,7 +39,9 @@
 
 membership::announcement_options announcement_options_of(const node_settings& settings)
 {
+    constexpr int intervals_per_lease = 4;
     membership::announcement_options options;
+    options.lease = settings.announce_interval * intervals_per_lease;
     options.may_announce = [&settings](const membership::credential_text& credential,
                                        const base::service_id& service) {
         const auto& services = settings.services;
@@ -128,7 +130,7 @@
         verdict = m_announcements.announce(offer, now);
         break;
     case local_api::action::withdraw:
-        verdict = m_announcements.withdraw(offer.service, offer.port, offer.credential);
+        verdict = m_announcements.withdraw(offer, now);
         break;
     case local_api::action::drain:
         verdict = m_announcements.drain(offer.service, offer.port, offer.credential);
@@ -166,6 +168,7 @@
     from.settings_confirmed_at = m_confirmed_at;
     from.services = m_membership.view();
     from.local = m_announcements.backends();
+    from.backend_server_host = m_settings.node->backend_server_host;
     return build_view(from);
 }
 
--- a/src/daemon/node_settings.hpp
+++ b/src/daemon/node_settings.hpp
@@ -19,6 +19,11 @@
     /// Credential of the backend server on this VM and the services that it may announce.
     std::string credential;
     std::vector<base::service_id> services;
+    /// IP address at which it listens.
+    std::string backend_server_host = "127.0.0.1";
+    /// Time between its announcements; each counts for four times as long, so that three may be
+    /// late or lost.
+    base::duration announce_interval = std::chrono::milliseconds(750);
 };
 
 } // namespace damaskladder::daemon
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -1,5 +1,6 @@
 #include "daemon/operator_api.hpp"
 
+#include "control/digest.hpp"
 #include "daemon/log.hpp"
 #include "daemon/operator_answer.hpp"
 #include "daemon/operator_command.hpp"
@@ -11,10 +12,13 @@
 namespace {
 
 constexpr std::string_view bearer = "Bearer ";
+constexpr int ok = 200;
+constexpr int temporary_redirect = 307;
 constexpr int bad_request = 400;
 constexpr int unauthorized = 401;
 constexpr int forbidden = 403;
 constexpr int not_found = 404;
+constexpr int precondition_failed = 412;
 constexpr int unavailable = 503;
 // A subtree as INI text, escaped as JSON.
 constexpr base::byte_count max_command_body{4 * 1024 * 1024};
@@ -34,6 +38,46 @@
     exchange.respond(std::move(head), body);
 }
 
+void respond_json(http::exchange& exchange, int status, std::string_view body)
+{
+    http::response_head head;
+    head.status = status;
+    head.headers.add("Content-Type", "application/json");
+    exchange.respond(std::move(head), body);
+}
+
+/// The subtree that documents stand for.
+settings::setting_path document_subtree()
+{
+    return settings::setting_path::parse("teams/main").value_or(settings::setting_path());
+}
+
+/// The same for a resend, whichever replica gets it.
+base::change_id document_change_id(const control::document_change& change)
+{
+    // Half of the digest keeps within the length of a change id.
+    constexpr std::size_t digits = 32;
+    const auto text = std::to_string(change.based_on.value()) + "/" + change.document.text;
+    return base::change_id("document-" +
+                           control::to_hex(control::digest_of(text)).substr(0, digits));
+}
+
+int status_of(control::change_verdict verdict)
+{
+    switch (verdict) {
+    case control::change_verdict::accepted:
+    case control::change_verdict::unchanged:
+        return ok;
+    case control::change_verdict::conflict:
+        return precondition_failed;
+    case control::change_verdict::permission_denied:
+        // The first admin is created when the cluster has formed.
+        return unavailable;
+    default:
+        return bad_request;
+    }
+}
+
 void respond_failure(http::exchange& exchange, const base::failure& error)
 {
     const auto status = error.kind == base::failure_kind::not_found           ? not_found
@@ -45,8 +89,11 @@
 } // namespace
 
 operator_api::operator_api(http::event_loop& loop, replica_host& host,
-                           const wire::cluster_secret& secret)
+                           const wire::cluster_secret& secret, const process_settings& settings,
+                           const dialect& speech)
     : m_host(host),
+      m_settings(settings),
+      m_dialect(speech),
       m_tokens(secret, wire::key_usage::tokens),
       m_server(loop, operator_limits(), [this](const exchange_ptr& e) { arrived(e); })
 {
@@ -54,23 +101,14 @@
 
 void operator_api::arrived(const exchange_ptr& exchange)
 {
-    const auto author = authenticate(exchange->head());
-    if (!author) {
-        log(log_level::warn, "operator_refused", {{"reason", "no known token"}});
-        respond(*exchange, unauthorized, "the token is missing or unknown\n");
-        return;
+    const auto& size = exchange->head().body_size;
+    if (size && size->value() == 0) {
+        return run_document_call(exchange, m_dialect.read_operator_call(exchange->head(), {}));
     }
-    const bool is_command = exchange->head().method == "POST";
-    if (!is_command) {
-        run_query(exchange, *author);
-        return;
-    }
-    exchange->on_body([this, raw = exchange.get(), author = *author] {
-        if (raw->body_complete() && raw->head().target == "/v1/replica") {
-            run_replica_change(raw->shared_from_this(), author);
-        }
-        else if (raw->body_complete()) {
-            run_command(raw->shared_from_this(), author);
+    exchange->on_body([this, raw = exchange.get()] {
+        if (raw->body_complete()) {
+            run_document_call(raw->shared_from_this(),
+                              m_dialect.read_operator_call(raw->head(), raw->body()));
         }
         else if (raw->body().size() >= static_cast<std::size_t>(max_command_body.value())) {
             respond(*raw, bad_request, "the command is longer than 4 MiB\n");
@@ -78,6 +116,98 @@
     });
 }
 
+void operator_api::run_document_call(const exchange_ptr& exchange, const operator_call& call)
+{
+    switch (call.what) {
+    case operator_call::kind::put_document:
+        return put_document(exchange, call);
+    case operator_call::kind::read_document:
+        return read_document(exchange);
+    case operator_call::kind::malformed:
+        log(log_level::warn, "document_refused", {{"expected", call.problem}});
+        return respond(*exchange, bad_request, call.problem + "\n");
+    case operator_call::kind::unknown:
+        return run_own_call(exchange);
+    }
+}
+
+void operator_api::put_document(const exchange_ptr& exchange, const operator_call& call)
+{
+    const bool may_change =
+        m_host.replica().state().credentials().find(m_settings.replica->admin) != nullptr;
+    if (m_host.leads() && !may_change) {
+        return respond(*exchange, unavailable, "the cluster has just formed\n");
+    }
+    control::change_settings command;
+    command.header = {document_change_id(call.change), m_settings.replica->admin, wall_clock_now()};
+    command.subtree = document_subtree();
+    command.edit = call.entries;
+    command.document = call.change;
+    m_host.submit(
+        command, [this, exchange, version = call.change.document.version](const auto& result) {
+            if (const auto* refused = std::get_if<control::submission_refused>(&result)) {
+                return redirect(exchange, *refused);
+            }
+            const auto& reply = std::get<control::change_reply>(std::get<control::reply>(result));
+            std::string problem;
+            if (!reply.problems.empty()) {
+                problem = to_string(reply.problems.front());
+            }
+            log(log_level::info, "document_judged",
+                {{"document", std::to_string(version.value())},
+                 {"verdict", std::string(to_string(reply.verdict))},
+                 {"version", std::to_string(reply.version.value())},
+                 {"problem", problem}});
+            respond_json(*exchange, status_of(reply.verdict), "{}");
+        });
+}
+
+void operator_api::read_document(const exchange_ptr& exchange)
+{
+    m_host.query([this, exchange](const control::submission_refused* refused) {
+        if (refused != nullptr) {
+            return redirect(exchange, *refused);
+        }
+        const auto& document = m_host.replica().state().document();
+        if (document.version == base::document_version()) {
+            return respond(*exchange, not_found, "no document has been put\n");
+        }
+        respond_json(*exchange, ok, document.text);
+    });
+}
+
+void operator_api::redirect(const exchange_ptr& exchange,
+                            const control::submission_refused& refused)
+{
+    const bool known = refused.known_leader &&
+                       refused.known_leader->value() != m_settings.name.value() &&
+                       m_settings.discovers_replicas;
+    if (!known) {
+        return respond(*exchange, unavailable, to_json(refused));
+    }
+    http::response_head head;
+    head.status = temporary_redirect;
+    const http::address leader{refused.known_leader->value(), m_settings.replica->operators.port};
+    head.headers.add("Location", "http://" + to_string(leader) + exchange->head().target);
+    exchange->respond(std::move(head), "");
+}
+
+void operator_api::run_own_call(const exchange_ptr& exchange)
+{
+    const auto author = authenticate(exchange->head());
+    if (!author) {
+        log(log_level::warn, "operator_refused", {{"reason", "no known token"}});
+        return respond(*exchange, unauthorized, "the token is missing or unknown\n");
+    }
+    if (exchange->head().method != "POST") {
+        return run_query(exchange, *author);
+    }
+    if (exchange->head().target == "/v1/replica") {
+        return run_replica_change(exchange, *author);
+    }
+    run_command(exchange, *author);
+}
+
 std::optional<base::operator_id> operator_api::authenticate(const http::request_head& head) const
 {
     const auto* value = head.headers.find("Authorization");
--- a/src/daemon/operator_api.hpp
+++ b/src/daemon/operator_api.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "daemon/dialect.hpp"
+#include "daemon/process_settings.hpp"
 #include "daemon/replica_host.hpp"
 #include "http/server.hpp"
 #include "wire/key_hasher.hpp"
@@ -11,7 +13,8 @@
 /// bearer authorization. Only the leader answers; others name it.
 class operator_api {
 public:
-    operator_api(http::event_loop& loop, replica_host& host, const wire::cluster_secret& secret);
+    operator_api(http::event_loop& loop, replica_host& host, const wire::cluster_secret& secret,
+                 const process_settings& settings, const dialect& speech);
 
     /// Fails with io.
     base::result<void> listen(const http::address& endpoint) { return m_server.listen(endpoint); }
@@ -21,6 +24,14 @@
     using exchange_ptr = std::shared_ptr<http::exchange>;
 
     void arrived(const exchange_ptr& exchange);
+    /// Carries out a call that works with whole documents. Where the dialect has such calls,
+    /// whoever can reach the listener may make them.
+    void run_document_call(const exchange_ptr& exchange, const operator_call& call);
+    void put_document(const exchange_ptr& exchange, const operator_call& call);
+    void read_document(const exchange_ptr& exchange);
+    /// Sends the caller to the leader, or says that it is not known.
+    void redirect(const exchange_ptr& exchange, const control::submission_refused& refused);
+    void run_own_call(const exchange_ptr& exchange);
     void run_command(const exchange_ptr& exchange, const base::operator_id& author);
     /// POST /v1/replica: {"verb": "add-replica" | "remove-replica", "name": NAME, "identity": N}.
     /// Only for admins of the root.
@@ -33,6 +44,8 @@
     std::optional<base::operator_id> authenticate(const http::request_head& head) const;
 
     replica_host& m_host;
+    const process_settings& m_settings;
+    const dialect& m_dialect;
     wire::key_hasher m_tokens;
     http::server m_server;
 };
--- /dev/null
+++ b/src/daemon/outcome_name.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "node/outcome.hpp"
+
+#include <string_view>
+
+namespace damaskladder::daemon {
+
+/// Word of an outcome in headers and texts.
+inline std::string_view to_string(node::outcome said)
+{
+    return said == node::outcome::not_run ? "not-run" : "unknown";
+}
+
+} // namespace damaskladder::daemon
--- a/src/daemon/process_settings.cpp
+++ b/src/daemon/process_settings.cpp
@@ -114,11 +114,12 @@
     {
         read_process();
         read_replicas();
+        read_discovery();
         read_node();
         read_control();
         read_log();
         m_reader.check_unknown_sections(
-            "one of process, seeds, replicas/NAME, node, announce, control, log");
+            "one of process, seeds, replicas/NAME, discovery, node, announce, control, log");
         check_combination();
         return {std::move(m_settings), m_reader.problems()};
     }
@@ -134,8 +135,11 @@
              {"failure_domain", "the name of a failure domain", true,
               name_into(
                   [&s](std::string text) { s.domain = base::failure_domain_id(std::move(text)); })},
-             {"secret_file", "the path of the file with the cluster secret", true,
+             {"secret_file", "the path of the file with the cluster secret", false,
               text_into(s.secret_file)},
+             {"secret", "64 hexadecimal digits", false, text_into(s.secret)},
+             {"interface", "own or platform", false,
+              one_of({"own", "platform"}, [&s](const std::string& word) { s.interface = word; })},
              {"messages", "IP:PORT", true, address_into(s.messages)}});
         m_reader.read("seeds",
                       {{"addresses", "a list of IP:PORT", false, addresses_into(s.seeds)}});
@@ -153,6 +157,32 @@
         }
     }
 
+    void read_discovery()
+    {
+        if (!m_reader.has("discovery")) {
+            return;
+        }
+        constexpr unsigned highest_port = 65535;
+        auto& s = m_settings;
+        std::vector<http::address> control_vms;
+        unsigned port = 0;
+        m_reader.read("discovery",
+                      {{"control_vms", "a list of IP:PORT", false, addresses_into(control_vms)},
+                       {"messages_port", "a port number", true, count_into(port, highest_port)},
+                       {"forms_cluster", "yes or no", false, [&s](const std::string& value) {
+                            const auto forms = settings::parse_yes_no(value);
+                            s.forms_cluster = forms.value_or(false);
+                            return forms.has_value();
+                        }}});
+        s.discovers_replicas = true;
+        s.messages_port = static_cast<std::uint16_t>(port);
+        for (const auto& vm : control_vms) {
+            const http::address messages{vm.ip, s.messages_port};
+            s.replicas[base::node_id(vm.ip)] = messages;
+            s.seeds.push_back(messages);
+        }
+    }
+
     void read_node()
     {
         if (!m_reader.has("node")) {
@@ -167,10 +197,17 @@
              {"backend_server", "IP:PORT", true, address_into(node.listen.backend_server)},
              {"connections", "a number from 1 to 60000", false,
               count_into(node.connections, most_connections)},
-             {"stop_limit", "a duration such as 30s", false, duration_into(node.stop_limit)}});
-        m_reader.read("announce", {{"credential", "a text", false, text_into(node.credential)},
-                                   {"services", "a list of service names", false,
-                                    services_into(node.services)}});
+             {"stop_limit", "a duration such as 30s", false, duration_into(node.stop_limit)},
+             {"ready", "IP:PORT", false, [&node](const std::string& value) {
+                  node.listen.ready = read_address(value);
+                  return node.listen.ready.has_value();
+              }}});
+        m_reader.read(
+            "announce",
+            {{"credential", "a text", false, text_into(node.credential)},
+             {"services", "a list of service names", false, services_into(node.services)},
+             {"host", "an IP address", false, text_into(node.backend_server_host)},
+             {"interval", "a duration such as 1s", false, duration_into(node.announce_interval)}});
     }
 
     void read_control()
@@ -186,6 +223,8 @@
                         name_into([&control](std::string text) {
                             control.admin = base::operator_id(std::move(text));
                         })},
+                       {"key_withdrawal", "a duration such as 5s", false,
+                        duration_into(control.key_withdrawal)},
                        {"admin_token_hash", "64 hexadecimal digits, see damaskladder hash-token",
                         false, [&control](const std::string& value) {
                             const auto hash = settings::parse_key_hash(value);
@@ -212,7 +251,12 @@
             m_reader.add(problem_kind::missing_field, "process", {},
                          "a section [node] or [control]");
         }
-        if (m_settings.replica && !m_settings.replicas.contains(m_settings.name)) {
+        if (m_settings.secret_file.empty() == m_settings.secret.empty()) {
+            m_reader.add(problem_kind::missing_field, "process", "secret_file",
+                         "the path of the file with the cluster secret, or the secret");
+        }
+        if (m_settings.replica && !m_settings.discovers_replicas &&
+            !m_settings.replicas.contains(m_settings.name)) {
             m_reader.add(problem_kind::missing_reference, "control", {},
                          "a section [replicas/NAME] for this process");
         }
--- a/src/daemon/quota_host.cpp
+++ b/src/daemon/quota_host.cpp
@@ -1,6 +1,7 @@
 #include "daemon/quota_host.hpp"
 
 #include "daemon/log.hpp"
+#include "daemon/replica_address.hpp"
 #include "daemon/secure_random.hpp"
 
 #include <algorithm>
@@ -16,6 +17,10 @@
 constexpr base::duration notice_lifetime = std::chrono::seconds(3);
 constexpr std::int64_t interval_points = 1'000'000;
 
+/// The whole rates, where the settings name no failure domains that share them.
+constexpr quota::domain_share whole_share{quota::share_point(0),
+                                          quota::share_point(interval_points)};
+
 lease::lease_resource resource_of(const base::failure_domain_id& domain)
 {
     return lease::lease_resource("quota/" + domain.value());
@@ -81,7 +86,9 @@
 {
     m_version = settings.version();
     m_quotas = quotas_of(settings);
-    m_share = share_of(settings, m_settings.domain);
+    m_pooled = settings.domains().empty();
+    m_domain = m_pooled ? base::failure_domain_id() : m_settings.domain;
+    m_share = m_pooled ? whole_share : share_of(settings, m_domain);
     m_hooks.set_quotas(m_quotas);
     m_other_voters.clear();
     std::vector<base::node_id> voters;
@@ -95,27 +102,35 @@
         }
     }
     const auto now = http::event_loop::now();
-    if (voters != m_voters) {
-        m_voters = voters;
-        m_holder.reset();
-        if (m_candidate) {
-            perform(m_candidate->give_up(now));
-            m_candidate.reset();
-        }
-        const bool votes = std::find(voters.begin(), voters.end(), m_settings.name) != voters.end();
-        if (votes) {
-            const auto resource = resource_of(m_settings.domain);
-            if (!m_voter) {
-                m_voter.emplace(lease::lease_options{}, m_settings.name, resource, now);
-            }
-            m_candidate.emplace(lease::lease_options{}, m_settings.name, m_incarnation, resource,
-                                voters, secure_random());
-            perform(m_candidate->want(now));
-        }
+    if (!m_pooled) {
+        use_voters(std::move(voters), now);
     }
     follow_settings(now);
 }
 
+void quota_host::use_voters(std::vector<base::node_id> voters, base::time_point now)
+{
+    if (voters == m_voters) {
+        return;
+    }
+    m_voters = std::move(voters);
+    m_holder.reset();
+    if (m_candidate) {
+        perform(m_candidate->give_up(now));
+        m_candidate.reset();
+    }
+    if (std::find(m_voters.begin(), m_voters.end(), m_settings.name) == m_voters.end()) {
+        return;
+    }
+    const auto resource = resource_of(m_domain);
+    if (!m_voter) {
+        m_voter.emplace(lease::lease_options{}, m_settings.name, resource, now);
+    }
+    m_candidate.emplace(lease::lease_options{}, m_settings.name, m_incarnation, resource, m_voters,
+                        secure_random());
+    perform(m_candidate->want(now));
+}
+
 void quota_host::follow_settings(base::time_point now)
 {
     if (m_holder) {
@@ -127,6 +142,9 @@
 void quota_host::tick()
 {
     const auto now = http::event_loop::now();
+    if (m_pooled && !m_stopping) {
+        use_voters(m_hooks.control_voters(), now);
+    }
     if (m_candidate && now >= m_candidate->next_time()) {
         perform(m_candidate->on_time(now));
     }
@@ -164,7 +182,7 @@
             return;
         }
         log(log_level::info, "quota_lease_acquired",
-            {{"domain", m_settings.domain.value()}, {"epoch", std::to_string(self.epoch.value())}});
+            {{"domain", m_domain.value()}, {"epoch", std::to_string(self.epoch.value())}});
         m_holder.emplace(quota::quota_options{}, self, m_share, m_candidate->held_until(), now);
         follow_settings(now);
         m_next_notice = now;
@@ -174,13 +192,16 @@
 
 void quota_host::send_notices(base::time_point now)
 {
-    const wire::holder_notice notice{m_settings.domain, m_holder->self(),
+    const wire::holder_notice notice{m_domain, m_holder->self(),
                                      base::message_address(to_string(m_settings.messages))};
     for (const auto& node : m_members.members().alive()) {
         if (node != m_settings.name) {
             send_to(node, wire::message_kind::holder_notices, notice);
         }
     }
+    if (m_pooled) {
+        send_to_other_domains(notice);
+    }
     for (const auto& voter : m_other_voters) {
         if (m_members.members().find_alive(voter) == nullptr) {
             send_to(voter, wire::message_kind::holder_notices, notice);
@@ -197,11 +218,25 @@
     m_holder->set_peers(std::move(peers), now);
 }
 
+void quota_host::send_to_other_domains(const wire::holder_notice& notice)
+{
+    const auto view = m_members.view();
+    for (const auto& service : view->services()) {
+        for (const auto& endpoint : view->endpoints(service)) {
+            if (endpoint.domain != m_settings.domain) {
+                m_messages.send(endpoint.node, endpoint.messages.value(),
+                                wire::message_kind::holder_notices, notice);
+            }
+        }
+    }
+}
+
 void quota_host::receive_notice(const base::node_id&, const wire::holder_notice& notice)
 {
     const auto now = http::event_loop::now();
-    if (notice.domain == m_settings.domain) {
+    if (notice.domain == m_domain) {
         m_known_until = now + notice_lifetime;
+        m_holder_address = notice.messages;
         use_holder(notice.holder);
         return;
     }
@@ -308,6 +343,14 @@
     if (const auto* member = m_members.members().find_alive(node)) {
         return member->messages;
     }
+    if (std::find(m_voters.begin(), m_voters.end(), node) != m_voters.end()) {
+        if (const auto replica = replica_address(m_settings, node)) {
+            return base::message_address(to_string(*replica));
+        }
+    }
+    if (m_known_holder && m_known_holder->node == node) {
+        return m_holder_address;
+    }
     for (const auto& [domain, peer] : m_peers) {
         if (peer.holder.node == node) {
             return peer.messages;
--- a/src/daemon/quota_host.hpp
+++ b/src/daemon/quota_host.hpp
@@ -20,6 +20,8 @@
 class quota_host {
 public:
     struct hooks {
+        /// The voters of the replicated log, if this process is one of them; else empty.
+        std::function<std::vector<base::node_id>()> control_voters;
         /// Passes a message or the holder to the buckets on the traffic thread.
         std::function<void(const quota::quota_message&)> to_buckets;
         std::function<void(const std::optional<quota::holder_id>&)> set_holder;
@@ -41,6 +43,9 @@
 private:
     void tick();
     void follow_lease(base::time_point now);
+    /// Replaces the voters of the lease.
+    void use_voters(std::vector<base::node_id> voters, base::time_point now);
+    void send_to_other_domains(const wire::holder_notice& notice);
     void follow_settings(base::time_point now);
     void send_notices(base::time_point now);
     void receive_notice(const base::node_id& sender, const wire::holder_notice& notice);
@@ -63,6 +68,12 @@
     std::vector<base::node_id> m_voters;
     std::vector<base::node_id> m_other_voters;
     quota::domain_share m_share;
+    /// The settings name no failure domains: one lease, voted on by the control replicas, stands
+    /// for the whole rates.
+    bool m_pooled = true;
+    /// Whose rates the lease stands for; empty if pooled.
+    base::failure_domain_id m_domain;
+    base::message_address m_holder_address;
     base::settings_version m_version;
     std::vector<quota::workspace_quota> m_quotas;
 
--- a/src/daemon/replica_host.cpp
+++ b/src/daemon/replica_host.cpp
@@ -5,6 +5,8 @@
 #include "daemon/secure_random.hpp"
 #include "daemon/wall_clock_now.hpp"
 
+#include <algorithm>
+
 namespace damaskladder::daemon {
 
 namespace {
@@ -16,8 +18,13 @@
 consensus::replica_options make_options(const process_settings& settings)
 {
     consensus::replica_options options;
+    const bool forms_cluster =
+        !settings.discovers_replicas ||
+        (settings.forms_cluster && settings.replicas.contains(settings.name));
     for (const auto& [name, address] : settings.replicas) {
-        options.initial_replicas.emplace_back(name.value());
+        if (forms_cluster) {
+            options.initial_replicas.emplace_back(name.value());
+        }
     }
     options.tick_interval = tick_interval;
     return options;
@@ -92,6 +99,18 @@
     carry_out(m_replica->query(id, http::event_loop::now()));
 }
 
+std::vector<base::node_id> replica_host::voters() const
+{
+    std::vector<base::node_id> names;
+    for (const auto& member : m_replica->status().members.members) {
+        if (member.role == consensus::member_role::voter) {
+            names.emplace_back(member.identity.id.value());
+        }
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
 void replica_host::hand_over()
 {
     if (leads()) {
--- a/src/daemon/replica_host.hpp
+++ b/src/daemon/replica_host.hpp
@@ -42,6 +42,8 @@
 
     const control::control_replica& replica() const { return *m_replica; }
     control::control_replica& replica() { return *m_replica; }
+    /// The voters of the replicated log, in the order of their names.
+    std::vector<base::node_id> voters() const;
     bool leads() const { return m_replica && m_replica->leads(); }
 
 private:
--- a/src/daemon/replica_settings.hpp
+++ b/src/daemon/replica_settings.hpp
@@ -17,6 +17,9 @@
     /// The first admin, created once the cluster has formed, and the hash of its token.
     base::operator_id admin;
     base::key_hash admin_token;
+    /// A withdrawn key must be refused everywhere within this time; zero leaves the bound on the
+    /// age of settings to the settings themselves.
+    base::duration key_withdrawal{};
 };
 
 } // namespace damaskladder::daemon
--- a/src/daemon/traffic_front.cpp
+++ b/src/daemon/traffic_front.cpp
@@ -2,7 +2,9 @@
 
 #include "daemon/content_hasher.hpp"
 #include "daemon/importance_name.hpp"
-#include "daemon/request_parser.hpp"
+#include "daemon/log.hpp"
+#include "daemon/outcome_name.hpp"
+#include "daemon/own_dialect.hpp"
 #include "http/header_names.hpp"
 #include "settings/value_parsers.hpp"
 
@@ -73,27 +75,20 @@
     }
 }
 
-std::string_view word(node::outcome said)
+/// Status and fields of a refusal between nodes.
+http::response_head refusal_for_node(const node::refuse& wanted)
 {
-    return said == node::outcome::not_run ? "not-run" : "unknown";
-}
-
-std::int64_t whole_seconds(base::duration time)
-{
-    return std::chrono::ceil<std::chrono::seconds>(time).count();
-}
-
-std::int64_t whole_ms(base::duration time)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    static const auto own = own_dialect();
+    return own.refusal(wanted);
 }
 
 } // namespace
 
 traffic_front::traffic_front(http::event_loop& loop, const wire::cluster_secret& secret,
                              base::incarnation incarnation, http::server_limits limits,
-                             traffic_logic logic, traffic_hooks hooks)
+                             dialect speech, traffic_logic logic, traffic_hooks hooks)
     : m_loop(loop),
+      m_dialect(std::move(speech)),
       m_contexts(secret),
       m_keys(secret, wire::key_usage::key_hashes),
       m_incarnation(incarnation),
@@ -104,7 +99,8 @@
       m_callers(loop, limits, [this](const auto& e) { arrived(e, inbound_side::caller); }),
       m_peers(loop, limits, [this](const auto& e) { arrived(e, inbound_side::peer); }),
       m_backend_servers(loop, limits,
-                        [this](const auto& e) { arrived(e, inbound_side::backend_server); })
+                        [this](const auto& e) { arrived(e, inbound_side::backend_server); }),
+      m_ready(loop, {}, [this](const auto& e) { m_hooks.local_api(e); })
 {
     m_loop.each_round([this](base::time_point now) { return round(now); });
 }
@@ -113,6 +109,9 @@
 {
     BOOST_LEAF_CHECK(m_peers.listen(addresses.peers));
     BOOST_LEAF_CHECK(m_backend_servers.listen(addresses.backend_server));
+    if (addresses.ready) {
+        BOOST_LEAF_CHECK(m_ready.listen(*addresses.ready));
+    }
     return m_callers.listen(addresses.callers);
 }
 
@@ -161,7 +160,7 @@
 void traffic_front::arrived(const std::shared_ptr<http::exchange>& exchange, inbound_side side)
 {
     const auto& head = exchange->head();
-    if (side == inbound_side::backend_server && head.target.substr(0, 3) == "/-/") {
+    if (side == inbound_side::backend_server && m_dialect.is_local_call(head)) {
         m_hooks.local_api(exchange);
         return;
     }
@@ -171,6 +170,9 @@
     request->exchange = exchange;
     request->arrived = http::event_loop::now();
     request->forwarded = end_to_end(head.headers);
+    if (side != inbound_side::peer) {
+        m_dialect.remove_system_fields(request->forwarded);
+    }
     m_inbound[request->id] = request;
     const auto id = request->id;
     exchange->on_gone([this, id] {
@@ -232,11 +234,11 @@
     const auto& head = request->exchange->head();
     base::handle_failure(
         [&]() -> base::result<void> {
-            BOOST_LEAF_AUTO(parsed, parse_request(head));
+            BOOST_LEAF_AUTO(parsed, m_dialect.read_request(head));
             if (parsed.key_in_authorization) {
                 request->forwarded.remove(http::header_names::authorization);
             }
-            if (parsed.request) {
+            if (parsed.request && parsed.repeats_share_id) {
                 request->content = hash_content(head, request->exchange->body());
             }
             if (parsed.context && request->side == inbound_side::backend_server) {
@@ -246,6 +248,8 @@
             node::request_arrived event;
             event.exchange = request->id;
             event.path = parsed.path;
+            event.host = parsed.host;
+            event.origin = m_hooks.own_service ? m_hooks.own_service() : base::service_id();
             if (parsed.key) {
                 event.key = m_keys.hash(*parsed.key);
             }
@@ -321,14 +325,16 @@
 
 void traffic_front::refuse_malformed(const inbound_ptr& request, const base::failure& error)
 {
-    constexpr int bad_request = 400;
-    constexpr int forbidden = 403;
-    const bool denied = error.kind == base::failure_kind::permission_denied;
-    http::response_head head;
-    head.status = denied ? forbidden : bad_request;
-    head.headers.add(name(http::header_names::outcome), "not-run");
-    head.headers.add(name(http::header_names::reason),
-                     std::string(to_string(node::refusal_reason::bad_request)));
+    constexpr node::status_code forbidden(403);
+    node::refuse refusal;
+    refusal.exchange = request->id;
+    refusal.said = node::outcome::not_run;
+    refusal.reason = node::refusal_reason::bad_request;
+    refusal.status = error.kind == base::failure_kind::permission_denied
+                         ? forbidden
+                         : node::status_of(refusal.reason);
+    auto head = request->side == inbound_side::peer ? refusal_for_node(refusal)
+                                                    : m_dialect.refusal(refusal);
     request->exchange->respond(std::move(head), error.text + "\n");
     m_metrics.refused(node::refusal_reason::bad_request, node::outcome::not_run);
     end(request->id);
@@ -393,21 +399,23 @@
         deliver(node::connect_failed{wanted.transfer});
         return;
     }
-    wire::sealed_context sealed;
-    sealed.purpose = wire::context_purpose::backend_server;
-    sealed.call = wanted.context;
-    sealed.receiver = m_view->node->self;
-    sealed.issuer_incarnation = m_incarnation;
-    sealed.expires_at = wanted.deadline;
+    const auto* server = m_view->node->find_local(wanted.service);
+    const auto seal = [this, &wanted] {
+        wire::sealed_context sealed;
+        sealed.purpose = wire::context_purpose::backend_server;
+        sealed.call = wanted.context;
+        sealed.receiver = m_view->node->self;
+        sealed.issuer_incarnation = m_incarnation;
+        sealed.expires_at = wanted.deadline;
+        return m_contexts.seal(sealed);
+    };
     http::client_request call;
     call.to = address->second;
     call.head.headers = request->forwarded;
-    call.head.headers.add(name(http::header_names::context), m_contexts.seal(sealed));
-    call.head.headers.add(name(http::header_names::importance),
-                          std::string(to_string(wanted.context.importance)));
-    const auto left =
-        std::max<std::int64_t>(whole_ms(wanted.deadline - http::event_loop::now()), 1);
-    call.head.headers.add(name(http::header_names::timeout), std::to_string(left));
+    m_dialect.address_backend_server(call.head.headers,
+                                     {wanted.context,
+                                      server == nullptr ? base::instance_id() : server->instance,
+                                      wanted.deadline - http::event_loop::now(), seal});
     call.fresh_connection = wanted.fresh_connection;
     const auto out = std::make_shared<outbound>();
     out->id = wanted.transfer;
@@ -473,6 +481,9 @@
         gatekeeper_refused(out);
         return;
     }
+    if (!out->to_gatekeeper && !accept_answer(out)) {
+        return;
+    }
     node::answer_started event;
     event.transfer = out->id;
     event.answer = classify(out->head->status);
@@ -483,14 +494,41 @@
     deliver(event);
 }
 
+bool traffic_front::accept_answer(const outbound_ptr& out)
+{
+    const auto request = find(out->exchange);
+    if (!request) {
+        return true;
+    }
+    switch (m_dialect.judge_answer(request->exchange->head(), *out->head)) {
+    case answer_verdict::answers:
+        return true;
+    case answer_verdict::not_run:
+        out->settled = true;
+        deliver(node::backend_refused{out->id});
+        return false;
+    case answer_verdict::foreign:
+        break;
+    }
+    log(log_level::warn, "answer_foreign",
+        {{"service", request->exchange->head().target},
+         {"status", std::to_string(out->head->status)}});
+    out->settled = true;
+    m_outbound.erase(out->id);
+    // The connection may carry the right answer, or more wrong ones, so it is not used again.
+    out->transfer->cancel();
+    deliver(node::transfer_broke{out->id});
+    return false;
+}
+
 void traffic_front::gatekeeper_refused(const outbound_ptr& out)
 {
     const auto& headers = out->head->headers;
     node::gatekeeper_refused event;
     event.transfer = out->id;
     const auto* said = headers.find(http::header_names::outcome);
-    event.said =
-        *said == word(node::outcome::not_run) ? node::outcome::not_run : node::outcome::unknown;
+    event.said = *said == to_string(node::outcome::not_run) ? node::outcome::not_run
+                                                            : node::outcome::unknown;
     if (const auto* reason = headers.find(http::header_names::reason)) {
         event.reason =
             node::parse_refusal_reason(*reason).value_or(node::refusal_reason::backend_failed);
@@ -590,19 +628,15 @@
     if (!request) {
         return;
     }
-    http::response_head head;
-    head.status = wanted.status.value();
-    const std::string reason(to_string(wanted.reason));
-    head.headers.add(name(http::header_names::outcome), std::string(word(wanted.said)));
-    head.headers.add(name(http::header_names::reason), reason);
-    if (wanted.retry_after) {
-        head.headers.add(name(http::header_names::retry_after),
-                         std::to_string(whole_seconds(*wanted.retry_after)));
-    }
-    add_node_fields(head.headers, wanted.allowance_left, wanted.shed);
+    auto head =
+        request->side == inbound_side::peer ? refusal_for_node(wanted) : m_dialect.refusal(wanted);
+    if (request->side == inbound_side::peer) {
+        add_node_fields(head.headers, wanted.allowance_left, wanted.shed);
+    }
     m_metrics.refused(wanted.reason, wanted.said);
-    request->exchange->respond(std::move(head), "request refused (" + reason + "), outcome: " +
-                                                    std::string(word(wanted.said)) + "\n");
+    request->exchange->respond(std::move(head),
+                               "request refused (" + std::string(to_string(wanted.reason)) +
+                                   "), outcome: " + std::string(to_string(wanted.said)) + "\n");
     end(wanted.exchange);
 }
 
--- a/src/daemon/traffic_front.hpp
+++ b/src/daemon/traffic_front.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/incarnation.hpp"
+#include "daemon/dialect.hpp"
 #include "daemon/inbound.hpp"
 #include "daemon/outbound.hpp"
 #include "daemon/parsed_request.hpp"
@@ -26,8 +27,8 @@
 class traffic_front {
 public:
     traffic_front(http::event_loop& loop, const wire::cluster_secret& secret,
-                  base::incarnation incarnation, http::server_limits limits, traffic_logic logic,
-                  traffic_hooks hooks);
+                  base::incarnation incarnation, http::server_limits limits, dialect speech,
+                  traffic_logic logic, traffic_hooks hooks);
 
     /// Starts to listen. Fails with io.
     base::result<void> listen(const traffic_addresses& addresses);
@@ -44,6 +45,8 @@
     /// Begins the graceful stop; stopped() tells when nothing runs any more.
     void stop();
     bool stopped() const { return m_stopping && m_inbound.empty(); }
+    /// Whether settings have arrived, so that requests can be judged.
+    bool settings_known() const { return m_view && m_view->node->settings_known; }
     std::size_t running() const { return m_inbound.size(); }
 
     traffic_metrics& metrics() { return m_metrics; }
@@ -76,6 +79,9 @@
     void send(const inbound_ptr& request, const outbound_ptr& out, http::client_request call);
     std::size_t read_body(inbound& request, outbound& out, char* data, std::size_t size) const;
     void head_arrived(const outbound_ptr& out, http::response_head head);
+    /// Whether the answer of the local backend server belongs to its request; if not, the decisions
+    /// have been told what became of the request.
+    bool accept_answer(const outbound_ptr& out);
     void gatekeeper_refused(const outbound_ptr& out);
     bool body_received(const outbound_ptr& out, std::string_view data);
     void transfer_ended(const outbound_ptr& out, const http::transfer_end& how);
@@ -85,6 +91,7 @@
     outbound_ptr find(node::transfer_id id) const;
 
     http::event_loop& m_loop;
+    dialect m_dialect;
     wire::context_codec m_contexts;
     wire::key_hasher m_keys;
     base::incarnation m_incarnation;
@@ -108,6 +115,7 @@
     http::server m_callers;
     http::server m_peers;
     http::server m_backend_servers;
+    http::server m_ready;
 };
 
 } // namespace damaskladder::daemon
--- a/src/daemon/traffic_front_test.cpp
+++ b/src/daemon/traffic_front_test.cpp
@@ -1,3 +1,4 @@
+#include "daemon/own_dialect.hpp"
 #include "daemon/secure_random.hpp"
 #include "daemon/traffic_front.hpp"
 #include "node/traffic_machine.hpp"
@@ -22,7 +23,8 @@
           m_backend(m_loop, {}, std::move(serve)),
           m_client(m_loop),
           m_machine(make_options()),
-          m_front(m_loop, m_secret, base::incarnation(1), {}, make_logic(), make_hooks())
+          m_front(m_loop, m_secret, base::incarnation(1), {}, own_dialect(), make_logic(),
+                  make_hooks())
     {
         EXPECT_TRUE(m_backend.listen({"127.0.0.1", 0}));
         EXPECT_TRUE(m_front.listen({{"127.0.0.1", 0}, {"127.0.0.1", 0}, {"127.0.0.1", 0}}));
@@ -135,7 +137,8 @@
         m_once = m_route;
         m_once.idempotent = false;
         m_key = {base::key_id("k1"), base::workspace_id("w1"), true};
-        view->match_route = [this](std::string_view path) -> const node::route_entry* {
+        view->match_route = [this](std::string_view path,
+                                   std::string_view) -> const node::route_entry* {
             return path.substr(0, 5) == "/once" ? &m_once : &m_route;
         };
         view->find_key =
--- a/src/daemon/traffic_hooks.hpp
+++ b/src/daemon/traffic_hooks.hpp
@@ -23,6 +23,8 @@
     std::function<void(const node::ask_claim&)> ask_claim;
     std::function<void(const node::release_claim&)> release_claim;
     std::function<void(const node::complete_claim&)> complete_claim;
+    /// Service of the backend servers on this VM; unset if it has none.
+    std::function<base::service_id()> own_service;
     /// Serves the local API (targets that begin with "/-/" on the backend server's port).
     std::function<void(const std::shared_ptr<http::exchange>&)> local_api;
 };
--- a/src/daemon/traffic_thread.cpp
+++ b/src/daemon/traffic_thread.cpp
@@ -21,22 +21,28 @@
     return limits;
 }
 
+base::service_id own_service(const node_settings& settings)
+{
+    return settings.services.empty() ? base::service_id() : settings.services.front();
+}
+
 } // namespace
 
 traffic_thread::traffic_thread(const wire::cluster_secret& secret, base::node_id self,
                                base::incarnation incarnation, const node_settings& settings,
-                               control_requests requests)
+                               const dialect& speech, control_requests requests)
     : m_requests(std::move(requests)),
       m_machine(make_options()),
       m_quota(std::move(self), incarnation,
               {.deliver = [this](const node::event& event) { m_front.deliver(event); },
                .send = m_requests.send_quota}),
       m_local(
-          {.announce = m_requests.announce,
-           .ready = [this] { return m_ready.load(); },
+          {.read_call = speech.read_local_call,
+           .announce = m_requests.announce,
+           .ready = [this] { return m_ready.load() && m_front.settings_known(); },
            .metrics = [this] { return m_front.metrics().text() + m_requests.control_metrics(); }}),
       m_front(
-          m_loop, secret, incarnation, make_limits(settings),
+          m_loop, secret, incarnation, make_limits(settings), speech,
           {.handle = [this](const auto& event, const auto& view, auto now,
                             auto& effects) { m_machine.handle(event, view, now, effects); },
            .next_deadline = [this] { return m_machine.next_deadline(); }},
@@ -48,6 +54,7 @@
            .ask_claim = m_requests.ask_claim,
            .release_claim = m_requests.release_claim,
            .complete_claim = m_requests.complete_claim,
+           .own_service = [service = own_service(settings)] { return service; },
            .local_api = [this](const auto& exchange) { m_local.serve(exchange); }}),
       m_addresses(settings.listen)
 {
--- a/src/daemon/traffic_thread.hpp
+++ b/src/daemon/traffic_thread.hpp
@@ -29,7 +29,7 @@
 public:
     traffic_thread(const wire::cluster_secret& secret, base::node_id self,
                    base::incarnation incarnation, const node_settings& settings,
-                   control_requests requests);
+                   const dialect& speech, control_requests requests);
     ~traffic_thread();
     traffic_thread(const traffic_thread&) = delete;
     traffic_thread& operator=(const traffic_thread&) = delete;
--- a/src/daemon/view_builder.cpp
+++ b/src/daemon/view_builder.cpp
@@ -11,6 +11,8 @@
     std::shared_ptr<const settings::compiled_settings> settings;
     std::unordered_map<base::route_id, node::route_entry> routes;
     std::unordered_map<base::key_id, node::key_entry> keys;
+    /// Rank of the workspaces that go first.
+    std::int64_t lowest_rank = 0;
 };
 
 namespace {
@@ -24,7 +26,11 @@
     route.open = from.open;
     route.idempotent = from.idempotent;
     route.importance = from.importance;
+    route.split = from.split;
     route.timeout = from.timeout;
+    route.latency_goal = from.latency_goal;
+    route.attempts = from.attempts;
+    route.claimed = from.run_once_per == settings::once_scope::request_id;
     if (!from.all_workspaces) {
         route.workspaces = from.workspaces;
         if (route.workspaces.empty()) {
@@ -38,10 +44,18 @@
     return route;
 }
 
+/// Lowers an importance by the steps by which a workspace ranks behind the first ones.
+base::importance lowered(base::importance of_route, std::int64_t steps)
+{
+    const auto level = static_cast<std::int64_t>(of_route) - steps;
+    return static_cast<base::importance>(std::max<std::int64_t>(level, 0));
+}
+
 void set_hooks(node::node_view& view, const std::shared_ptr<const settings_tables>& tables)
 {
-    view.match_route = [tables](std::string_view path) -> const node::route_entry* {
-        const auto* route = tables->settings->match_route(path);
+    view.match_route = [tables](std::string_view path,
+                                std::string_view host) -> const node::route_entry* {
+        const auto* route = tables->settings->match_route(path, host);
         return route == nullptr ? nullptr : &tables->routes.at(route->id);
     };
     view.find_key = [tables](const base::key_hash& hash) -> const node::key_entry* {
@@ -52,6 +66,11 @@
         const auto found = tables->keys.find(id);
         return found != tables->keys.end() && found->second.active;
     };
+    view.importance_of = [tables](base::importance of_route, const base::workspace_id& id) {
+        const auto* workspace = tables->settings->find_workspace(id);
+        return workspace == nullptr ? of_route
+                                    : lowered(of_route, workspace->rank - tables->lowest_rank);
+    };
     view.weight_of = [tables](const base::workspace_id& id) {
         const auto* workspace = tables->settings->find_workspace(id);
         return workspace == nullptr ? base::share_weight(1) : workspace->weight;
@@ -100,12 +119,19 @@
               [](const auto& a, const auto& b) { return a.service < b.service; });
 }
 
+bool uses(const settings::route_settings& route, const base::service_id& service)
+{
+    return route.service == service ||
+           std::any_of(route.split.begin(), route.split.end(),
+                       [&](const auto& part) { return part.service == service; });
+}
+
 base::duration longest_staleness(const base::service_id& service,
                                  const settings::compiled_settings& settings)
 {
     base::duration longest{0};
     for (const auto& route : settings.routes()) {
-        if (route.service == service) {
+        if (uses(route, service)) {
             longest = std::max(longest, settings.limits_of(route.team).max_staleness);
         }
     }
@@ -120,9 +146,10 @@
         local.slots = backend.slots;
         local.cold = backend.cold;
         local.draining = backend.draining;
+        local.instance = backend.instance;
         local.max_staleness = longest_staleness(backend.service, *from.settings->settings);
         view.local.push_back(local);
-        out.local[backend.service] = {"127.0.0.1", backend.port.value()};
+        out.local[backend.service] = {from.backend_server_host, backend.port.value()};
     }
 }
 
@@ -138,6 +165,11 @@
     for (const auto& key : from->keys()) {
         tables->keys[key.id] = {key.id, key.workspace, key.state == settings::key_state::active};
     }
+    for (const auto& workspace : from->workspaces()) {
+        const bool first = &workspace == from->workspaces().data();
+        tables->lowest_rank =
+            first ? workspace.rank : std::min(tables->lowest_rank, workspace.rank);
+    }
     tables->settings = std::move(from);
     return tables;
 }
@@ -149,6 +181,7 @@
     view->self = from.self;
     view->own_domain = from.domain;
     view->settings_confirmed_at = from.settings_confirmed_at;
+    view->settings_known = from.settings->settings->version() != base::settings_version();
     set_hooks(*view, from.settings);
     add_services(from, *out, *view);
     add_local(from, *out, *view);
--- a/src/daemon/view_builder.hpp
+++ b/src/daemon/view_builder.hpp
@@ -26,6 +26,8 @@
     std::shared_ptr<const membership::service_view> services;
     /// Backend servers on this VM.
     std::vector<membership::backend_server> local;
+    /// IP address at which they listen.
+    std::string backend_server_host;
 };
 
 /// Builds the immutable view that the control thread publishes.
--- a/src/membership/announce_verdict.cpp
+++ b/src/membership/announce_verdict.cpp
@@ -15,6 +15,8 @@
         return "too_many";
     case announce_verdict::unknown:
         return "unknown";
+    case announce_verdict::outdated:
+        return "outdated";
     }
     return "unknown";
 }
--- a/src/membership/announce_verdict.hpp
+++ b/src/membership/announce_verdict.hpp
@@ -15,6 +15,8 @@
     too_many,
     /// Nothing is announced for this service and port.
     unknown,
+    /// An earlier message of the run, or of an earlier run at this port, that came late.
+    outdated,
 };
 
 /// Stable lower-case name.
--- a/src/membership/announcement.hpp
+++ b/src/membership/announcement.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "base/instance_id.hpp"
 #include "base/port_number.hpp"
 #include "base/service_id.hpp"
 #include "base/slot_count.hpp"
 #include "membership/connection_count.hpp"
 #include "membership/credential_text.hpp"
+#include "membership/run_position.hpp"
 
 namespace damaskladder::membership {
 
@@ -16,6 +18,11 @@
     connection_count connections;
     bool cold = false;
     credential_text credential;
+    /// The server asks for no new requests.
+    bool draining = false;
+    /// The run that speaks, and where in its life; see announcement_lease.
+    base::instance_id instance = {};
+    run_position position = {};
 };
 
 } // namespace damaskladder::membership
--- a/src/membership/announcement_lease.cpp
+++ b/src/membership/announcement_lease.cpp
@@ -5,6 +5,13 @@
 
 namespace damaskladder::membership {
 
+namespace {
+
+/// A message is not delayed for longer than this; later ones of an ended run are not expected.
+constexpr base::duration ended_run_memory = std::chrono::minutes(2);
+
+} // namespace
+
 announcement_lease::announcement_lease(announcement_options options) : m_options(std::move(options))
 {
 }
@@ -18,14 +25,25 @@
         return announce_verdict::not_permitted;
     }
     expire(now);
+    if (is_outdated(offer)) {
+        return announce_verdict::outdated;
+    }
+    if (offer.instance != base::instance_id()) {
+        std::erase_if(m_leases, [&](const lease& held) {
+            return held.backend.port == offer.port && held.backend.instance != offer.instance;
+        });
+    }
     const position known = find(offer.service, offer.port);
     if (known == m_leases.end() && m_leases.size() >= m_options.limits.backends_per_node) {
         return announce_verdict::too_many;
     }
-    const bool draining = known != m_leases.end() && known->backend.draining;
-    const lease renewed{
-        {offer.service, offer.port, offer.slots, offer.connections, offer.cold, draining},
-        now + m_options.lease};
+    const bool same_run =
+        known != m_leases.end() && known->position.started_ms == offer.position.started_ms;
+    const bool draining = offer.draining || (same_run && known->backend.draining);
+    const lease renewed{{offer.service, offer.port, offer.slots, offer.connections, offer.cold,
+                         draining, offer.instance},
+                        now + m_options.lease,
+                        offer.position};
     if (known != m_leases.end()) {
         *known = renewed;
     }
@@ -35,6 +53,29 @@
     return announce_verdict::accepted;
 }
 
+announce_verdict announcement_lease::withdraw(const announcement& offer, base::time_point now)
+{
+    if (offer.instance == base::instance_id()) {
+        return withdraw(offer.service, offer.port, offer.credential);
+    }
+    const auto known = std::find_if(m_leases.begin(), m_leases.end(), [&](const lease& held) {
+        return held.backend.instance == offer.instance;
+    });
+    if (known == m_leases.end()) {
+        return announce_verdict::unknown;
+    }
+    if (!permitted(offer.credential, known->backend.service)) {
+        return announce_verdict::not_permitted;
+    }
+    if (offer.position != run_position() && offer.position < known->position) {
+        return announce_verdict::outdated;
+    }
+    std::erase_if(m_ended, [&](const ended_run& ended) { return ended.forget_at <= now; });
+    m_ended.push_back({offer.instance, known->position, now + ended_run_memory});
+    m_leases.erase(known);
+    return announce_verdict::accepted;
+}
+
 announce_verdict announcement_lease::withdraw(const base::service_id& service,
                                               base::port_number port,
                                               const credential_text& credential)
@@ -97,6 +138,23 @@
     });
 }
 
+bool announcement_lease::is_outdated(const announcement& offer) const
+{
+    if (offer.instance == base::instance_id()) {
+        return false;
+    }
+    const bool ended = std::any_of(m_ended.begin(), m_ended.end(), [&](const ended_run& run) {
+        return run.instance == offer.instance &&
+               offer.position.started_ms <= run.position.started_ms;
+    });
+    return ended || std::any_of(m_leases.begin(), m_leases.end(), [&](const lease& held) {
+               const bool same = held.backend.instance == offer.instance;
+               return held.backend.port == offer.port &&
+                      (same ? offer.position < held.position
+                            : offer.position.started_ms < held.position.started_ms);
+           });
+}
+
 bool announcement_lease::permitted(const credential_text& credential,
                                    const base::service_id& service) const
 {
--- a/src/membership/backend_server.hpp
+++ b/src/membership/backend_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/instance_id.hpp"
 #include "base/port_number.hpp"
 #include "base/service_id.hpp"
 #include "base/slot_count.hpp"
@@ -18,6 +19,8 @@
     bool cold = false;
     /// Finishes what it has and takes no new requests.
     bool draining = false;
+    /// The run of the server; empty if it named none.
+    base::instance_id instance = {};
 
     friend bool operator==(const backend_server&, const backend_server&) = default;
 };
--- a/src/node/call_context.hpp
+++ b/src/node/call_context.hpp
@@ -8,6 +8,7 @@
 #include "base/node_id.hpp"
 #include "base/request_id.hpp"
 #include "base/retry_count.hpp"
+#include "base/service_id.hpp"
 #include "base/time.hpp"
 #include "base/workspace_id.hpp"
 
@@ -30,6 +31,10 @@
     /// Extra attempts lent to this call and all calls below it.
     base::retry_count allowance;
     bool idempotent = true;
+    /// A run that is not idempotent needs a claim; see route_entry.
+    bool claimed = true;
+    /// Service of the VM on which the request began; empty if unknown.
+    base::service_id origin;
     base::node_id issuer;
 };
 
--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -14,6 +14,9 @@
 /// Choices of another server after one that sheds the request's importance.
 constexpr int choices_past_shedding = 3;
 constexpr std::size_t longest_request_id = 256;
+/// With settings older than this, an unknown key or path may be one that was just added. Longer
+/// than two polls for newer settings.
+constexpr base::duration longest_doubt = std::chrono::milliseconds(1500);
 
 retry::failure_class class_of(outcome said, refusal_reason reason)
 {
@@ -133,9 +136,12 @@
     if (static_cast<std::int64_t>(seen.path.size()) > m_shared.options.max_path.value()) {
         return refuse_with(refusal_reason::bad_request);
     }
-    const route_entry* route = at.view.match_route(seen.path);
+    if (!at.view.settings_known) {
+        return refuse_with(refusal_reason::stale_settings);
+    }
+    const route_entry* route = at.view.match_route(seen.path, seen.host);
     if (route == nullptr) {
-        return refuse_with(refusal_reason::no_route);
+        return refuse_with(unless_stale(refusal_reason::no_route, at));
     }
     const key_entry* key = !route->open && seen.key ? at.view.find_key(*seen.key) : nullptr;
     if (const auto problem = key_problem(*route, key, seen.key.has_value(), at)) {
@@ -151,14 +157,15 @@
     request.exchange = seen.exchange;
     request.body_can_be_resent = seen.body_can_be_resent;
     apply_route(request, *route, seen.wishes.non_idempotent);
-    if (seen.request && (!is_usable(seen.request) || !seen.content)) {
+    if (route->claimed && seen.request && (!is_usable(seen.request) || !seen.content)) {
         return refuse_with(refusal_reason::bad_request);
     }
-    if (!request.context.idempotent && !seen.request) {
+    if (route->claimed && !request.context.idempotent && !seen.request) {
         return refuse_with(refusal_reason::request_id_required);
     }
     request.deadline = at.now + shorter_of(route->timeout, seen.wishes.timeout);
-    request.context.importance = lower_of(route->importance, seen.wishes.importance);
+    request.context.importance = lower_of(importance_of(*route, key, at), seen.wishes.importance);
+    request.context.origin = seen.origin;
     request.context.chain = base::chain_id(m_shared.options.random());
     request.context.call = draw_call();
     request.context.request = seen.request.value_or(
@@ -167,7 +174,7 @@
     if (key != nullptr) {
         request.context.workspace = key->workspace;
         request.context.key = key->key;
-        if (seen.request) {
+        if (seen.request && route->claimed) {
             request.identity = retry::request_identity{key->workspace, *seen.request};
         }
     }
@@ -189,7 +196,7 @@
     }
     const bool path_fits =
         static_cast<std::int64_t>(seen.path.size()) <= m_shared.options.max_path.value();
-    const route_entry* route = path_fits ? at.view.match_route(seen.path) : nullptr;
+    const route_entry* route = path_fits ? at.view.match_route(seen.path, {}) : nullptr;
     if (route == nullptr) {
         return refuse_with(path_fits ? refusal_reason::no_route : refusal_reason::bad_request);
     }
@@ -452,7 +459,7 @@
         return refusal_reason::stale_settings;
     }
     if (key == nullptr) {
-        return refusal_reason::unknown_key;
+        return unless_stale(refusal_reason::unknown_key, at);
     }
     if (!key->active) {
         return refusal_reason::key_withdrawn;
@@ -463,15 +470,34 @@
     return std::nullopt;
 }
 
-bool entry_machine::is_stale(base::duration max_staleness, step& at) const
+bool entry_machine::is_stale(base::duration max_staleness, step& at)
 {
     return at.now - at.view.settings_confirmed_at > max_staleness;
 }
 
+refusal_reason entry_machine::unless_stale(refusal_reason unknown, step& at)
+{
+    return is_stale(longest_doubt, at) ? refusal_reason::stale_settings : unknown;
+}
+
+base::importance entry_machine::importance_of(const route_entry& route, const key_entry* key,
+                                              step& at)
+{
+    const bool ranked = key != nullptr && at.view.importance_of;
+    return ranked ? at.view.importance_of(route.importance, key->workspace) : route.importance;
+}
+
+base::service_id entry_machine::service_for(const route_entry& route)
+{
+    return route.split.empty() ? route.service : m_splits[route.route].next(route.split);
+}
+
 void entry_machine::apply_route(entry_request& request, const route_entry& route,
-                                bool non_idempotent) const
+                                bool non_idempotent)
 {
-    request.service = route.service;
+    request.service = service_for(route);
+    request.max_runs = route.attempts;
+    request.context.claimed = route.claimed;
     request.open = route.open;
     request.max_staleness = route.max_staleness;
     request.context.idempotent = route.idempotent && !non_idempotent;
@@ -632,6 +658,7 @@
                                    refusal_reason reason, routing::attempt_result result, step& at)
 {
     m_shared.ledger.lost(request.context.call, request.attempt);
+    request.runs += kind == retry::failure_class::may_have_run ? 1 : 0;
     request.tried.push_back(request.gatekeeper);
     end_attempt(request, result, at);
     if (!retry_later(request, kind, at)) {
@@ -641,6 +668,10 @@
 
 bool entry_machine::retry_later(entry_request& request, retry::failure_class kind, step& at)
 {
+    if (request.max_runs > base::retry_count(0) &&
+        base::retry_count(request.runs) >= request.max_runs) {
+        return false;
+    }
     retry::failed_attempt failed;
     failed.kind = kind;
     failed.idempotent = request.context.idempotent;
@@ -656,7 +687,7 @@
         pause = base::duration::zero();
     }
     else if (!pause || m_shared.ledger.left(request.context.call) < base::retry_count(1) ||
-             !may_spend(request, at) || !m_shared.ledger.spend(request.context.call)) {
+             !may_spend(request, kind, at) || !m_shared.ledger.spend(request.context.call)) {
         return false;
     }
     if (*pause == base::duration::zero()) {
@@ -787,9 +818,11 @@
     refuse_request(request, refusal_reason::deadline, at);
 }
 
-bool entry_machine::may_spend(const entry_request& request, step& at)
+bool entry_machine::may_spend(const entry_request& request, retry::failure_class kind, step& at)
 {
-    return budget_of(request.context.workspace).try_spend(at.now) ||
+    // What never reached a backend server adds nothing to its load.
+    return kind == retry::failure_class::not_run_elsewhere ||
+           budget_of(request.context.workspace).try_spend(at.now) ||
            m_floor_budget.try_spend(at.now);
 }
 
--- a/src/node/entry_machine.hpp
+++ b/src/node/entry_machine.hpp
@@ -12,6 +12,7 @@
 #include "retry/failure_class.hpp"
 #include "retry/repeat_table.hpp"
 #include "routing/router.hpp"
+#include "routing/weighted_rotation.hpp"
 
 #include <cstddef>
 #include <optional>
@@ -61,8 +62,12 @@
     entry_request* find(transfer_id transfer);
     std::optional<refusal_reason> key_problem(const route_entry& route, const key_entry* key,
                                               bool presented, step& at) const;
-    bool is_stale(base::duration max_staleness, step& at) const;
-    void apply_route(entry_request& request, const route_entry& route, bool non_idempotent) const;
+    static bool is_stale(base::duration max_staleness, step& at);
+    void apply_route(entry_request& request, const route_entry& route, bool non_idempotent);
+    base::service_id service_for(const route_entry& route);
+    /// The refusal for something that the settings do not know, unless they may be out of date.
+    static refusal_reason unless_stale(refusal_reason unknown, step& at);
+    static base::importance importance_of(const route_entry& route, const key_entry* key, step& at);
     void admit(entry_request&& request, const std::optional<base::content_hash>& content, step& at);
     void forward_or_ask(entry_request& request, step& at);
     void try_forward(entry_request& request, step& at);
@@ -83,7 +88,7 @@
     void erase(exchange_id exchange, step& at);
     void hand_over(entry_request& from, exchange_id to, step& at);
     void time_is_up(entry_request& request, step& at);
-    bool may_spend(const entry_request& request, step& at);
+    bool may_spend(const entry_request& request, retry::failure_class kind, step& at);
     retry::budget& budget_of(const base::workspace_id& workspace);
     routing::router& router_of(const base::service_id& service);
     base::duration return_time() const;
@@ -102,6 +107,7 @@
     retry::retry_options m_retry_options;
     admission::shed_memory m_shed;
     std::unordered_map<base::service_id, routing::router> m_routers;
+    std::unordered_map<base::route_id, routing::weighted_rotation> m_splits;
     /// Longest time of late to make a connection, as the measure of a round trip.
     base::duration m_round_trip{};
     base::time_point m_next_cleaning;
--- a/src/node/entry_request.hpp
+++ b/src/node/entry_request.hpp
@@ -38,6 +38,9 @@
     std::optional<token_grant_id> grant;
 
     int attempts = 0;
+    /// Attempts that may have run, and how many there may be; zero for no bound.
+    int runs = 0;
+    base::retry_count max_runs;
     /// Some earlier attempt ended with an unknown outcome.
     bool may_have_run = false;
     /// Gatekeepers that refused it.
--- a/src/node/gatekeeper_machine.cpp
+++ b/src/node/gatekeeper_machine.cpp
@@ -167,6 +167,15 @@
                 admission::call_outcome::failed, at);
 }
 
+void gatekeeper_machine::on(const backend_refused& seen, step& at)
+{
+    gatekeeper_call* call = find(seen.transfer);
+    if (call != nullptr && call->phase != gatekeeper_phase::answering) {
+        refuse_call(*call, outcome::not_run, refusal_reason::shed,
+                    admission::call_outcome::overloaded, at);
+    }
+}
+
 void gatekeeper_machine::on(const answer_started& seen, step& at)
 {
     gatekeeper_call* call = find(seen.transfer);
@@ -295,7 +304,8 @@
     if (seen.context.depth > m_shared.options.max_depth) {
         return refusal_reason::too_deep;
     }
-    if (runs_already || (!seen.context.idempotent && !seen.content)) {
+    const bool needs_claim = !seen.context.idempotent && seen.context.claimed;
+    if (runs_already || (needs_claim && !seen.content)) {
         return refusal_reason::bad_request;
     }
     gatekeeper_call call;
@@ -387,7 +397,7 @@
         return refuse_call(call, outcome::not_run, *problem, admission::call_outcome::cancelled,
                            at);
     }
-    if (call.context.idempotent) {
+    if (call.context.idempotent || !call.context.claimed) {
         return hand_over(call, at);
     }
     call.phase = gatekeeper_phase::claiming;
--- a/src/node/gatekeeper_machine.hpp
+++ b/src/node/gatekeeper_machine.hpp
@@ -40,6 +40,7 @@
     void on(const transfer_connected& seen, step& at);
     void on(const connect_failed& seen, step& at);
     void on(const transfer_broke& seen, step& at);
+    void on(const backend_refused& seen, step& at);
     void on(const answer_started& seen, step& at);
     void on(const answer_finished& seen, step& at);
     void on(const caller_gone& seen, step& at);
--- a/src/node/local_backend_server.hpp
+++ b/src/node/local_backend_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/instance_id.hpp"
 #include "base/service_id.hpp"
 #include "base/slot_count.hpp"
 #include "base/time.hpp"
@@ -18,6 +19,8 @@
     /// Largest max_staleness of the routes of the service; bounds the age of the settings with
     /// which keyed calls are admitted.
     base::duration max_staleness{std::chrono::seconds(10)};
+    /// The run that announced itself; empty if it named none.
+    base::instance_id instance = {};
 };
 
 } // namespace damaskladder::node
--- a/src/node/node_view.hpp
+++ b/src/node/node_view.hpp
@@ -26,12 +26,17 @@
     base::failure_domain_id own_domain;
     /// The settings are at least as new as the accepted settings at this time of the local clock.
     base::time_point settings_confirmed_at;
-    /// Longest matching path prefix; null if there is none.
-    std::function<const route_entry*(std::string_view path)> match_route;
+    /// False until the first settings have arrived; without them nothing can be said of a request.
+    bool settings_known = true;
+    /// Longest matching path prefix of a host; null if there is none.
+    std::function<const route_entry*(std::string_view path, std::string_view host)> match_route;
     /// Also finds withdrawn keys; null if there is no such key.
     std::function<const key_entry*(const base::key_hash& key)> find_key;
     std::function<bool(const base::key_id& key)> key_active;
     std::function<base::share_weight(const base::workspace_id& workspace)> weight_of;
+    /// Importance of a request by that of its route and its workspace. Without the hook, that of
+    /// the route.
+    std::function<base::importance(base::importance, const base::workspace_id&)> importance_of;
     /// Sorted by service.
     std::vector<service_entry> services;
     /// Backend servers on this VM; usually one.
--- a/src/node/request_arrived.hpp
+++ b/src/node/request_arrived.hpp
@@ -4,6 +4,7 @@
 #include "base/content_hash.hpp"
 #include "base/key_hash.hpp"
 #include "base/request_id.hpp"
+#include "base/service_id.hpp"
 #include "node/exchange_id.hpp"
 #include "node/request_wishes.hpp"
 
@@ -16,6 +17,10 @@
 struct request_arrived {
     exchange_id exchange;
     std::string path;
+    /// Host name that the request names, without a port; may be empty.
+    std::string host;
+    /// Service of the VM on which the request began, if known.
+    base::service_id origin;
     /// Keyed hash of the presented key.
     std::optional<base::key_hash> key;
     /// Request id that the caller gave.
--- a/src/node/route_entry.hpp
+++ b/src/node/route_entry.hpp
@@ -7,6 +7,7 @@
 #include "base/service_id.hpp"
 #include "base/time.hpp"
 #include "base/workspace_id.hpp"
+#include "settings/split_part.hpp"
 
 #include <chrono>
 #include <vector>
@@ -17,11 +18,20 @@
 struct route_entry {
     base::route_id route;
     base::service_id service;
+    /// Services that share the requests by weight; empty if all go to `service`.
+    std::vector<settings::split_part> split;
     /// Needs no key and is charged no rate tokens.
     bool open = false;
     bool idempotent = true;
     base::importance importance = base::importance::normal;
     base::duration timeout{};
+    /// An answer within this time has its full worth; zero if unknown.
+    base::duration latency_goal{};
+    /// Backend servers that may have run one request; zero for no bound but `retries`.
+    base::retry_count attempts;
+    /// A request that is not idempotent needs a claim in the replicated log, because a caller's own
+    /// repeat counts as the same request.
+    bool claimed = true;
     /// Workspaces admitted, sorted; empty admits all.
     std::vector<base::workspace_id> workspaces;
     /// Extra attempts for the whole call tree of a request.
--- a/src/node/traffic_fixture.hpp
+++ b/src/node/traffic_fixture.hpp
@@ -67,7 +67,7 @@
         open.workspaces.clear();
         key = {base::key_id("k"), base::workspace_id("w"), true};
         other = {base::key_id("o"), base::workspace_id("other"), true};
-        view.match_route = [this](std::string_view path) -> const route_entry* {
+        view.match_route = [this](std::string_view path, std::string_view) -> const route_entry* {
             return path == "/keyed"  ? &keyed
                    : path == "/once" ? &once
                    : path == "/open" ? &open
--- a/src/node/traffic_machine.cpp
+++ b/src/node/traffic_machine.cpp
@@ -25,6 +25,7 @@
     void operator()(const claim_denied& seen) { gatekeeper.on(seen, gatekeeper_step); }
     void operator()(const drain_requested& seen) { gatekeeper.on(seen, gatekeeper_step); }
     void operator()(const stop_requested& /*seen*/) { stopping = true; }
+    void operator()(const backend_refused& seen) { gatekeeper.on(seen, gatekeeper_step); }
     void operator()(const transfer_connected& seen) { by_transfer(seen); }
     void operator()(const connect_failed& seen) { by_transfer(seen); }
     void operator()(const transfer_broke& seen) { by_transfer(seen); }
--- a/src/node/traffic_model.hpp
+++ b/src/node/traffic_model.hpp
@@ -135,7 +135,7 @@
         node.view.self = base::node_id(std::to_string(number));
         node.view.own_domain = base::failure_domain_id("d");
         node.view.settings_confirmed_at = end_of_model();
-        node.view.match_route = [this](std::string_view path) {
+        node.view.match_route = [this](std::string_view path, std::string_view) {
             return path == "/deep" ? &m_deep : &m_front;
         };
         node.view.find_key = [this](const base::key_hash& hash) {
--- a/src/quota/node_bucket.cpp
+++ b/src/quota/node_bucket.cpp
@@ -183,6 +183,11 @@
     });
 }
 
+base::time_point node_bucket::next_wait_end() const
+{
+    return m_waiting.empty() ? base::time_point::max() : m_waiting.front().until;
+}
+
 base::time_point node_bucket::next_time() const
 {
     auto time = base::time_point::max();
--- a/src/quota/node_bucket.hpp
+++ b/src/quota/node_bucket.hpp
@@ -61,6 +61,8 @@
 
     /// When due() or on_time() may have something to do; time_point::max() if nothing is pending.
     base::time_point next_time() const;
+    /// When the first wait ends without tokens.
+    base::time_point next_wait_end() const;
 
     tokens balance(base::time_point now) const;
 
--- a/src/quota/node_quota.cpp
+++ b/src/quota/node_quota.cpp
@@ -115,7 +115,8 @@
 {
     auto time = base::time_point::max();
     for (const auto& [workspace, bucket] : m_buckets) {
-        time = std::min(time, bucket.next_time());
+        // Without a holder there is nobody to ask, and only the waits can end.
+        time = std::min(time, m_holder ? bucket.next_time() : bucket.next_wait_end());
     }
     return time;
 }
--- a/src/settings/compiled_settings.cpp
+++ b/src/settings/compiled_settings.cpp
@@ -78,26 +78,41 @@
     return compiled;
 }
 
-const route_settings* compiled_settings::match_route(std::string_view path) const
+const route_settings* compiled_settings::match_route(std::string_view path,
+                                                     std::string_view host) const
 {
     if (!is_plain_request_path(path)) {
         return nullptr;
     }
+    if (const auto* own = match_route_of(host, path)) {
+        return own;
+    }
+    return host.empty() ? nullptr : match_route_of({}, path);
+}
+
+const route_settings* compiled_settings::match_route_of(std::string_view host,
+                                                        std::string_view path) const
+{
+    const auto of_host = m_routes_by_host.find(host);
+    if (of_host == m_routes_by_host.end()) {
+        return nullptr;
+    }
+    const auto& by_prefix = of_host->second;
     auto length = std::min(path.size(), m_longest_prefix);
     // Moves back to the end of a whole part.
     while (length > 0 && length < path.size() && path[length] != '/') {
         --length;
     }
     while (length > 0) {
-        auto found = m_route_by_prefix.find(path.substr(0, length));
-        if (found != m_route_by_prefix.end()) {
+        auto found = by_prefix.find(path.substr(0, length));
+        if (found != by_prefix.end()) {
             return found->second;
         }
         auto slash = path.rfind('/', length - 1);
         length = slash == std::string_view::npos ? 0 : slash;
     }
-    auto root = m_route_by_prefix.find("/");
-    return root == m_route_by_prefix.end() ? nullptr : root->second;
+    auto root = by_prefix.find("/");
+    return root == by_prefix.end() ? nullptr : root->second;
 }
 
 const route_settings* compiled_settings::find_route(const base::route_id& id) const
@@ -176,7 +191,14 @@
     route.id = base::route_id(path.text());
     route.team = team_of(path);
     route.prefix = path_prefix(text_of(entry, "prefix"));
+    route.host = text_of(entry, "host");
     route.service = base::service_id(text_of(entry, "service"));
+    if (auto split = parse_split(text_of(entry, "split"))) {
+        route.split = std::move(*split);
+    }
+    read(entry, "latency_goal", parse_duration, route.latency_goal);
+    read(entry, "attempts", parse_count, route.attempts);
+    read(entry, "run_once_per", parse_once_scope, route.run_once_per);
     read(entry, "open", parse_yes_no, route.open);
     read(entry, "idempotent", parse_yes_no, route.idempotent);
     read(entry, "importance", parse_importance, route.importance);
@@ -200,6 +222,7 @@
     read(entry, "rate", parse_rate, workspace.rate);
     read(entry, "burst", parse_count, workspace.burst);
     read(entry, "weight", parse_count, workspace.weight);
+    read(entry, "rank", parse_count, workspace.rank);
     m_workspaces.push_back(std::move(workspace));
 }
 
@@ -253,7 +276,7 @@
 void compiled_settings::build_indexes()
 {
     for (const auto& route : m_routes) {
-        m_route_by_prefix.emplace(route.prefix.value(), &route);
+        m_routes_by_host[route.host].emplace(route.prefix.value(), &route);
         m_route_by_id.emplace(route.id, &route);
         m_longest_prefix = std::max(m_longest_prefix, route.prefix.value().size());
     }
--- a/src/settings/compiled_settings.hpp
+++ b/src/settings/compiled_settings.hpp
@@ -31,11 +31,12 @@
 
     base::settings_version version() const { return m_version; }
 
-    /// The route with the longest prefix of the request path (without query). A prefix ends at a
+    /// The route of the host, or else of any host, with the longest prefix of the request path
+    /// (without query). A prefix ends at a
     /// '/' of the path: "/pay" matches "/pay" and "/pay/1", not "/payments". Null if there is none,
     /// and for paths with a "." or ".." part, plain or percent-encoded, whose meaning a backend
     /// server could take differently.
-    const route_settings* match_route(std::string_view path) const;
+    const route_settings* match_route(std::string_view path, std::string_view host = {}) const;
     const route_settings* find_route(const base::route_id& id) const;
     /// Null if no key has this hash. The state of the key is the caller's business.
     const key_settings* find_key(const base::key_hash& hash) const;
@@ -55,6 +56,7 @@
 private:
     compiled_settings() = default;
 
+    const route_settings* match_route_of(std::string_view host, std::string_view path) const;
     void add_entry(const setting_path& path, const setting_entry& entry);
     void add_route(const setting_path& path, const setting_entry& entry);
     void add_workspace(const setting_path& path, const setting_entry& entry);
@@ -74,7 +76,9 @@
     team_limits m_default_limits;
 
     // The views point into the elements of the vectors above.
-    std::unordered_map<std::string_view, const route_settings*> m_route_by_prefix;
+    std::unordered_map<std::string_view,
+                       std::unordered_map<std::string_view, const route_settings*>>
+        m_routes_by_host;
     std::unordered_map<base::route_id, const route_settings*> m_route_by_id;
     std::unordered_map<base::key_hash, const key_settings*> m_key_by_hash;
     std::unordered_map<base::key_id, const key_settings*> m_key_by_id;
--- a/src/settings/entry_references.cpp
+++ b/src/settings/entry_references.cpp
@@ -44,7 +44,12 @@
         add_value(entry, "workspace", reference_kind::workspace, references.used);
     }
     else if (kind == entry_kind::route) {
-        add_value(entry, "prefix", reference_kind::prefix, references.defined);
+        if (const auto* prefix = entry.find(field_name("prefix"))) {
+            const auto* host = entry.find(field_name("host"));
+            references.defined.push_back(
+                {reference_kind::prefix,
+                 (host == nullptr ? std::string() : host->value()) + prefix->value()});
+        }
         add_names(entry, "workspaces", reference_kind::workspace, references.used);
     }
     else if (kind == entry_kind::failure_domain) {
--- a/src/settings/field_kind.hpp
+++ b/src/settings/field_kind.hpp
@@ -11,6 +11,9 @@
     names,
     /// Names, or "*" for all.
     names_or_all,
+    /// Services with the part of the requests that each gets.
+    split,
+    once_scope,
     yes_no,
     importance,
     duration,
--- a/src/settings/reference_index.cpp
+++ b/src/settings/reference_index.cpp
@@ -55,7 +55,7 @@
     case reference_kind::key_hash:
         return "a hash other than that of " + other.text();
     case reference_kind::prefix:
-        return "a prefix other than that of " + other.text();
+        return "a prefix, or a host, other than that of " + other.text();
     case reference_kind::lease_voter:
         return "node " + reference.name + " as lease voter of one failure domain, not also of " +
                other.text();
--- a/src/settings/route_settings.hpp
+++ b/src/settings/route_settings.hpp
@@ -8,9 +8,12 @@
 #include "base/team_id.hpp"
 #include "base/time.hpp"
 #include "base/workspace_id.hpp"
+#include "settings/once_scope.hpp"
 #include "settings/path_prefix.hpp"
+#include "settings/split_part.hpp"
 
 #include <algorithm>
+#include <string>
 #include <vector>
 
 namespace damaskladder::settings {
@@ -21,12 +24,21 @@
     base::route_id id;
     base::team_id team;
     path_prefix prefix;
+    /// Host name that the request must name; empty for any.
+    std::string host;
     base::service_id service;
+    /// Services that share the requests by weight; empty if all go to `service`.
+    std::vector<split_part> split;
     /// No key is needed.
     bool open = false;
     bool idempotent = false;
     base::importance importance = base::importance::normal;
     base::duration timeout = std::chrono::seconds(2);
+    /// An answer within this time has its full worth; zero if the operator set none.
+    base::duration latency_goal{};
+    /// Backend servers to which one request may be sent; zero for no bound but `retries`.
+    base::retry_count attempts;
+    once_scope run_once_per = once_scope::request_id;
     /// Extra attempts for the whole call tree.
     base::retry_count retries{3};
     base::byte_count max_body{1024 * 1024};
--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -19,7 +19,10 @@
 constexpr std::array route_rules = {
     field_rule{"prefix", field_kind::path_prefix, true, 1, 128,
                "a request path of at most 128 characters, for example /payments"},
+    field_rule{"host", field_kind::name, false, 0, 0, "a host name without a port"},
     field_rule{"service", field_kind::name, true, 0, 0, "the name of a service"},
+    field_rule{"split", field_kind::split, false, 1, 20,
+               "up to 20 of SERVICE:WEIGHT joined by \", \", with weights from 0 to 1000000"},
     field_rule{"open", field_kind::yes_no, false, 0, 0, "yes or no"},
     field_rule{"idempotent", field_kind::yes_no, true, 0, 0, "yes or no"},
     field_rule{"importance", field_kind::importance, false, 0, 0,
@@ -28,7 +31,11 @@
                "a duration from 1ms to 600s, with its unit"},
     field_rule{"workspaces", field_kind::names_or_all, false, 1, 100,
                "up to 100 workspaces joined by \", \", or *"},
+    field_rule{"latency_goal", field_kind::duration, false, 1 * milliseconds, 600 * seconds,
+               "a duration from 1ms to 600s, with its unit"},
     field_rule{"retries", field_kind::count, false, 0, 10, "a number from 0 to 10"},
+    field_rule{"attempts", field_kind::count, false, 1, 10, "a number from 1 to 10"},
+    field_rule{"run_once_per", field_kind::once_scope, false, 0, 0, "request_id or attempt"},
     field_rule{"max_body", field_kind::bytes, false, 0, 64 * mebibytes,
                "a size from 0B to 64MiB, with its unit"}};
 
@@ -36,6 +43,8 @@
     field_rule{"rate", field_kind::rate, true, 1, 1'000'000'000,
                "a rate from 0.001/s to 1000000/s, with \"/s\""},
     field_rule{"burst", field_kind::count, true, 1, 10'000'000, "a number from 1 to 10000000"},
+    field_rule{"rank", field_kind::count, false, 0, 1'000'000,
+               "a number from 0 to 1000000; 0 goes first"},
     field_rule{"weight", field_kind::count, false, 1, 1'000, "a number from 1 to 1000"}};
 
 constexpr std::array key_rules = {
@@ -100,6 +109,10 @@
         return judge(rule, parse_names(value), size);
     case field_kind::names_or_all:
         return value == "*" ? std::nullopt : judge(rule, parse_names(value), size);
+    case field_kind::split:
+        return judge(rule, parse_split(value), size);
+    case field_kind::once_scope:
+        return judge_form(parse_once_scope(value).has_value());
     case field_kind::yes_no:
         return judge_form(parse_yes_no(value).has_value());
     case field_kind::importance:
@@ -163,7 +176,8 @@
                                       "no workspaces on an open route"));
     }
     // Claims are kept by workspace and request id; callers of an open route have no workspace.
-    if (open && has_value(entry, "idempotent", "no")) {
+    const bool claimed = !has_value(entry, "run_once_per", "attempt");
+    if (open && claimed && has_value(entry, "idempotent", "no")) {
         problems.push_back(problem_at(problem_kind::contradiction, path, "idempotent",
                                       "yes on an open route, or a route with workspaces"));
     }
--- a/src/settings/value_parsers.cpp
+++ b/src/settings/value_parsers.cpp
@@ -31,6 +31,8 @@
 // Enough digits for every bound in the schema, and few enough that no product overflows.
 constexpr std::size_t max_digits = 9;
 
+constexpr std::int64_t max_split_weight = 1'000'000;
+
 std::size_t digits_at_start(std::string_view text)
 {
     std::size_t count = 0;
@@ -120,14 +122,18 @@
 
 std::optional<base::duration> parse_duration(std::string_view text)
 {
-    auto digits = digits_at_start(text);
-    auto amount = parse_digits(text.substr(0, digits));
-    if (!amount) {
+    const auto number_end = std::min(text.find_first_not_of("0123456789."), text.size());
+    const auto millionths = parse_decimal(text.substr(0, number_end), 6);
+    if (!millionths) {
         return std::nullopt;
     }
     for (const auto& unit : duration_units) {
-        if (unit.name == text.substr(digits)) {
-            return base::duration(*amount * unit.microseconds);
+        if (unit.name == text.substr(number_end)) {
+            constexpr std::int64_t million = 1'000'000;
+            // Split, so that the longest durations do not overflow.
+            const auto amount = (*millionths / million) * unit.microseconds +
+                                (*millionths % million) * unit.microseconds / million;
+            return base::duration(amount);
         }
     }
     return std::nullopt;
@@ -161,6 +167,42 @@
     return std::nullopt;
 }
 
+std::optional<std::vector<split_part>> parse_split(std::string_view text)
+{
+    std::vector<split_part> parts;
+    while (true) {
+        const auto comma = text.find(", ");
+        const auto item = text.substr(0, comma);
+        const auto colon = item.rfind(':');
+        const auto weight =
+            colon == std::string_view::npos ? std::nullopt : parse_digits(item.substr(colon + 1));
+        const auto service = item.substr(0, colon);
+        const bool repeated = std::any_of(parts.begin(), parts.end(), [&](const auto& part) {
+            return part.service.value() == service;
+        });
+        if (!weight || *weight > max_split_weight || !is_name(service) || repeated) {
+            return std::nullopt;
+        }
+        parts.push_back({base::service_id(std::string(service)),
+                         base::share_weight(static_cast<std::int32_t>(*weight))});
+        if (comma == std::string_view::npos) {
+            return parts;
+        }
+        text.remove_prefix(comma + 2);
+    }
+}
+
+std::optional<once_scope> parse_once_scope(std::string_view text)
+{
+    if (text == "request_id") {
+        return once_scope::request_id;
+    }
+    if (text == "attempt") {
+        return once_scope::attempt;
+    }
+    return std::nullopt;
+}
+
 std::optional<bool> parse_yes_no(std::string_view text)
 {
     if (text == "yes") {
--- a/src/settings/value_parsers.hpp
+++ b/src/settings/value_parsers.hpp
@@ -6,6 +6,8 @@
 #include "base/time.hpp"
 #include "settings/domain_share.hpp"
 #include "settings/key_state.hpp"
+#include "settings/once_scope.hpp"
+#include "settings/split_part.hpp"
 #include "settings/token_rate.hpp"
 
 #include <cstdint>
@@ -20,12 +22,16 @@
 
 /// Digits: "200".
 std::optional<std::int64_t> parse_count(std::string_view text);
-/// Digits and a unit: "500us", "500ms", "2s", "10min", "1h".
+/// A number with up to six decimals and a unit: "500us", "500ms", "2s", "1.5s", "10min", "1h".
 std::optional<base::duration> parse_duration(std::string_view text);
 /// Tokens per second with up to three decimals: "100/s", "0.5/s".
 std::optional<token_rate> parse_rate(std::string_view text);
 /// Digits and a unit: "512B", "64KiB", "1MiB".
 std::optional<base::byte_count> parse_bytes(std::string_view text);
+/// Services with their weights, without repetition: "s1:90, s2:10".
+std::optional<std::vector<split_part>> parse_split(std::string_view text);
+/// "request_id" or "attempt".
+std::optional<once_scope> parse_once_scope(std::string_view text);
 /// "yes" or "no".
 std::optional<bool> parse_yes_no(std::string_view text);
 /// "background", "low", "normal" or "critical".
--- a/src/settings/workspace_settings.hpp
+++ b/src/settings/workspace_settings.hpp
@@ -6,6 +6,8 @@
 #include "settings/token_count.hpp"
 #include "settings/token_rate.hpp"
 
+#include <cstdint>
+
 namespace damaskladder::settings {
 
 /// A workspace as nodes use it. Rate and burst hold for the whole fleet together.
@@ -15,6 +17,8 @@
     token_rate rate;
     token_count burst;
     base::share_weight weight{1};
+    /// Workspaces with a lower rank go before those with a higher one.
+    std::int64_t rank = 0;
 };
 
 } // namespace damaskladder::settings
