Fleet without an operator: replicas admit each other, one membership group, stops that serve

Change: member_upkeep decides admissions and removals; membership = fleet makes one group with direct polls of the replicas below 100 nodes; a stop keeps readiness off, serves with Connection: close, leaves the fleet after 2.5 s and exits before its limit.

--- /dev/null
+++ b/src/consensus/member_upkeep_test.cpp
@@ -0,0 +1,123 @@
+#include "consensus/member_upkeep.hpp"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string>
+
+namespace damaskladder::consensus {
+namespace {
+
+using std::chrono::seconds;
+
+replica_identity identity(const std::string& id, std::uint64_t nonce = 1)
+{
+    return {replica_id(id), identity_nonce(nonce)};
+}
+
+base::time_point at(int s)
+{
+    return base::time_point(seconds(s));
+}
+
+/// A leader "a" with other voters, all heard at 100 s.
+replica_status leader_of(const std::vector<std::string>& others)
+{
+    replica_status status;
+    status.identity = identity("a");
+    status.role = replica_role::leader;
+    status.members.members.push_back({identity("a"), member_role::voter});
+    for (const auto& other : others) {
+        status.members.members.push_back({identity(other), member_role::voter});
+        status.contacts.push_back({replica_id(other), at(100)});
+    }
+    return status;
+}
+
+void silence(replica_status& status, const std::string& id)
+{
+    for (auto& contact : status.contacts) {
+        if (contact.id == replica_id(id)) {
+            contact.last_heard = at(90);
+        }
+    }
+}
+
+std::string text(const std::optional<membership_change>& change)
+{
+    if (!change) {
+        return "none";
+    }
+    if (const auto* added = std::get_if<add_replica>(&*change)) {
+        return "add " + added->identity.id.value() + "/" +
+               std::to_string(added->identity.nonce.value());
+    }
+    return "remove " + std::get<remove_replica>(*change).id.value();
+}
+
+struct upkeep_case {
+    std::string name;
+    replica_status status;
+    std::function<void(member_upkeep&)> before;
+    std::string expected;
+};
+
+replica_status silent_one(std::vector<std::string> others, const std::string& id)
+{
+    auto status = leader_of(others);
+    silence(status, id);
+    return status;
+}
+
+replica_status follower()
+{
+    auto status = leader_of({"b", "c"});
+    status.role = replica_role::follower;
+    return status;
+}
+
+void nothing(member_upkeep& /*upkeep*/) {}
+
+class upkeep : public testing::TestWithParam<upkeep_case> {};
+
+// Guards against a cluster that waits for an operator after a lost disk or a replaced VM, and
+// against one that gives up so many voters that the next loss stops it.
+TEST_P(upkeep, asks_for_the_change)
+{
+    member_upkeep decisions;
+    GetParam().before(decisions);
+    EXPECT_EQ(text(decisions.next(GetParam().status, at(100))), GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, upkeep,
+    testing::Values(
+        upkeep_case{"all_there", leader_of({"b", "c"}), nothing, "none"},
+        upkeep_case{"a_new_replica_asks", leader_of({"b", "c"}),
+                    [](auto& u) { u.join_requested(identity("d"), at(99)); }, "add d/1"},
+        upkeep_case{"a_wiped_replica_asks", leader_of({"b", "c"}),
+                    [](auto& u) { u.join_requested(identity("c", 2), at(99)); }, "add c/2"},
+        upkeep_case{"a_member_asks", leader_of({"b", "c"}),
+                    [](auto& u) { u.join_requested(identity("c"), at(99)); }, "none"},
+        upkeep_case{"an_old_request", leader_of({"b", "c"}),
+                    [](auto& u) { u.join_requested(identity("d"), at(90)); }, "none"},
+        upkeep_case{"a_follower_asked", follower(),
+                    [](auto& u) { u.join_requested(identity("d"), at(99)); }, "none"},
+        upkeep_case{"silent_of_three", silent_one({"b", "c"}, "c"), nothing, "none"},
+        upkeep_case{"silent_of_four", silent_one({"b", "c", "d"}, "c"), nothing, "remove c"},
+        upkeep_case{"leaving_of_three", leader_of({"b", "c"}),
+                    [](auto& u) { u.leave_requested(identity("b"), at(100)); }, "none"},
+        upkeep_case{"leaving_of_four", leader_of({"b", "c", "d"}),
+                    [](auto& u) { u.leave_requested(identity("b"), at(100)); }, "remove b"},
+        upkeep_case{"leaving_beside_a_silent_one", silent_one({"b", "c", "d"}, "c"),
+                    [](auto& u) { u.leave_requested(identity("b"), at(100)); }, "none"},
+        upkeep_case{"leaving_and_asking", leader_of({"b", "c"}),
+                    [](auto& u) {
+                        u.join_requested(identity("d"), at(100));
+                        u.leave_requested(identity("d"), at(100));
+                    },
+                    "none"}),
+    [](const auto& info) { return info.param.name; });
+
+} // namespace
+} // namespace damaskladder::consensus
--- a/src/consensus/replica_core.cpp
+++ b/src/consensus/replica_core.cpp
@@ -59,7 +59,19 @@
             m_log.last_index(),
             m_log.snapshot_index(),
             m_log.members(),
-            m_awaiting_admission};
+            m_awaiting_admission,
+            contacts()};
+}
+
+std::vector<member_contact> replica_core::contacts() const
+{
+    std::vector<member_contact> all;
+    if (m_lead) {
+        for (const auto& [id, follower] : m_lead->followers) {
+            all.push_back({id, follower.last_heard});
+        }
+    }
+    return all;
 }
 
 void replica_core::on(message_received& received)
--- a/src/consensus/replica_core.hpp
+++ b/src/consensus/replica_core.hpp
@@ -33,6 +33,7 @@
     replica_status status() const;
 
 private:
+    std::vector<member_contact> contacts() const;
     // Events.
     void on(message_received& received);
     void on(propose& request);
--- a/src/consensus/replica_status.hpp
+++ b/src/consensus/replica_status.hpp
@@ -2,11 +2,13 @@
 
 #include "consensus/configuration.hpp"
 #include "consensus/log_index.hpp"
+#include "consensus/member_contact.hpp"
 #include "consensus/replica_identity.hpp"
 #include "consensus/replica_role.hpp"
 #include "consensus/term_number.hpp"
 
 #include <optional>
+#include <vector>
 
 namespace damaskladder::consensus {
 
@@ -22,6 +24,8 @@
     configuration members;
     /// A cluster exists that does not know this identity. An operator has to add it.
     bool awaiting_admission = false;
+    /// Of all other members, at a leader; else empty.
+    std::vector<member_contact> contacts;
 };
 
 } // namespace damaskladder::consensus
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -11,6 +11,10 @@
 
 // After the last request, so that the news of the stop and returned tokens get out.
 constexpr base::duration linger_time = std::chrono::milliseconds(500);
+// Callers and balancers look at the readiness once a second or so and leave after two misses.
+constexpr base::duration unready_time = std::chrono::milliseconds(2500);
+// Between the last request served and the end of the time for stopping.
+constexpr base::duration exit_margin = std::chrono::milliseconds(800);
 constexpr base::duration stop_check_interval = std::chrono::milliseconds(20);
 
 } // namespace
@@ -53,6 +57,10 @@
                 }
             });
         BOOST_LEAF_CHECK(m_replica->start());
+        if (m_settings.discovers_replicas) {
+            m_upkeep = std::make_unique<replica_upkeep>(m_loop, m_messages, m_settings, *m_replica);
+            m_upkeep->start();
+        }
         m_operators =
             std::make_unique<operator_api>(m_loop, *m_replica, m_secret, m_settings, m_dialect);
         BOOST_LEAF_CHECK(m_operators->listen(m_settings.replica->operators));
@@ -188,26 +196,55 @@
 
 void control_thread::begin_stop()
 {
+    const auto now = http::event_loop::now();
     m_stopping = true;
     const auto limit = m_settings.node ? m_settings.node->stop_limit : base::duration(0);
-    m_stop_by = http::event_loop::now() + limit;
+    const bool serves_on = m_settings.node && m_settings.node->serve_while_stopping;
+    m_stop_by = now + limit - (serves_on ? std::min(limit / 2, exit_margin) : base::duration(0));
+    m_leave_at = now + std::min(unready_time, limit / 2);
+    m_stop_at = serves_on ? m_stop_by - linger_time : m_leave_at;
     log(log_level::info, "stopping");
     if (m_replica) {
+        if (m_upkeep) {
+            m_upkeep->leave();
+        }
         m_replica->hand_over();
     }
+    if (m_node) {
+        m_traffic->prepare_stop();
+    }
+}
+
+void control_thread::leave_fleet()
+{
+    m_left = true;
     if (m_node) {
         m_node->leave();
         m_quota->stop();
+        m_traffic->leave();
+    }
+}
+
+void control_thread::stop_traffic()
+{
+    m_traffic_stopping = true;
+    if (m_node) {
         m_traffic->stop([this] { m_loop.post([this] { m_traffic_stopped = true; }); });
     }
 }
 
 void control_thread::finish_stop(base::time_point now)
 {
-    if (m_traffic_stopped && !m_linger_until) {
+    if (!m_left && now >= m_leave_at) {
+        leave_fleet();
+    }
+    if (m_left && !m_traffic_stopping && now >= m_stop_at) {
+        stop_traffic();
+    }
+    if (m_traffic_stopping && m_traffic_stopped && !m_linger_until) {
         m_linger_until = now + linger_time;
     }
-    if ((m_linger_until && now >= *m_linger_until) || (!m_traffic_stopped && now >= m_stop_by)) {
+    if ((m_linger_until && now >= *m_linger_until) || now >= m_stop_by) {
         m_loop.stop();
     }
 }
--- a/src/daemon/control_thread.hpp
+++ b/src/daemon/control_thread.hpp
@@ -8,6 +8,7 @@
 #include "daemon/process_settings.hpp"
 #include "daemon/quota_host.hpp"
 #include "daemon/replica_host.hpp"
+#include "daemon/replica_upkeep.hpp"
 #include "daemon/settings_feed.hpp"
 #include "daemon/signal_watch.hpp"
 #include "daemon/traffic_thread.hpp"
@@ -37,6 +38,9 @@
     void settings_arrived(std::shared_ptr<const settings::compiled_settings> compiled);
     void signal_came(int number);
     void begin_stop();
+    /// Nodes send no more calls here.
+    void leave_fleet();
+    void stop_traffic();
     void finish_stop(base::time_point now);
 
     dialect m_dialect;
@@ -46,6 +50,7 @@
     http::event_loop m_loop;
     messenger m_messages;
     std::unique_ptr<replica_host> m_replica;
+    std::unique_ptr<replica_upkeep> m_upkeep;
     std::unique_ptr<operator_api> m_operators;
     std::unique_ptr<node_host> m_node;
     std::unique_ptr<quota_host> m_quota;
@@ -56,6 +61,11 @@
     bool m_stopping = false;
     bool m_traffic_stopped = true;
     base::time_point m_stop_by;
+    /// When the node leaves the fleet, and when it stops to serve callers.
+    base::time_point m_leave_at;
+    base::time_point m_stop_at;
+    bool m_left = false;
+    bool m_traffic_stopping = false;
     std::optional<base::time_point> m_linger_until;
 };
 
--- a/src/daemon/node_host.cpp
+++ b/src/daemon/node_host.cpp
@@ -10,12 +10,20 @@
 
 namespace {
 
+/// In a group of up to so many nodes each asks the control replicas itself: relays would save them
+/// little, and their loss would leave the others without news until new ones are found.
+constexpr std::size_t most_without_relays = 100;
+
 membership::node_identity identity_of(const process_settings& settings,
                                       base::incarnation incarnation)
 {
     membership::node_identity identity;
     identity.node = settings.name;
     identity.domain = settings.domain;
+    if (settings.whole_fleet_membership) {
+        identity.domain = base::failure_domain_id("fleet");
+        identity.placed_in = settings.domain;
+    }
     identity.start_incarnation = incarnation;
     identity.messages = base::message_address(to_string(settings.messages));
     identity.traffic = base::traffic_address(to_string(settings.node->listen.peers));
@@ -144,7 +152,8 @@
 std::vector<propagation::peer> node_host::upstream_relays() const
 {
     std::vector<propagation::peer> peers;
-    if (!m_membership.is_relay()) {
+    const bool few = m_membership.members().alive().size() <= most_without_relays;
+    if (!few && !m_membership.is_relay()) {
         for (const auto& relay : m_membership.relays()) {
             peers.push_back({relay.node, relay.address});
         }
@@ -172,9 +181,38 @@
     return build_view(from);
 }
 
+void node_host::log_backend_servers()
+{
+    std::size_t reachable = 0;
+    std::size_t draining = 0;
+    std::size_t unreachable = 0;
+    const auto services = m_membership.view();
+    for (const auto& service : services->services()) {
+        for (const auto& endpoint : services->endpoints(service)) {
+            const bool reached = endpoint.reach == membership::reachability::reachable;
+            reachable += reached ? 1 : 0;
+            unreachable += reached ? 0 : 1;
+            draining += endpoint.backend.draining ? 1 : 0;
+        }
+    }
+    const std::vector<std::size_t> known = {reachable, draining, unreachable};
+    if (known == m_logged_servers) {
+        return;
+    }
+    m_logged_servers = known;
+    log(log_level::info, "backend_servers_known",
+        {{"services", std::to_string(services->services().size())},
+         {"reachable", std::to_string(reachable)},
+         {"draining", std::to_string(draining)},
+         {"unreachable", std::to_string(unreachable)},
+         {"own_domain_members", std::to_string(m_membership.members().alive().size())},
+         {"relay", m_membership.is_relay() ? "yes" : "no"}});
+}
+
 void node_host::publish()
 {
     m_view_stale = false;
+    log_backend_servers();
     m_hooks.publish(view());
 }
 
--- a/src/daemon/node_host.hpp
+++ b/src/daemon/node_host.hpp
@@ -52,6 +52,8 @@
     void tick();
     void perform(const membership::effects& effects);
     void publish();
+    /// One line when the numbers of known backend servers have changed.
+    void log_backend_servers();
 
     http::event_loop& m_loop;
     messenger& m_messages;
@@ -63,6 +65,8 @@
     std::shared_ptr<const settings_tables> m_tables;
     base::time_point m_confirmed_at;
     bool m_view_stale = true;
+    /// Numbers in the last such line.
+    std::vector<std::size_t> m_logged_servers;
 };
 
 } // namespace damaskladder::daemon
--- a/src/daemon/node_settings.hpp
+++ b/src/daemon/node_settings.hpp
@@ -16,6 +16,9 @@
     unsigned connections = 2000;
     /// Longest time for running requests to finish at a graceful stop.
     base::duration stop_limit = std::chrono::seconds(30);
+    /// At a graceful stop, serve what comes until shortly before stop_limit, because the VM gets no
+    /// other process before then.
+    bool serve_while_stopping = false;
     /// Credential of the backend server on this VM and the services that it may announce.
     std::string credential;
     std::vector<base::service_id> services;
--- a/src/daemon/process_settings.cpp
+++ b/src/daemon/process_settings.cpp
@@ -173,7 +173,11 @@
                             const auto forms = settings::parse_yes_no(value);
                             s.forms_cluster = forms.value_or(false);
                             return forms.has_value();
-                        }}});
+                        }},
+                       {"membership", "failure_domains or fleet", false,
+                        one_of({"failure_domains", "fleet"}, [&s](const std::string& word) {
+                            s.whole_fleet_membership = word == "fleet";
+                        })}});
         s.discovers_replicas = true;
         s.messages_port = static_cast<std::uint16_t>(port);
         for (const auto& vm : control_vms) {
@@ -198,6 +202,12 @@
              {"connections", "a number from 1 to 60000", false,
               count_into(node.connections, most_connections)},
              {"stop_limit", "a duration such as 30s", false, duration_into(node.stop_limit)},
+             {"serve_while_stopping", "yes or no", false,
+              [&node](const std::string& value) {
+                  const auto serve = settings::parse_yes_no(value);
+                  node.serve_while_stopping = serve.value_or(false);
+                  return serve.has_value();
+              }},
              {"ready", "IP:PORT", false, [&node](const std::string& value) {
                   node.listen.ready = read_address(value);
                   return node.listen.ready.has_value();
--- a/src/daemon/process_settings.hpp
+++ b/src/daemon/process_settings.hpp
@@ -27,9 +27,9 @@
 ///     [replicas/NAME] messages (IP:PORT), one section for each control replica of the cluster
 ///     [discovery]     control_vms (list of IP:PORT, where some control VMs serve operators),
 ///                     messages_port (of all processes), forms_cluster (yes at the first start of
-///                     the whole system)
+///                     the whole system), membership (failure_domains, fleet)
 ///     [node]          callers, peers, backend_server (IP:PORT each), connections, stop_limit,
-///                     ready (IP:PORT of a readiness check)
+///                     ready (IP:PORT of a readiness check), serve_while_stopping (yes, no)
 ///     [announce]      credential, services (what the backend server on this VM may announce),
 ///                     host (its IP address), interval (between announcements)
 ///     [control]       operators (IP:PORT), data (folder), admin, admin_token_hash
@@ -54,6 +54,9 @@
     bool discovers_replicas = false;
     /// With discovers_replicas: this start forms the cluster of the replicas listed.
     bool forms_cluster = false;
+    /// All nodes watch each other as one group, which suits up to a few hundred; else those of each
+    /// failure domain.
+    bool whole_fleet_membership = false;
     /// With discovers_replicas: port of the messages of all processes.
     std::uint16_t messages_port = 0;
     std::optional<node_settings> node;
--- a/src/daemon/quota_host.cpp
+++ b/src/daemon/quota_host.cpp
@@ -223,7 +223,7 @@
     const auto view = m_members.view();
     for (const auto& service : view->services()) {
         for (const auto& endpoint : view->endpoints(service)) {
-            if (endpoint.domain != m_settings.domain) {
+            if (m_members.members().find_alive(endpoint.node) == nullptr) {
                 m_messages.send(endpoint.node, endpoint.messages.value(),
                                 wire::message_kind::holder_notices, notice);
             }
@@ -257,6 +257,8 @@
 {
     if (m_known_holder != holder) {
         m_known_holder = holder;
+        log(log_level::info, holder ? "rate_holder_known" : "rate_holder_lost",
+            {{"holder", holder ? holder->node.value() : std::string()}});
         m_hooks.set_holder(holder);
     }
 }
--- a/src/daemon/replica_host.cpp
+++ b/src/daemon/replica_host.cpp
@@ -15,14 +15,17 @@
 // Proposals and claims expire by log time, which moves on with each entry.
 constexpr base::duration log_time_interval = std::chrono::seconds(60);
 
+bool may_form_cluster(const process_settings& settings)
+{
+    return !settings.discovers_replicas ||
+           (settings.forms_cluster && settings.replicas.contains(settings.name));
+}
+
 consensus::replica_options make_options(const process_settings& settings)
 {
     consensus::replica_options options;
-    const bool forms_cluster =
-        !settings.discovers_replicas ||
-        (settings.forms_cluster && settings.replicas.contains(settings.name));
-    for (const auto& [name, address] : settings.replicas) {
-        if (forms_cluster) {
+    if (may_form_cluster(settings)) {
+        for (const auto& [name, address] : settings.replicas) {
             options.initial_replicas.emplace_back(name.value());
         }
     }
@@ -33,7 +36,10 @@
 } // namespace
 
 replica_host::replica_host(http::event_loop& loop, const process_settings& settings, hooks calls)
-    : m_loop(loop), m_settings(settings), m_hooks(std::move(calls))
+    : m_loop(loop),
+      m_settings(settings),
+      m_hooks(std::move(calls)),
+      m_forms_cluster(may_form_cluster(settings))
 {
 }
 
--- a/src/daemon/replica_host.hpp
+++ b/src/daemon/replica_host.hpp
@@ -44,6 +44,8 @@
     control::control_replica& replica() { return *m_replica; }
     /// The voters of the replicated log, in the order of their names.
     std::vector<base::node_id> voters() const;
+    /// Whether this start may form a cluster with the other listed replicas.
+    bool forms_cluster() const { return m_forms_cluster; }
     bool leads() const { return m_replica && m_replica->leads(); }
 
 private:
@@ -62,6 +64,7 @@
     hooks m_hooks;
     std::unique_ptr<control::control_replica> m_replica;
     std::unique_ptr<storage_thread> m_storage;
+    bool m_forms_cluster = false;
     std::uint64_t m_last_submission = 0;
     base::time_point m_next_log_time;
     std::unordered_map<control::submission_id, submit_done> m_submissions;
--- /dev/null
+++ b/src/daemon/replica_upkeep.cpp
@@ -0,0 +1,88 @@
+#include "daemon/replica_upkeep.hpp"
+
+#include "daemon/log.hpp"
+#include "daemon/replica_address.hpp"
+
+namespace damaskladder::daemon {
+
+namespace {
+
+// A few of them within the lifetime of a request.
+constexpr base::duration tick_interval = std::chrono::milliseconds(300);
+
+} // namespace
+
+replica_upkeep::replica_upkeep(http::event_loop& loop, messenger& messages,
+                               const process_settings& settings, replica_host& replica)
+    : m_loop(loop), m_messages(messages), m_settings(settings), m_replica(replica)
+{
+    m_messages.on_message<wire::replica_request>(
+        wire::message_kind::replica_requests,
+        [this](const auto&, const auto& request) { receive(request); });
+}
+
+void replica_upkeep::tick()
+{
+    const auto now = http::event_loop::now();
+    const auto status = m_replica.replica().status();
+    const auto* present = status.members.find(status.identity.id);
+    const bool is_member = present != nullptr && present->identity == status.identity;
+    const bool forms = status.members.members.empty() && !status.awaiting_admission &&
+                       m_replica.forms_cluster();
+    if (!is_member && !forms && !m_leaving) {
+        send_to_known_replicas({status.identity, false, false});
+    }
+    if (const auto change = m_decisions.next(status, now)) {
+        const bool adds = std::holds_alternative<consensus::add_replica>(*change);
+        const auto name = adds ? std::get<consensus::add_replica>(*change).identity.id
+                               : std::get<consensus::remove_replica>(*change).id;
+        m_replica.change_members(*change, [adds, name](const auto& result) {
+            const bool done = std::holds_alternative<control::reply>(result);
+            log(log_level::info, adds ? "replica_added" : "replica_removed",
+                {{"replica", name.value()}, {"accepted", done ? "yes" : "no"}});
+        });
+    }
+    m_loop.call_at(now + tick_interval, [this] { tick(); });
+}
+
+void replica_upkeep::leave()
+{
+    m_leaving = true;
+    const wire::replica_request request{m_replica.replica().status().identity, true, false};
+    receive(request);
+    send_to_known_replicas(request);
+}
+
+void replica_upkeep::receive(const wire::replica_request& request)
+{
+    const auto now = http::event_loop::now();
+    const auto status = m_replica.replica().status();
+    if (status.role == consensus::replica_role::leader || request.passed_on) {
+        if (request.leaves) {
+            m_decisions.leave_requested(request.identity, now);
+        }
+        else {
+            m_decisions.join_requested(request.identity, now);
+        }
+        return;
+    }
+    if (status.known_leader && status.known_leader->value() != m_settings.name.value()) {
+        const base::node_id leader(status.known_leader->value());
+        if (const auto address = replica_address(m_settings, leader)) {
+            m_messages.send(leader, to_string(*address), wire::message_kind::replica_requests,
+                            wire::replica_request{request.identity, request.leaves, true});
+        }
+    }
+}
+
+void replica_upkeep::send_to_known_replicas(const wire::replica_request& request)
+{
+    for (const auto& [name, address] : m_settings.replicas) {
+        if (name != m_settings.name) {
+            m_messages.send(name, to_string(address), wire::message_kind::replica_requests,
+                            request);
+        }
+    }
+}
+
+} // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/replica_upkeep.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "consensus/member_upkeep.hpp"
+#include "daemon/messenger.hpp"
+#include "daemon/process_settings.hpp"
+#include "daemon/replica_host.hpp"
+#include "wire/replica_request.hpp"
+
+namespace damaskladder::daemon {
+
+/// Keeps the members of the replicated log without an operator, on the control thread of a process
+/// with a replica: asks for admission as long as this one is no member, and carries out the
+/// decisions of member_upkeep where it leads. Only where replicas are found by address.
+class replica_upkeep {
+public:
+    replica_upkeep(http::event_loop& loop, messenger& messages, const process_settings& settings,
+                   replica_host& replica);
+
+    void start() { tick(); }
+    /// Tells the leader that this replica stops.
+    void leave();
+
+private:
+    void tick();
+    void receive(const wire::replica_request& request);
+    void send_to_known_replicas(const wire::replica_request& request);
+
+    http::event_loop& m_loop;
+    messenger& m_messages;
+    const process_settings& m_settings;
+    replica_host& m_replica;
+    consensus::member_upkeep m_decisions;
+    bool m_leaving = false;
+};
+
+} // namespace damaskladder::daemon
--- a/src/daemon/traffic_front.hpp
+++ b/src/daemon/traffic_front.hpp
@@ -42,6 +42,12 @@
     /// Gives an event to the decisions and carries out what follows. On the loop's thread.
     void deliver(const node::event& happened);
 
+    /// Goes on to serve callers, but asks their connections to close.
+    void prepare_stop() { m_callers.close_kept_connections(); }
+
+    /// No more calls of other nodes are taken; callers are still served.
+    void leave() { deliver(node::stop_requested{}); }
+
     /// Begins the graceful stop; stopped() tells when nothing runs any more.
     void stop();
     bool stopped() const { return m_stopping && m_inbound.empty(); }
--- a/src/daemon/traffic_thread.cpp
+++ b/src/daemon/traffic_thread.cpp
@@ -85,6 +85,17 @@
     m_loop.post([this, view = std::move(view)] { m_front.set_view(view); });
 }
 
+void traffic_thread::prepare_stop()
+{
+    m_ready = false;
+    m_loop.post([this] { m_front.prepare_stop(); });
+}
+
+void traffic_thread::leave()
+{
+    m_loop.post([this] { m_front.leave(); });
+}
+
 void traffic_thread::stop(std::function<void()> done)
 {
     m_ready = false;
--- a/src/daemon/traffic_thread.hpp
+++ b/src/daemon/traffic_thread.hpp
@@ -43,6 +43,12 @@
     /// Publishes a new view. From any thread.
     void publish(std::shared_ptr<const traffic_view> view);
 
+    /// Readiness off; callers are still served.
+    void prepare_stop();
+
+    /// No more calls of other nodes are taken.
+    void leave();
+
     /// Begins the graceful stop; done is called on the traffic thread when nothing runs any more.
     void stop(std::function<void()> done);
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -228,10 +228,16 @@
     }
 }
 
+void server::close_kept_connections()
+{
+    m_draining = true;
+}
+
 void server::drain()
 {
-    if (m_daemon != nullptr && !m_draining) {
+    if (m_daemon != nullptr && !m_quiesced) {
         m_draining = true;
+        m_quiesced = true;
         const int listening = MHD_quiesce_daemon(m_daemon);
         if (listening >= 0) {
             close(listening);
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -28,6 +28,9 @@
     /// Starts to listen. Port 0 takes a free port; see port(). Fails with io.
     base::result<void> listen(const address& endpoint);
 
+    /// Goes on to accept connections, but asks each to close after its next answer.
+    void close_kept_connections();
+
     /// Stops to accept connections and asks kept ones to close after their next answer.
     void drain();
 
@@ -53,6 +56,8 @@
     std::size_t m_open = 0;
     bool m_pending = false;
     bool m_draining = false;
+    /// No new connections are accepted.
+    bool m_quiesced = false;
     /// Exchange that runs on each open connection, by descriptor; null between requests.
     std::unordered_map<int, std::weak_ptr<exchange>> m_connections;
 };
--- a/src/http/transfer.cpp
+++ b/src/http/transfer.cpp
@@ -86,7 +86,7 @@
             self.m_head.body_size = base::byte_count(size);
         }
         const auto keep = self.shared_from_this();
-        if (self.m_hooks.on_head) {
+        if (self.m_hooks.on_head && !self.m_cancelling) {
             self.m_hooks.on_head(self.m_head);
         }
     }
@@ -95,7 +95,8 @@
     {
         auto* self = static_cast<transfer*>(cls);
         const auto keep = self->shared_from_this();
-        if (self->m_hooks.on_body && !self->m_hooks.on_body(std::string_view(data, size))) {
+        const bool wanted = self->m_hooks.on_body && !self->m_cancelling;
+        if (wanted && !self->m_hooks.on_body(std::string_view(data, size))) {
             return CURL_WRITEFUNC_PAUSE;
         }
         return size;
@@ -216,8 +217,8 @@
 void transfer::cancel()
 {
     if (m_client.m_in_curl != 0) {
-        m_hooks.on_head = nullptr;
-        m_hooks.on_body = nullptr;
+        // A hook may be running; it must keep what it captured until it returns.
+        m_cancelling = true;
         m_client.defer([self = shared_from_this()] { self->cancel(); });
         return;
     }
--- a/src/http/transfer.hpp
+++ b/src/http/transfer.hpp
@@ -69,6 +69,8 @@
     bool m_head_done = false;
     bool m_may_have_sent = false;
     bool m_resend_suppressed = false;
+    /// cancel() was called within a call of libcurl and takes effect after it.
+    bool m_cancelling = false;
     bool m_ended = false;
 };
 
--- a/src/http/transfer_test.cpp
+++ b/src/http/transfer_test.cpp
@@ -246,6 +246,33 @@
     std::string answer_prefix;
 };
 
+// Guards against a hook that is destroyed while it runs: a caller that cancels on a head that it
+// does not accept went on with freed memory.
+TEST(transfer, cancelled_in_a_hook_keeps_the_hook_until_it_returns)
+{
+    event_loop loop;
+    client out(loop);
+    server in(loop, {}, [](const std::shared_ptr<exchange>& request) {
+        request->start({200, {}, {}});
+    });
+    ASSERT_TRUE(in.listen({"127.0.0.1", 0}));
+    client_request request;
+    request.to = {"127.0.0.1", in.port()};
+    received got;
+    auto hooks = collect(got);
+    std::shared_ptr<transfer> sent;
+    bool kept = false;
+    hooks.on_head = [&, held = std::make_shared<int>(7)](const response_head&) {
+        const std::weak_ptr<int> watched = held;
+        sent->cancel();
+        kept = !watched.expired();
+    };
+    sent = out.send(std::move(request), std::move(hooks));
+    run_until(loop, [&] { return got.end.has_value(); });
+    EXPECT_TRUE(kept);
+    EXPECT_EQ(got.end->how, transfer_end::kind::cancelled);
+}
+
 class malformed_requests : public testing::TestWithParam<malformed_case> {};
 
 // Guards against a crash or a leaked exchange on input that is not a request.
--- a/src/membership/member_record.hpp
+++ b/src/membership/member_record.hpp
@@ -27,6 +27,14 @@
     load_level load = load_level::normal;
     /// Empty in a tombstone.
     std::vector<backend_server> backends;
+    /// Failure domain of the node's VM, where `domain` is a group of several of them; else empty.
+    base::failure_domain_id placed_in = {};
+
+    /// Failure domain of the node's VM.
+    const base::failure_domain_id& location() const
+    {
+        return placed_in == base::failure_domain_id() ? domain : placed_in;
+    }
 
     friend bool operator==(const member_record&, const member_record&) = default;
 };
--- a/src/membership/membership_node.cpp
+++ b/src/membership/membership_node.cpp
@@ -32,6 +32,7 @@
     record.version = record_version(1);
     record.messages = identity.messages;
     record.traffic = identity.traffic;
+    record.placed_in = identity.placed_in;
     return record;
 }
 
--- a/src/membership/node_identity.hpp
+++ b/src/membership/node_identity.hpp
@@ -16,6 +16,8 @@
     base::incarnation start_incarnation;
     base::message_address messages;
     base::traffic_address traffic;
+    /// Failure domain of the VM, where `domain` is a group of several of them; else empty.
+    base::failure_domain_id placed_in = {};
 };
 
 } // namespace damaskladder::membership
--- a/src/membership/service_view.cpp
+++ b/src/membership/service_view.cpp
@@ -8,7 +8,7 @@
         return;
     }
     for (const backend_server& backend : member.backends) {
-        m_services[backend.service].push_back({member.node, member.incarnation, member.domain,
+        m_services[backend.service].push_back({member.node, member.incarnation, member.location(),
                                                member.messages, member.traffic, reach, member.load,
                                                backend});
     }
--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -147,9 +147,6 @@
     if (const auto problem = key_problem(*route, key, seen.key.has_value(), at)) {
         return refuse_with(*problem);
     }
-    if (m_shared.stopping) {
-        return refuse_with(refusal_reason::stopping);
-    }
     if (seen.body_size && *seen.body_size > route->max_body) {
         return refuse_with(refusal_reason::too_large);
     }
--- a/src/wire/enum_limit.hpp
+++ b/src/wire/enum_limit.hpp
@@ -57,7 +57,7 @@
 struct enum_limit<context_purpose> : last_enumerator<context_purpose::backend_server> {
 };
 template <>
-struct enum_limit<message_kind> : last_enumerator<message_kind::claim_answers> {
+struct enum_limit<message_kind> : last_enumerator<message_kind::replica_requests> {
 };
 
 } // namespace damaskladder::wire
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -10,6 +10,7 @@
 #include "wire/claim_command.hpp"
 #include "wire/envelope.hpp"
 #include "wire/holder_notice.hpp"
+#include "wire/replica_request.hpp"
 #include "wire/sealed_context.hpp"
 #include "wire/value_codec.hpp"
 
@@ -58,6 +59,8 @@
 template base::result<claim_command> decode(std::string_view);
 template std::string encode(const claim_answer&);
 template base::result<claim_answer> decode(std::string_view);
+template std::string encode(const replica_request&);
+template base::result<replica_request> decode(std::string_view);
 template std::string encode(const propagation::message&);
 template base::result<propagation::message> decode(std::string_view);
 template std::string encode(const settings::setting_diff&);
--- a/src/wire/message_kind.hpp
+++ b/src/wire/message_kind.hpp
@@ -15,6 +15,7 @@
     holder_notices = 7,
     claim_commands = 8,
     claim_answers = 9,
+    replica_requests = 10,
 };
 
 } // namespace damaskladder::wire
