Gatekeeper: keep to exact slots; log refusals with their reasons

Cause: after a restart beside a cold backend server the limit began at a tenth of the slots and never grew under a mix of short and long requests: 906 refusals of one service with servers free. Change: exact_slots in [announce] fixes the limit at the announced slots. request_refused lines carry id, reason, outcome, service, last gatekeeper, attempts, time held and age of the settings, ten a second at most with a count of the rest.

--- a/src/daemon/inbound.hpp
+++ b/src/daemon/inbound.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/content_hash.hpp"
+#include "base/request_id.hpp"
 #include "base/node_id.hpp"
 #include "base/time.hpp"
 #include "http/exchange.hpp"
@@ -24,6 +25,8 @@
     /// Headers to pass on: without hop-by-hop fields, the system's own fields and the key.
     http::header_list forwarded;
     std::optional<base::content_hash> content;
+    /// The caller's request id, for logs; empty if it gave none.
+    base::request_id request;
     /// The request has been given to the decisions.
     bool submitted = false;
     /// The whole body lies in the exchange's buffer and stays there, so it can be sent again.
--- a/src/daemon/node_settings.hpp
+++ b/src/daemon/node_settings.hpp
@@ -24,6 +24,9 @@
     std::vector<base::service_id> services;
     /// IP address at which it listens.
     std::string backend_server_host = "127.0.0.1";
+    /// The slots that it announces are what it runs at a time, so the limit is not corrected by
+    /// measured latency; and open routes serve its own callers, not strangers.
+    bool exact_slots = false;
     /// Time between its announcements; each counts for four times as long, so that three may be
     /// late or lost.
     base::duration announce_interval = std::chrono::milliseconds(750);
--- a/src/daemon/traffic_front.cpp
+++ b/src/daemon/traffic_front.cpp
@@ -8,6 +8,7 @@
 #include "http/header_names.hpp"
 #include "settings/value_parsers.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace damaskladder::daemon {
@@ -45,6 +46,19 @@
     return value == nullptr ? std::nullopt : settings::parse_importance(*value);
 }
 
+// Enough to find the cause of a surge of refusals, and a few kilobytes a second.
+constexpr std::int64_t refusal_lines_per_second = 10;
+
+/// A caller's text, bounded and without characters that could be taken for another field.
+std::string loggable(const std::string& text)
+{
+    constexpr std::size_t longest = 64;
+    std::string safe = text.substr(0, longest);
+    std::replace_if(
+        safe.begin(), safe.end(), [](char c) { return c <= ' ' || c >= '\x7f' || c == '"'; }, '?');
+    return safe;
+}
+
 node::answer_class classify(int status)
 {
     constexpr int too_many_requests = 429;
@@ -95,6 +109,7 @@
       m_limits(limits),
       m_logic(std::move(logic)),
       m_hooks(std::move(hooks)),
+      m_refusal_lines(refusal_lines_per_second),
       m_client(loop),
       m_callers(loop, limits, [this](const auto& e) { arrived(e, inbound_side::caller); }),
       m_peers(loop, limits, [this](const auto& e) { arrived(e, inbound_side::peer); }),
@@ -245,6 +260,7 @@
                 submit_onward(request, parsed);
                 return {};
             }
+            request->request = parsed.request.value_or(base::request_id());
             node::request_arrived event;
             event.exchange = request->id;
             event.path = parsed.path;
@@ -634,12 +650,35 @@
         add_node_fields(head.headers, wanted.allowance_left, wanted.shed);
     }
     m_metrics.refused(wanted.reason, wanted.said);
+    log_refusal(*request, wanted);
     request->exchange->respond(std::move(head),
                                "request refused (" + std::string(to_string(wanted.reason)) +
                                    "), outcome: " + std::string(to_string(wanted.said)) + "\n");
     end(wanted.exchange);
 }
 
+void traffic_front::log_refusal(const inbound& request, const node::refuse& refusal)
+{
+    const auto now = http::event_loop::now();
+    if (!m_refusal_lines.take(now)) {
+        return;
+    }
+    const auto held = std::chrono::duration_cast<std::chrono::milliseconds>(now - request.arrived);
+    const auto settings_age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - m_view->node->settings_confirmed_at);
+    log(log_level::info, "request_refused",
+        {{"request", loggable(request.request.value())},
+         {"side", request.side == inbound_side::peer ? "gatekeeper" : "entry"},
+         {"reason", std::string(to_string(refusal.reason))},
+         {"outcome", std::string(to_string(refusal.said))},
+         {"service", refusal.service.value()},
+         {"gatekeeper", refusal.gatekeeper.value()},
+         {"attempts", std::to_string(refusal.attempts)},
+         {"held_ms", std::to_string(held.count())},
+         {"settings_age_ms", std::to_string(settings_age.count())},
+         {"suppressed", std::to_string(m_refusal_lines.take_suppressed())}});
+}
+
 void traffic_front::perform(const node::replay_answer& wanted)
 {
     const auto request = find(wanted.exchange);
--- a/src/daemon/traffic_front.hpp
+++ b/src/daemon/traffic_front.hpp
@@ -3,6 +3,7 @@
 #include "base/incarnation.hpp"
 #include "daemon/dialect.hpp"
 #include "daemon/inbound.hpp"
+#include "daemon/log_budget.hpp"
 #include "daemon/outbound.hpp"
 #include "daemon/parsed_request.hpp"
 #include "daemon/traffic_addresses.hpp"
@@ -91,6 +92,7 @@
     void gatekeeper_refused(const outbound_ptr& out);
     bool body_received(const outbound_ptr& out, std::string_view data);
     void transfer_ended(const outbound_ptr& out, const http::transfer_end& how);
+    void log_refusal(const inbound& request, const node::refuse& refusal);
     void refuse_malformed(const inbound_ptr& request, const base::failure& error);
     std::optional<base::time_point> round(base::time_point now);
     inbound_ptr find(node::exchange_id id) const;
@@ -106,6 +108,7 @@
     traffic_hooks m_hooks;
     std::shared_ptr<const traffic_view> m_view;
     traffic_metrics m_metrics;
+    log_budget m_refusal_lines;
 
     std::unordered_map<node::exchange_id, inbound_ptr> m_inbound;
     std::unordered_map<node::transfer_id, outbound_ptr> m_outbound;
--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -712,6 +712,9 @@
     }
     refuse refusal = refusal_of(request.exchange, said, reason);
     refusal.retry_after = retry_after;
+    refusal.service = request.service;
+    refusal.gatekeeper = request.gatekeeper;
+    refusal.attempts = request.attempts;
     at.out.emplace_back(refusal);
     if (request.identity) {
         for (const auto& waiter : m_repeats.dropped(*request.identity)) {
--- a/src/node/gatekeeper_machine.cpp
+++ b/src/node/gatekeeper_machine.cpp
@@ -432,6 +432,7 @@
     refusal.allowance_left =
         handed_over ? m_shared.ledger.close(call.context.call) : call.context.allowance;
     refusal.shed = shed_level(call.service, at);
+    refusal.service = call.service;
     at.out.emplace_back(refusal);
     end(call, ended, at);
 }
--- a/src/node/refuse.hpp
+++ b/src/node/refuse.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "base/importance.hpp"
+#include "base/node_id.hpp"
 #include "base/retry_count.hpp"
+#include "base/service_id.hpp"
 #include "base/time.hpp"
 #include "node/exchange_id.hpp"
 #include "node/outcome.hpp"
@@ -20,6 +22,10 @@
     refusal_reason reason = refusal_reason::backend_failed;
     /// Set with refusal_reason::rate.
     std::optional<base::duration> retry_after;
+    /// For logs: where the request was to run, who refused it last, and after how many attempts.
+    base::service_id service;
+    base::node_id gatekeeper;
+    int attempts = 0;
     /// Unused extra attempts, for answers between nodes.
     std::optional<base::retry_count> allowance_left;
     /// Importance level shed now, for answers between nodes.
