Replica host: carry out effects in their order

Cause: an effect's callback that submitted a command (the first admin, at a new leader) had its entry written before the entries that the outer call still had to write. Change: effects wait in one queue; what a callback starts comes behind what is there.

--- a/src/daemon/process_settings.cpp
+++ b/src/daemon/process_settings.cpp
@@ -217,6 +217,12 @@
             {{"credential", "a text", false, text_into(node.credential)},
              {"services", "a list of service names", false, services_into(node.services)},
              {"host", "an IP address", false, text_into(node.backend_server_host)},
+             {"exact_slots", "yes or no", false,
+              [&node](const std::string& value) {
+                  const auto exact = settings::parse_yes_no(value);
+                  node.exact_slots = exact.value_or(false);
+                  return exact.has_value();
+              }},
              {"interval", "a duration such as 1s", false, duration_into(node.announce_interval)}});
     }
 
--- a/src/daemon/process_settings.hpp
+++ b/src/daemon/process_settings.hpp
@@ -31,7 +31,8 @@
 ///     [node]          callers, peers, backend_server (IP:PORT each), connections, stop_limit,
 ///                     ready (IP:PORT of a readiness check), serve_while_stopping (yes, no)
 ///     [announce]      credential, services (what the backend server on this VM may announce),
-///                     host (its IP address), interval (between announcements)
+///                     host (its IP address), interval (between announcements),
+///                     exact_slots (yes, no)
 ///     [control]       operators (IP:PORT), data (folder), admin, admin_token_hash
 ///     [log]           level (debug, info, warn, error), format (text, json)
 ///
--- a/src/daemon/replica_host.cpp
+++ b/src/daemon/replica_host.cpp
@@ -6,6 +6,7 @@
 #include "daemon/wall_clock_now.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace damaskladder::daemon {
 
@@ -134,7 +135,14 @@
 
 void replica_host::carry_out(control::control_replica::effects effects)
 {
-    for (auto& next : effects) {
+    std::move(effects.begin(), effects.end(), std::back_inserter(m_effects));
+    if (m_carrying_out) {
+        return;
+    }
+    m_carrying_out = true;
+    while (!m_effects.empty()) {
+        auto next = std::move(m_effects.front());
+        m_effects.pop_front();
         std::visit(
             [&](auto& effect) {
                 using kind = std::decay_t<decltype(effect)>;
@@ -155,6 +163,7 @@
             },
             next);
     }
+    m_carrying_out = false;
 }
 
 void replica_host::carry_out(const control::submission_answered& effect)
--- a/src/daemon/replica_host.hpp
+++ b/src/daemon/replica_host.hpp
@@ -6,6 +6,7 @@
 #include "daemon/storage_thread.hpp"
 #include "http/event_loop.hpp"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -64,6 +65,10 @@
     hooks m_hooks;
     std::unique_ptr<control::control_replica> m_replica;
     std::unique_ptr<storage_thread> m_storage;
+    /// Effects not carried out yet. What one of them starts comes after the rest, so that entries
+    /// reach the disk in their order.
+    std::deque<control::control_replica::effects::value_type> m_effects;
+    bool m_carrying_out = false;
     bool m_forms_cluster = false;
     std::uint64_t m_last_submission = 0;
     base::time_point m_next_log_time;
--- /dev/null
+++ b/src/daemon/replica_host_test.cpp
@@ -0,0 +1,71 @@
+#include "daemon/replica_host.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <string>
+
+namespace damaskladder::daemon {
+namespace {
+
+/// A new folder that goes with the test.
+class scratch_folder {
+public:
+    scratch_folder()
+    {
+        std::string name = std::filesystem::temp_directory_path() / "replica_host.XXXXXX";
+        m_path = mkdtemp(name.data());
+    }
+    ~scratch_folder() { std::filesystem::remove_all(m_path); }
+    scratch_folder(const scratch_folder&) = delete;
+    scratch_folder& operator=(const scratch_folder&) = delete;
+
+    const std::string& path() const { return m_path; }
+
+private:
+    std::string m_path;
+};
+
+process_settings single_replica(const std::string& folder)
+{
+    process_settings settings;
+    settings.name = base::node_id("r1");
+    settings.replicas[settings.name] = {"127.0.0.1", 1};
+    settings.replica.emplace();
+    settings.replica->data = folder;
+    settings.replica->admin = base::operator_id("first");
+    return settings;
+}
+
+/// Runs a replica alone until it has created the first admin.
+void run_until_admin(const process_settings& settings)
+{
+    http::event_loop loop;
+    replica_host replica(loop, settings,
+                         {.send = [](const auto&) {}, .settings_changed = [](auto) {}});
+    ASSERT_TRUE(replica.start());
+    const auto give_up = http::event_loop::now() + std::chrono::seconds(20);
+    loop.each_round([&](base::time_point now) -> std::optional<base::time_point> {
+        if (!replica.replica().state().credentials().empty() || now > give_up) {
+            loop.stop();
+        }
+        return now + std::chrono::milliseconds(1);
+    });
+    loop.run();
+    EXPECT_FALSE(replica.replica().state().credentials().empty());
+}
+
+// Guards against entries that reach the disk out of order: the command that a new leader submits in
+// answer to its own election was written before the entry that opens its term, and after a restart
+// the folder was refused as damaged.
+TEST(replica_host, starts_again_with_what_it_wrote_as_a_new_leader)
+{
+    const scratch_folder folder;
+    const auto settings = single_replica(folder.path());
+    run_until_admin(settings);
+    run_until_admin(settings);
+}
+
+} // namespace
+} // namespace damaskladder::daemon
--- a/src/daemon/traffic_thread.cpp
+++ b/src/daemon/traffic_thread.cpp
@@ -7,10 +7,17 @@
 
 namespace {
 
-node::traffic_options make_options()
+node::traffic_options make_options(const node_settings& settings)
 {
     node::traffic_options options;
     options.random = secure_random();
+    if (settings.exact_slots) {
+        auto& admission = options.admission;
+        admission.limit.min_factor = 1;
+        admission.limit.max_factor = 1;
+        admission.limit.cold_factor = 1;
+        admission.open_part = 1;
+    }
     return options;
 }
 
@@ -32,7 +39,7 @@
                                base::incarnation incarnation, const node_settings& settings,
                                const dialect& speech, control_requests requests)
     : m_requests(std::move(requests)),
-      m_machine(make_options()),
+      m_machine(make_options(settings)),
       m_quota(std::move(self), incarnation,
               {.deliver = [this](const node::event& event) { m_front.deliver(event); },
                .send = m_requests.send_quota}),
