--- a/src/daemon/quota_host.cpp
+++ b/src/daemon/quota_host.cpp
@@ -21,6 +21,19 @@
 constexpr quota::domain_share whole_share{quota::share_point(0),
                                           quota::share_point(interval_points)};
 
+/// One lease for the whole fleet is short: without its holder nobody gets tokens, and three voters
+/// renew it at little cost.
+lease::lease_options lease_timing(bool pooled)
+{
+    lease::lease_options options;
+    if (pooled) {
+        options.length = std::chrono::milliseconds(1500);
+        options.renew_interval = options.length / 4;
+        options.poll_interval = options.length / 6;
+    }
+    return options;
+}
+
 lease::lease_resource resource_of(const base::failure_domain_id& domain)
 {
     return lease::lease_resource("quota/" + domain.value());
@@ -124,9 +137,9 @@
     }
     const auto resource = resource_of(m_domain);
     if (!m_voter) {
-        m_voter.emplace(lease::lease_options{}, m_settings.name, resource, now);
+        m_voter.emplace(lease_timing(m_pooled), m_settings.name, resource, now);
     }
-    m_candidate.emplace(lease::lease_options{}, m_settings.name, m_incarnation, resource, m_voters,
+    m_candidate.emplace(lease_timing(m_pooled), m_settings.name, m_incarnation, resource, m_voters,
                         secure_random());
     perform(m_candidate->want(now));
 }
