Retries: send transfers started in a hook, leave out cut servers, pause before a return

Connects between nodes give up after 150 ms and unacknowledged bytes after 700 ms; servers that no connection reaches are left out however many; a connection that breaks between nodes counts against the node. Refusals that did not run say when to come back, spread over as long again. Retries are budgeted by workspace and service, at a fifth of the stated ratio for each level of a call tree. Tests: a transfer started in a hook (fails before), cut servers, a floor of less than one retry a second (fails before).

--- a/src/consensus/member_upkeep.hpp
+++ b/src/consensus/member_upkeep.hpp
@@ -14,8 +14,8 @@
 /// takes in replicas that ask for it, under the identity of their data folder, and lets go of those
 /// that leave or stay silent, as long as enough others are there.
 ///
-/// A replica whose folder was wiped asks with a new identity, which replaces the old one of the same
-/// name. Its disk counts again only once it has caught up as a learner.
+/// A replica whose folder was wiped asks with a new identity, which replaces the old one of the
+/// same name. Its disk counts again only once it has caught up as a learner.
 class member_upkeep {
 public:
     explicit member_upkeep(upkeep_options options = {}) : m_options(options) {}
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -15,6 +15,8 @@
 constexpr base::duration unready_time = std::chrono::milliseconds(2500);
 // Between the last request served and the end of the time for stopping.
 constexpr base::duration exit_margin = std::chrono::milliseconds(800);
+// What is read has to end before the exit, so callers' connections close soon after those of nodes.
+constexpr base::duration accept_after_leaving = std::chrono::milliseconds(300);
 constexpr base::duration stop_check_interval = std::chrono::milliseconds(20);
 
 } // namespace
@@ -238,6 +240,10 @@
     if (!m_left && now >= m_leave_at) {
         leave_fleet();
     }
+    if (m_node && !m_accepting_stopped && now >= m_leave_at + accept_after_leaving) {
+        m_accepting_stopped = true;
+        m_traffic->stop_accepting();
+    }
     if (m_left && !m_traffic_stopping && now >= m_stop_at) {
         stop_traffic();
     }
--- a/src/daemon/control_thread.hpp
+++ b/src/daemon/control_thread.hpp
@@ -66,6 +66,7 @@
     base::time_point m_stop_at;
     bool m_left = false;
     bool m_traffic_stopping = false;
+    bool m_accepting_stopped = false;
     std::optional<base::time_point> m_linger_until;
 };
 
--- a/src/daemon/inbound.hpp
+++ b/src/daemon/inbound.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/content_hash.hpp"
-#include "base/request_id.hpp"
 #include "base/node_id.hpp"
+#include "base/request_id.hpp"
 #include "base/time.hpp"
 #include "http/exchange.hpp"
 #include "http/header_list.hpp"
--- a/src/daemon/node_settings.hpp
+++ b/src/daemon/node_settings.hpp
@@ -19,6 +19,9 @@
     /// At a graceful stop, serve what comes until shortly before stop_limit, because the VM gets no
     /// other process before then.
     bool serve_while_stopping = false;
+    /// Retries permitted at a service, on all levels of the call trees together, as a part of its
+    /// requests; zero for the defaults of the decisions.
+    double retry_budget = 0;
     /// Credential of the backend server on this VM and the services that it may announce.
     std::string credential;
     std::vector<base::service_id> services;
--- a/src/daemon/process_settings.cpp
+++ b/src/daemon/process_settings.cpp
@@ -169,7 +169,8 @@
         m_reader.read("discovery",
                       {{"control_vms", "a list of IP:PORT", false, addresses_into(control_vms)},
                        {"messages_port", "a port number", true, count_into(port, highest_port)},
-                       {"forms_cluster", "yes or no", false, [&s](const std::string& value) {
+                       {"forms_cluster", "yes or no", false,
+                        [&s](const std::string& value) {
                             const auto forms = settings::parse_yes_no(value);
                             s.forms_cluster = forms.value_or(false);
                             return forms.has_value();
@@ -202,6 +203,12 @@
              {"connections", "a number from 1 to 60000", false,
               count_into(node.connections, most_connections)},
              {"stop_limit", "a duration such as 30s", false, duration_into(node.stop_limit)},
+             {"retry_budget", "a fraction above 0 and at most 1", false,
+              [&node](const std::string& value) {
+                  const auto part = settings::parse_share(value);
+                  node.retry_budget = part ? part->value() : 0;
+                  return part.has_value();
+              }},
              {"serve_while_stopping", "yes or no", false,
               [&node](const std::string& value) {
                   const auto serve = settings::parse_yes_no(value);
--- a/src/daemon/process_settings.hpp
+++ b/src/daemon/process_settings.hpp
@@ -29,7 +29,8 @@
 ///                     messages_port (of all processes), forms_cluster (yes at the first start of
 ///                     the whole system), membership (failure_domains, fleet)
 ///     [node]          callers, peers, backend_server (IP:PORT each), connections, stop_limit,
-///                     ready (IP:PORT of a readiness check), serve_while_stopping (yes, no)
+///                     ready (IP:PORT of a readiness check), serve_while_stopping (yes, no),
+///                     retry_budget (a fraction)
 ///     [announce]      credential, services (what the backend server on this VM may announce),
 ///                     host (its IP address), interval (between announcements),
 ///                     exact_slots (yes, no)
--- a/src/daemon/replica_upkeep.cpp
+++ b/src/daemon/replica_upkeep.cpp
@@ -27,8 +27,8 @@
     const auto status = m_replica.replica().status();
     const auto* present = status.members.find(status.identity.id);
     const bool is_member = present != nullptr && present->identity == status.identity;
-    const bool forms = status.members.members.empty() && !status.awaiting_admission &&
-                       m_replica.forms_cluster();
+    const bool forms =
+        status.members.members.empty() && !status.awaiting_admission && m_replica.forms_cluster();
     if (!is_member && !forms && !m_leaving) {
         send_to_known_replicas({status.identity, false, false});
     }
--- a/src/daemon/traffic_front.cpp
+++ b/src/daemon/traffic_front.cpp
@@ -19,6 +19,11 @@
 // While the decisions wait for something, they are asked at least this often.
 constexpr base::duration tick_interval = std::chrono::milliseconds(10);
 constexpr base::duration connect_timeout = std::chrono::milliseconds(500);
+// Between nodes: fifty round trips within a region. A VM that is cut off answers nothing, and the
+// request has to find another one within its time.
+constexpr base::duration node_connect_timeout = std::chrono::milliseconds(150);
+// Longer than two retransmissions after lost packets.
+constexpr base::duration node_unacknowledged_timeout = std::chrono::milliseconds(700);
 
 std::string name(std::string_view header)
 {
@@ -451,7 +456,10 @@
         const auto size = static_cast<std::int64_t>(request->exchange->body().size());
         call.head.body_size = base::byte_count(size);
     }
-    call.connect_timeout = connect_timeout;
+    call.connect_timeout = out->to_gatekeeper ? node_connect_timeout : connect_timeout;
+    if (out->to_gatekeeper) {
+        call.unacknowledged_timeout = node_unacknowledged_timeout;
+    }
     request->reader = out->id;
     m_outbound[out->id] = out;
     http::transfer::hooks hooks;
--- a/src/daemon/traffic_front.hpp
+++ b/src/daemon/traffic_front.hpp
@@ -49,6 +49,13 @@
     /// No more calls of other nodes are taken; callers are still served.
     void leave() { deliver(node::stop_requested{}); }
 
+    /// No new connections of callers; those without a request are closed.
+    void stop_accepting()
+    {
+        m_callers.drain();
+        m_callers.close_idle_connections();
+    }
+
     /// Begins the graceful stop; stopped() tells when nothing runs any more.
     void stop();
     bool stopped() const { return m_stopping && m_inbound.empty(); }
--- a/src/daemon/traffic_thread.cpp
+++ b/src/daemon/traffic_thread.cpp
@@ -11,6 +11,15 @@
 {
     node::traffic_options options;
     options.random = secure_random();
+    if (settings.retry_budget > 0) {
+        // A repeat high up in a call tree repeats all calls below it, and each level may add its
+        // own, so each gets its part of what a service may see.
+        constexpr double levels = 5;
+        // Of the node, a second; with some hundred nodes it stays within a slack of some ten.
+        constexpr double floor = 0.2;
+        options.retry_part = settings.retry_budget / levels;
+        options.retry_floor = floor;
+    }
     if (settings.exact_slots) {
         auto& admission = options.admission;
         admission.limit.min_factor = 1;
@@ -103,6 +112,11 @@
     m_loop.post([this] { m_front.leave(); });
 }
 
+void traffic_thread::stop_accepting()
+{
+    m_loop.post([this] { m_front.stop_accepting(); });
+}
+
 void traffic_thread::stop(std::function<void()> done)
 {
     m_ready = false;
--- a/src/daemon/traffic_thread.hpp
+++ b/src/daemon/traffic_thread.hpp
@@ -49,6 +49,9 @@
     /// No more calls of other nodes are taken.
     void leave();
 
+    /// No new connections of callers; requests that were read are served.
+    void stop_accepting();
+
     /// Begins the graceful stop; done is called on the traffic thread when nothing runs any more.
     void stop(std::function<void()> done);
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -100,7 +100,17 @@
     auto started = std::make_shared<transfer>(*this, std::move(request), std::move(calls));
     started->start();
     m_transfers[started->m_easy] = started;
-    curl_multi_add_handle(m_multi, started->m_easy);
+    if (m_in_curl == 0) {
+        curl_multi_add_handle(m_multi, started->m_easy);
+    }
+    else {
+        // libcurl takes no new transfers while it calls a hook.
+        defer([this, started] {
+            if (!started->m_ended) {
+                curl_multi_add_handle(m_multi, started->m_easy);
+            }
+        });
+    }
     return started;
 }
 
--- a/src/http/client_request.hpp
+++ b/src/http/client_request.hpp
@@ -12,6 +12,9 @@
     request_head head;
     /// Longest time to wait for the connection.
     base::duration connect_timeout = std::chrono::seconds(1);
+    /// The connection counts as broken when sent bytes are not acknowledged for so long; zero
+    /// leaves it to the system, which waits for minutes.
+    base::duration unacknowledged_timeout{0};
     /// Longest time for the whole transfer; zero for no limit.
     base::duration timeout{0};
     /// Do not use a kept connection. A server may close a kept connection while a request is on
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -246,6 +246,15 @@
     }
 }
 
+void server::close_idle_connections()
+{
+    for (const auto& [fd, request] : m_connections) {
+        if (request.expired()) {
+            shutdown(fd, SHUT_RDWR);
+        }
+    }
+}
+
 void server::connection_opened(int fd)
 {
     m_connections[fd] = {};
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -34,6 +34,9 @@
     /// Stops to accept connections and asks kept ones to close after their next answer.
     void drain();
 
+    /// Closes connections on which no request is under way.
+    void close_idle_connections();
+
     /// The port that was bound.
     std::uint16_t port() const { return m_port; }
     const server_limits& limits() const { return m_limits; }
--- a/src/http/transfer.cpp
+++ b/src/http/transfer.cpp
@@ -3,6 +3,9 @@
 #include "http/client.hpp"
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <charconv>
 
@@ -52,6 +55,17 @@
         return CURL_PREREQFUNC_OK;
     }
 
+    static int socket_made(void* cls, curl_socket_t fd, curlsocktype)
+    {
+        const auto* self = static_cast<transfer*>(cls);
+        const auto limit = std::chrono::duration_cast<std::chrono::milliseconds>(
+            self->m_request.unacknowledged_timeout);
+        const auto ms = static_cast<unsigned>(limit.count());
+        // Without the option the connection works all the same, only its loss is seen late.
+        setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+        return CURL_SOCKOPT_OK;
+    }
+
     static std::size_t header_line(char* data, std::size_t, std::size_t size, void* cls)
     {
         auto* self = static_cast<transfer*>(cls);
@@ -150,6 +164,10 @@
     };
     curl_easy_setopt(m_easy, CURLOPT_CONNECTTIMEOUT_MS, to_ms(m_request.connect_timeout));
     curl_easy_setopt(m_easy, CURLOPT_TIMEOUT_MS, to_ms(m_request.timeout));
+    if (m_request.unacknowledged_timeout > base::duration::zero()) {
+        curl_easy_setopt(m_easy, CURLOPT_SOCKOPTFUNCTION, transfer_callbacks::socket_made);
+        curl_easy_setopt(m_easy, CURLOPT_SOCKOPTDATA, this);
+    }
     if (m_request.fresh_connection) {
         curl_easy_setopt(m_easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(m_easy, CURLOPT_FORBID_REUSE, 1L);
--- a/src/http/transfer_test.cpp
+++ b/src/http/transfer_test.cpp
@@ -246,6 +246,29 @@
     std::string answer_prefix;
 };
 
+// Guards against a request that is never sent: libcurl refuses new transfers while it runs a hook,
+// and a retry that answers a refusal at once starts in one.
+TEST(transfer, started_in_a_hook_of_another_is_sent)
+{
+    event_loop loop;
+    client out(loop);
+    server in(loop, {}, [](const std::shared_ptr<exchange>& request) {
+        request->respond({200, {}, {}}, "answer");
+    });
+    ASSERT_TRUE(in.listen({"127.0.0.1", 0}));
+    client_request request;
+    request.to = {"127.0.0.1", in.port()};
+    received first;
+    received second;
+    std::shared_ptr<transfer> again;
+    auto hooks = collect(first);
+    hooks.on_head = [&](const response_head&) { again = out.send(request, collect(second)); };
+    const auto sent = out.send(request, std::move(hooks));
+    run_until(loop, [&] { return second.end.has_value(); });
+    ASSERT_TRUE(second.end);
+    EXPECT_EQ(second.body, "answer");
+}
+
 // Guards against a hook that is destroyed while it runs: a caller that cancels on a head that it
 // does not accept went on with freed memory.
 TEST(transfer, cancelled_in_a_hook_keeps_the_hook_until_it_returns)
--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -93,18 +93,34 @@
     return wish ? std::min(limit, *wish) : limit;
 }
 
-retry::budget_options floor_only()
+retry::budget_options floor_only(const traffic_options& options)
 {
-    retry::budget_options options;
-    options.part_of_successes = 0;
-    return options;
+    retry::budget_options budget;
+    budget.part_of_successes = 0;
+    budget.floor = options.retry_floor;
+    return budget;
 }
 
-retry::budget_options without_floor()
+retry::budget_options without_floor(const traffic_options& options)
 {
-    retry::budget_options options;
-    options.floor = 0;
-    return options;
+    retry::budget_options budget;
+    budget.part_of_successes = options.retry_part;
+    budget.floor = 0;
+    return budget;
+}
+
+/// Pause after which a refused caller may find what it lacked, before the random part.
+base::duration shortest_return(refusal_reason reason)
+{
+    switch (reason) {
+    case refusal_reason::rate:
+    case refusal_reason::shed:
+    case refusal_reason::deadline:
+        return std::chrono::milliseconds(300);
+    default:
+        // Membership and settings need about a second to see a change.
+        return std::chrono::milliseconds(700);
+    }
 }
 
 refuse refusal_of(exchange_id exchange, outcome said, refusal_reason reason)
@@ -122,7 +138,7 @@
 entry_machine::entry_machine(traffic_state& shared)
     : m_shared(shared),
       m_repeats(retry::repeat_options{}),
-      m_floor_budget(floor_only()),
+      m_floor_budget(floor_only(shared.options)),
       m_shed({}, shared.options.random)
 {
     m_retry_options.random = shared.options.random;
@@ -303,8 +319,9 @@
         return;
     }
     request->may_have_run = true;
+    // The gatekeeper answers even for a backend server that fails, so it is the one that is gone.
     attempt_failed(*request, retry::failure_class::may_have_run, refusal_reason::answer_lost,
-                   routing::attempt_result::failed, at);
+                   routing::attempt_result::unreachable, at);
 }
 
 void entry_machine::on(const answer_started& seen, step& at)
@@ -328,7 +345,7 @@
     }
     settle_allowance(*request);
     if (seen.answer == answer_class::served) {
-        budget_of(request->context.workspace).success(at.now);
+        budget_of(*request).success(at.now);
     }
     request->phase = entry_phase::relaying;
     m_deadlines.set(request->exchange, at.now + m_shared.options.longest_answer);
@@ -711,7 +728,9 @@
         at.out.emplace_back(give_token_back{*request.grant});
     }
     refuse refusal = refusal_of(request.exchange, said, reason);
-    refusal.retry_after = retry_after;
+    if (said == outcome::not_run) {
+        refusal.retry_after = return_pause(reason, retry_after);
+    }
     refusal.service = request.service;
     refusal.gatekeeper = request.gatekeeper;
     refusal.attempts = request.attempts;
@@ -726,6 +745,15 @@
     erase(request.exchange, at);
 }
 
+base::duration entry_machine::return_pause(refusal_reason reason,
+                                           std::optional<base::duration> hint)
+{
+    // Spread over as long again, so that callers that were refused together do not return together.
+    const auto shortest = std::max(hint.value_or(base::duration::zero()), shortest_return(reason));
+    const auto spread = static_cast<std::uint64_t>(shortest.count());
+    return shortest + base::duration(static_cast<std::int64_t>(m_shared.options.random() % spread));
+}
+
 void entry_machine::release_waiters(const std::vector<retry::waiter_id>& waiters,
                                     refusal_reason reason, step& at)
 {
@@ -822,13 +850,14 @@
 {
     // What never reached a backend server adds nothing to its load.
     return kind == retry::failure_class::not_run_elsewhere ||
-           budget_of(request.context.workspace).try_spend(at.now) ||
-           m_floor_budget.try_spend(at.now);
+           budget_of(request).try_spend(at.now) || m_floor_budget.try_spend(at.now);
 }
 
-retry::budget& entry_machine::budget_of(const base::workspace_id& workspace)
+retry::budget& entry_machine::budget_of(const entry_request& request)
 {
-    return m_budgets.try_emplace(workspace, without_floor()).first->second;
+    return m_budgets
+        .try_emplace({request.context.workspace, request.service}, without_floor(m_shared.options))
+        .first->second;
 }
 
 routing::router& entry_machine::router_of(const base::service_id& service)
--- a/src/node/entry_machine.hpp
+++ b/src/node/entry_machine.hpp
@@ -15,8 +15,10 @@
 #include "routing/weighted_rotation.hpp"
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace damaskladder::node {
@@ -89,7 +91,9 @@
     void hand_over(entry_request& from, exchange_id to, step& at);
     void time_is_up(entry_request& request, step& at);
     bool may_spend(const entry_request& request, retry::failure_class kind, step& at);
-    retry::budget& budget_of(const base::workspace_id& workspace);
+    retry::budget& budget_of(const entry_request& request);
+    /// When a caller that was refused may return: not before the hint, and spread.
+    base::duration return_pause(refusal_reason reason, std::optional<base::duration> hint);
     routing::router& router_of(const base::service_id& service);
     base::duration return_time() const;
     base::call_id draw_call();
@@ -103,7 +107,7 @@
     /// The floor of all workspaces together, and what each earns by its own successes: a large
     /// sender that is refused a lot uses up its own retries only.
     retry::budget m_floor_budget;
-    std::unordered_map<base::workspace_id, retry::budget> m_budgets;
+    std::map<std::pair<base::workspace_id, base::service_id>, retry::budget> m_budgets;
     retry::retry_options m_retry_options;
     admission::shed_memory m_shed;
     std::unordered_map<base::service_id, routing::router> m_routers;
--- a/src/node/traffic_options.hpp
+++ b/src/node/traffic_options.hpp
@@ -23,6 +23,10 @@
     /// Longest path of a request.
     base::byte_count max_path{8192};
     admission::controller_options admission;
+    /// Retries permitted for each recent success of a workspace at a service.
+    double retry_part = 0.1;
+    /// Retries of the node permitted besides, a second.
+    double retry_floor = 5;
     /// Baseline for comparison: random choice among the announced backend servers, no admission
     /// and no early shedding, and three attempts at every level without allowance or budget.
     bool pass_through = false;
--- a/src/retry/budget.cpp
+++ b/src/retry/budget.cpp
@@ -33,7 +33,9 @@
     m_at = now;
     m_earned *= std::exp(-passed / static_cast<double>(m_options.recent.count()));
     const double second = 1'000'000;
-    m_floor_left = std::min(m_options.floor, m_floor_left + m_options.floor * passed / second);
+    // A floor of less than one a second still has to add up to one.
+    const double most = m_options.floor > 0 ? std::max(1.0, m_options.floor) : 0;
+    m_floor_left = std::min(most, m_floor_left + m_options.floor * passed / second);
 }
 
 } // namespace damaskladder::retry
--- a/src/retry/decide_retry_test.cpp
+++ b/src/retry/decide_retry_test.cpp
@@ -101,6 +101,19 @@
                                          budget_case{"tenth and floor", 1'005, 0, 105},
                                          budget_case{"old successes fade", 1'000, 60'000, 5}));
 
+// Guards against a floor of less than one a second that never permits a retry.
+TEST(budget, small_floor_adds_up)
+{
+    budget_options options;
+    options.floor = 0.2;
+    budget spent(options);
+    int granted = 0;
+    for (int second = 1; second <= 50; ++second) {
+        granted += spent.try_spend(base::time_point(std::chrono::seconds(second))) ? 1 : 0;
+    }
+    EXPECT_EQ(granted, 10);
+}
+
 // Guards against a floor that permits more than its rate: 5 at once and 5 a second.
 TEST(budget, floor_refills_at_its_rate)
 {
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -45,6 +45,7 @@
             return take(*probe, request, now);
         }
     }
+    drop_unreachable(options);
     drop_ejected(options, servers.size());
     if (options.empty()) {
         return std::nullopt;
@@ -175,6 +176,16 @@
     return from[first_is_better ? first : second];
 }
 
+void router::drop_unreachable(std::vector<candidate>& from)
+{
+    const auto is_out = [](const candidate& option) {
+        return option.state->ejected && option.state->unreachable_in_row > 0;
+    };
+    if (!std::all_of(from.begin(), from.end(), is_out)) {
+        std::erase_if(from, is_out);
+    }
+}
+
 void router::drop_ejected(std::vector<candidate>& from, std::size_t announced) const
 {
     const auto is_out = [](const candidate& option) { return option.state->ejected; };
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -49,6 +49,9 @@
     server_state& state_of(const backend_server& server, base::time_point now);
     candidate choose_among(const std::vector<candidate>& from, const choice_request& request,
                            base::time_point now);
+    /// Leaves out servers that no connection reaches, however many, unless that leaves none: unlike
+    /// failures, this says nothing about their load that could pass on to the rest.
+    static void drop_unreachable(std::vector<candidate>& from);
     void drop_ejected(std::vector<candidate>& from, std::size_t announced) const;
     std::optional<candidate> due_probe(const std::vector<candidate>& from,
                                        base::time_point now) const;
--- a/src/routing/router_test.cpp
+++ b/src/routing/router_test.cpp
@@ -232,5 +232,48 @@
     }
 }
 
+struct cut_case {
+    const char* name;
+    /// Servers of which each connection fails, out of "1" to "4".
+    std::set<std::string> cut;
+    std::set<std::string> chosen;
+};
+
+void PrintTo(const cut_case& row, std::ostream* out)
+{
+    *out << row.name;
+}
+
+class cut_servers : public testing::TestWithParam<cut_case> {};
+
+// Guards against requests that are held until their deadline by one connection attempt after the
+// other while a failure domain is cut off: 988 of a day's worth were lost that way.
+TEST_P(cut_servers, are_left_out_however_many)
+{
+    router chooser(seeded(3));
+    const std::vector<backend_server> servers = {server_of("1", "a"), server_of("2", "b"),
+                                                 server_of("3", "b"), server_of("4", "b")};
+    auto request = from_domain("a");
+    request.may_probe = false;
+    std::set<std::string> chosen;
+    for (int n = 0; n < 400; ++n) {
+        const auto node = chooser.choose(servers, request, at_ms(n));
+        ASSERT_TRUE(node);
+        const bool is_cut = GetParam().cut.count(node->value()) != 0;
+        chooser.ended(*node, base::importance::background,
+                      is_cut ? attempt_result::unreachable : attempt_result::answered, at_ms(n));
+        if (n >= 200) {
+            chosen.insert(node->value());
+        }
+    }
+    EXPECT_EQ(chosen, GetParam().chosen);
+}
+
+INSTANTIATE_TEST_SUITE_P(table, cut_servers,
+                         testing::Values(cut_case{"own domain", {"1"}, {"2", "3", "4"}},
+                                         cut_case{"all but one", {"1", "2", "4"}, {"3"}},
+                                         cut_case{
+                                             "all", {"1", "2", "3", "4"}, {"1", "2", "3", "4"}}));
+
 } // namespace
 } // namespace damaskladder::routing
