HTTP server: run libmicrohttpd only when something is due

Cause: a timeout of any open connection marked all four daemons pending, so each round of the loop ran each of them and its epoll wait.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -204,17 +204,26 @@
     const int fd = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
     m_loop.watch(fd, EPOLLIN, [this](std::uint32_t) { m_pending = true; });
     m_loop.each_round([this](base::time_point now) -> std::optional<base::time_point> {
-        run_pending();
-        MHD_UNSIGNED_LONG_LONG wait_ms = 0;
-        if (m_daemon == nullptr || MHD_get_timeout(m_daemon, &wait_ms) != MHD_YES) {
-            return std::nullopt;
+        m_pending = m_pending || (m_run_at && now >= *m_run_at);
+        if (m_pending) {
+            run_pending();
+            m_run_at = next_run(now);
         }
-        m_pending = true;
-        return now + std::chrono::milliseconds(std::min<std::uint64_t>(wait_ms, 1000));
+        return m_run_at;
     });
     return {};
 }
 
+std::optional<base::time_point> server::next_run(base::time_point now) const
+{
+    constexpr std::uint64_t longest_ms = 1000;
+    MHD_UNSIGNED_LONG_LONG wait_ms = 0;
+    if (m_daemon == nullptr || MHD_get_timeout(m_daemon, &wait_ms) != MHD_YES) {
+        return std::nullopt;
+    }
+    return now + std::chrono::milliseconds(std::min<std::uint64_t>(wait_ms, longest_ms));
+}
+
 void server::run_pending()
 {
     // Answers that become ready while libmicrohttpd runs mark the server pending again.
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 struct MHD_Daemon;
@@ -47,6 +48,8 @@
     friend struct server_callbacks;
 
     void run_pending();
+    /// When libmicrohttpd wants to run although nothing happens, for its timeouts.
+    std::optional<base::time_point> next_run(base::time_point now) const;
     void connection_opened(int fd);
     void connection_closed(int fd);
     void caller_gone(int fd);
@@ -58,6 +61,7 @@
     std::uint16_t m_port = 0;
     std::size_t m_open = 0;
     bool m_pending = false;
+    std::optional<base::time_point> m_run_at;
     bool m_draining = false;
     /// No new connections are accepted.
     bool m_quiesced = false;
