Entry: turn keyed requests away while the processor is used up; keep libcurl's handles

Change: admission::processor_guard sheds a growing part of keyed requests, the least important first, while the traffic thread hardly ever waits; calls of backend servers go on.

--- a/include/damaskladder/admission.hpp
+++ b/include/damaskladder/admission.hpp
@@ -31,4 +31,5 @@
 /// verdict, shed.
 
 #include "admission/controller.hpp"
+#include "admission/processor_guard.hpp"
 #include "admission/shed_memory.hpp"
--- a/scripts/format.sh
+++ b/scripts/format.sh
@@ -6,4 +6,4 @@
 if [ "${1:-}" = "--check" ]; then
   mode='--dry-run --Werror'
 fi
-find src include -name '*.[ch]pp' -print0 | xargs -0 clang-format $mode
+find src include platform -name '*.[ch]pp' -print0 | xargs -0 clang-format $mode
--- a/src/consensus/member_upkeep_test.cpp
+++ b/src/consensus/member_upkeep_test.cpp
@@ -62,7 +62,7 @@
     std::string expected;
 };
 
-replica_status silent_one(std::vector<std::string> others, const std::string& id)
+replica_status silent_one(const std::vector<std::string>& others, const std::string& id)
 {
     auto status = leader_of(others);
     silence(status, id);
--- a/src/daemon/node_settings.hpp
+++ b/src/daemon/node_settings.hpp
@@ -22,6 +22,8 @@
     /// Retries permitted at a service, on all levels of the call trees together, as a part of its
     /// requests; zero for the defaults of the decisions.
     double retry_budget = 0;
+    /// Turn keyed requests away while the processor is used up.
+    bool guard_processor = false;
     /// Credential of the backend server on this VM and the services that it may announce.
     std::string credential;
     std::vector<base::service_id> services;
--- a/src/daemon/process_settings.cpp
+++ b/src/daemon/process_settings.cpp
@@ -209,6 +209,12 @@
                   node.retry_budget = part ? part->value() : 0;
                   return part.has_value();
               }},
+             {"guard_processor", "yes or no", false,
+              [&node](const std::string& value) {
+                  const auto guard = settings::parse_yes_no(value);
+                  node.guard_processor = guard.value_or(false);
+                  return guard.has_value();
+              }},
              {"serve_while_stopping", "yes or no", false,
               [&node](const std::string& value) {
                   const auto serve = settings::parse_yes_no(value);
--- a/src/daemon/traffic_thread.cpp
+++ b/src/daemon/traffic_thread.cpp
@@ -20,6 +20,7 @@
         options.retry_part = settings.retry_budget / levels;
         options.retry_floor = floor;
     }
+    options.guard_processor = settings.guard_processor;
     if (settings.exact_slots) {
         auto& admission = options.admission;
         admission.limit.min_factor = 1;
@@ -75,6 +76,9 @@
       m_addresses(settings.listen)
 {
     m_loop.each_round([this](base::time_point now) { return m_quota.round(now); });
+    m_loop.observe_waits([this](base::duration busy, base::duration waited, base::time_point now) {
+        m_machine.observed_wait(busy, waited, now);
+    });
 }
 
 traffic_thread::~traffic_thread()
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -3,11 +3,15 @@
 #include <curl/curl.h>
 #include <sys/epoll.h>
 
+#include <utility>
+
 namespace damaskladder::http {
 
 namespace {
 
 constexpr long max_kept_connections = 512;
+// A handle has some kilobytes; making one and setting its options costs a tenth of a transfer.
+constexpr std::size_t max_free_handles = 64;
 
 std::uint32_t to_epoll(int what)
 {
@@ -90,9 +94,14 @@
         curl_multi_remove_handle(m_multi, easy);
         open->m_ended = true;
         open->m_hooks = {};
+        open->m_easy = nullptr;
+        curl_easy_cleanup(easy);
     }
     m_transfers.clear();
     curl_multi_cleanup(m_multi);
+    for (void* handle : m_free_handles) {
+        curl_easy_cleanup(handle);
+    }
 }
 
 std::shared_ptr<transfer> client::send(client_request request, transfer::hooks calls)
@@ -148,6 +157,26 @@
     }
 }
 
+void* client::take_handle()
+{
+    if (m_free_handles.empty()) {
+        return transfer::make_handle();
+    }
+    void* handle = m_free_handles.back();
+    m_free_handles.pop_back();
+    return handle;
+}
+
+void client::give_back_handle(void* handle)
+{
+    if (m_free_handles.size() < max_free_handles) {
+        m_free_handles.push_back(handle);
+    }
+    else {
+        curl_easy_cleanup(handle);
+    }
+}
+
 void client::defer(std::function<void()> call)
 {
     m_loop.post(std::move(call));
@@ -157,6 +186,7 @@
 {
     curl_multi_remove_handle(m_multi, ended.m_easy);
     m_transfers.erase(ended.m_easy);
+    give_back_handle(std::exchange(ended.m_easy, nullptr));
 }
 
 } // namespace damaskladder::http
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 namespace damaskladder::http {
 
@@ -28,6 +29,9 @@
     void socket_ready(int fd, int events);
     void collect();
     void remove(transfer& ended);
+    /// Handles of ended transfers are used again.
+    void* take_handle();
+    void give_back_handle(void* handle);
     void defer(std::function<void()> call);
 
     event_loop& m_loop;
@@ -36,6 +40,7 @@
     /// Whether libcurl is on the stack; it forbids removing a transfer from within its callbacks.
     int m_in_curl = 0;
     std::unordered_map<void*, std::shared_ptr<transfer>> m_transfers;
+    std::vector<void*> m_free_handles;
 };
 
 } // namespace damaskladder::http
--- a/src/http/event_loop.hpp
+++ b/src/http/event_loop.hpp
@@ -34,6 +34,11 @@
     /// Adds or changes the events watched on a descriptor.
     void watch(int fd, std::uint32_t events, fd_handler handler);
 
+    /// Called after each wait with the time worked before it, the time waited, and the present
+    /// time.
+    using wait_observer = std::function<void(base::duration, base::duration, base::time_point)>;
+    void observe_waits(wait_observer observer) { m_wait_observer = std::move(observer); }
+
     /// Stops watching a descriptor. Pending events of this round are dropped.
     void unwatch(int fd);
 
@@ -75,6 +80,8 @@
     int m_wake = -1;
     std::uint64_t m_generation = 0;
     bool m_round_requested = false;
+    wait_observer m_wait_observer;
+    base::time_point m_round_start = now();
     std::unordered_map<int, watched> m_watched;
     std::vector<round_handler> m_rounds;
     std::multimap<base::time_point, std::function<void()>> m_timers;
--- a/src/http/transfer.cpp
+++ b/src/http/transfer.cpp
@@ -58,6 +58,9 @@
     static int socket_made(void* cls, curl_socket_t fd, curlsocktype)
     {
         const auto* self = static_cast<transfer*>(cls);
+        if (self->m_request.unacknowledged_timeout <= base::duration::zero()) {
+            return CURL_SOCKOPT_OK;
+        }
         const auto limit = std::chrono::duration_cast<std::chrono::milliseconds>(
             self->m_request.unacknowledged_timeout);
         const auto ms = static_cast<unsigned>(limit.count());
@@ -132,46 +135,53 @@
     : m_client(owner),
       m_request(std::move(request)),
       m_hooks(std::move(calls)),
-      m_easy(curl_easy_init())
+      m_easy(owner.take_handle())
 {
 }
 
 transfer::~transfer()
 {
-    curl_easy_cleanup(m_easy);
+    if (m_easy != nullptr) {
+        curl_easy_cleanup(m_easy);
+    }
     curl_slist_free_all(static_cast<curl_slist*>(m_header_list));
 }
 
+void* transfer::make_handle()
+{
+    void* easy = curl_easy_init();
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_HTTP_CONTENT_DECODING, 0L);
+    curl_easy_setopt(easy, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, transfer_callbacks::before_request);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, transfer_callbacks::header_line);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, transfer_callbacks::body_bytes);
+    curl_easy_setopt(easy, CURLOPT_READFUNCTION, transfer_callbacks::read_body);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, transfer_callbacks::socket_made);
+    return easy;
+}
+
 void transfer::start()
 {
     const auto url = "http://" + to_string(m_request.to) + m_request.head.target;
     curl_easy_setopt(m_easy, CURLOPT_URL, url.c_str());
-    curl_easy_setopt(m_easy, CURLOPT_PATH_AS_IS, 1L);
-    curl_easy_setopt(m_easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(m_easy, CURLOPT_PROXY, "");
-    curl_easy_setopt(m_easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-    curl_easy_setopt(m_easy, CURLOPT_HTTP_CONTENT_DECODING, 0L);
-    curl_easy_setopt(m_easy, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
-    curl_easy_setopt(m_easy, CURLOPT_PREREQFUNCTION, transfer_callbacks::before_request);
     curl_easy_setopt(m_easy, CURLOPT_PREREQDATA, this);
-    curl_easy_setopt(m_easy, CURLOPT_HEADERFUNCTION, transfer_callbacks::header_line);
     curl_easy_setopt(m_easy, CURLOPT_HEADERDATA, this);
-    curl_easy_setopt(m_easy, CURLOPT_WRITEFUNCTION, transfer_callbacks::body_bytes);
     curl_easy_setopt(m_easy, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(m_easy, CURLOPT_READDATA, this);
+    curl_easy_setopt(m_easy, CURLOPT_SOCKOPTDATA, this);
     const auto to_ms = [](base::duration time) {
         return static_cast<long>(
             std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
     };
     curl_easy_setopt(m_easy, CURLOPT_CONNECTTIMEOUT_MS, to_ms(m_request.connect_timeout));
     curl_easy_setopt(m_easy, CURLOPT_TIMEOUT_MS, to_ms(m_request.timeout));
-    if (m_request.unacknowledged_timeout > base::duration::zero()) {
-        curl_easy_setopt(m_easy, CURLOPT_SOCKOPTFUNCTION, transfer_callbacks::socket_made);
-        curl_easy_setopt(m_easy, CURLOPT_SOCKOPTDATA, this);
-    }
-    if (m_request.fresh_connection) {
-        curl_easy_setopt(m_easy, CURLOPT_FRESH_CONNECT, 1L);
-        curl_easy_setopt(m_easy, CURLOPT_FORBID_REUSE, 1L);
-    }
+    const long fresh = m_request.fresh_connection ? 1 : 0;
+    curl_easy_setopt(m_easy, CURLOPT_FRESH_CONNECT, fresh);
+    curl_easy_setopt(m_easy, CURLOPT_FORBID_REUSE, fresh);
     set_request_body();
     set_headers();
 }
@@ -179,19 +189,20 @@
 void transfer::set_request_body()
 {
     const auto& head = m_request.head;
+    // Takes back what an earlier transfer of the handle set.
+    curl_easy_setopt(m_easy, CURLOPT_HTTPGET, 1L);
     if (head.method == "HEAD") {
+        curl_easy_setopt(m_easy, CURLOPT_CUSTOMREQUEST, nullptr);
         curl_easy_setopt(m_easy, CURLOPT_NOBODY, 1L);
         return;
     }
     const bool has_body = !head.body_size || head.body_size->value() > 0;
     if (has_body) {
+        constexpr curl_off_t unknown_size = -1;
         curl_easy_setopt(m_easy, CURLOPT_UPLOAD, 1L);
-        curl_easy_setopt(m_easy, CURLOPT_READFUNCTION, transfer_callbacks::read_body);
-        curl_easy_setopt(m_easy, CURLOPT_READDATA, this);
-        if (head.body_size) {
-            curl_easy_setopt(m_easy, CURLOPT_INFILESIZE_LARGE,
-                             static_cast<curl_off_t>(head.body_size->value()));
-        }
+        curl_easy_setopt(m_easy, CURLOPT_INFILESIZE_LARGE,
+                         head.body_size ? static_cast<curl_off_t>(head.body_size->value())
+                                        : unknown_size);
     }
     else if (head.method == "POST" || head.method == "PUT" || head.method == "PATCH") {
         curl_easy_setopt(m_easy, CURLOPT_POST, 1L);
--- a/src/http/transfer.hpp
+++ b/src/http/transfer.hpp
@@ -55,6 +55,8 @@
     friend class client;
     friend struct transfer_callbacks;
 
+    /// A handle with the options that all transfers share.
+    static void* make_handle();
     void start();
     void set_request_body();
     void set_headers();
--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -178,6 +178,13 @@
     }
     request.deadline = at.now + shorter_of(route->timeout, seen.wishes.timeout);
     request.context.importance = lower_of(importance_of(*route, key, at), seen.wishes.importance);
+    if (key != nullptr && sheds_at_entry(request.context.importance)) {
+        refuse refusal = refusal_of(seen.exchange, outcome::not_run, refusal_reason::shed);
+        refusal.retry_after = return_pause(refusal_reason::shed, std::nullopt);
+        refusal.service = request.service;
+        at.out.emplace_back(refusal);
+        return;
+    }
     request.context.origin = seen.origin;
     request.context.chain = base::chain_id(m_shared.options.random());
     request.context.call = draw_call();
@@ -745,6 +752,13 @@
     erase(request.exchange, at);
 }
 
+bool entry_machine::sheds_at_entry(base::importance level) const
+{
+    constexpr double range = 18446744073709551616.0;
+    return m_shared.options.guard_processor &&
+           m_shared.processor.sheds(level, static_cast<double>(m_shared.options.random()) / range);
+}
+
 base::duration entry_machine::return_pause(refusal_reason reason,
                                            std::optional<base::duration> hint)
 {
--- a/src/node/entry_machine.hpp
+++ b/src/node/entry_machine.hpp
@@ -92,6 +92,7 @@
     void time_is_up(entry_request& request, step& at);
     bool may_spend(const entry_request& request, retry::failure_class kind, step& at);
     retry::budget& budget_of(const entry_request& request);
+    bool sheds_at_entry(base::importance level) const;
     /// When a caller that was refused may return: not before the hint, and spread.
     base::duration return_pause(refusal_reason reason, std::optional<base::duration> hint);
     routing::router& router_of(const base::service_id& service);
--- a/src/node/traffic_machine.cpp
+++ b/src/node/traffic_machine.cpp
@@ -63,7 +63,7 @@
 } // namespace
 
 traffic_machine::traffic_machine(traffic_options options)
-    : m_shared{std::move(options), {}, {}, {}, false}, m_entry(m_shared), m_gatekeeper(m_shared)
+    : m_shared{std::move(options), {}, {}, {}}, m_entry(m_shared), m_gatekeeper(m_shared)
 {
 }
 
--- a/src/node/traffic_machine.hpp
+++ b/src/node/traffic_machine.hpp
@@ -31,6 +31,12 @@
     /// When the next tick is needed; nothing while no request is under way.
     std::optional<base::time_point> next_deadline() const;
 
+    /// The thread that serves the requests worked and then waited for so long.
+    void observed_wait(base::duration busy, base::duration waited, base::time_point now)
+    {
+        m_shared.processor.observed(busy, waited, now);
+    }
+
     /// Requests under way; a graceful stop is complete when there are none.
     std::size_t running() const { return m_entry.size() + m_gatekeeper.size(); }
 
--- a/src/node/traffic_options.hpp
+++ b/src/node/traffic_options.hpp
@@ -27,6 +27,9 @@
     double retry_part = 0.1;
     /// Retries of the node permitted besides, a second.
     double retry_floor = 5;
+    /// Shed keyed requests while the processor is used up. Calls of backend servers go on, because
+    /// the work above them is done already.
+    bool guard_processor = false;
     /// Baseline for comparison: random choice among the announced backend servers, no admission
     /// and no early shedding, and three attempts at every level without allowance or budget.
     bool pass_through = false;
--- a/src/node/traffic_state.hpp
+++ b/src/node/traffic_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/processor_guard.hpp"
 #include "node/running_calls.hpp"
 #include "node/traffic_options.hpp"
 #include "node/transfer_id.hpp"
@@ -15,6 +16,8 @@
     running_calls calls;
     transfer_id last_transfer;
     bool stopping = false;
+    /// Of the thread that serves the requests; sheds only with traffic_options::guard_processor.
+    admission::processor_guard processor{admission::processor_guard_options()};
 
     transfer_id next_transfer()
     {
