--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -14,6 +14,9 @@
 /// Choices of another server after one that sheds the request's importance.
 constexpr int choices_past_shedding = 3;
 constexpr std::size_t longest_request_id = 256;
+/// A caller that is sent away in a surge returns after it, and within the third of its time that
+/// most callers wait at most.
+constexpr base::duration surge_time = std::chrono::milliseconds(800);
 /// With settings older than this, an unknown key or path may be one that was just added. Longer
 /// than two polls for newer settings.
 constexpr base::duration longest_doubt = std::chrono::milliseconds(1500);
@@ -180,7 +183,7 @@
     request.context.importance = lower_of(importance_of(*route, key, at), seen.wishes.importance);
     if (key != nullptr && sheds_at_entry(request.context.importance)) {
         refuse refusal = refusal_of(seen.exchange, outcome::not_run, refusal_reason::shed);
-        refusal.retry_after = return_pause(refusal_reason::shed, std::nullopt);
+        refusal.retry_after = return_pause(refusal_reason::shed, surge_time);
         refusal.service = request.service;
         at.out.emplace_back(refusal);
         return;
