--- a/src/admission/processor_guard_test.cpp
+++ b/src/admission/processor_guard_test.cpp
@@ -56,7 +56,7 @@
                                          load_case{"nearly_full", 0.6, 0.3, 0, 0.05, 0},
                                          load_case{"surge_of_low", 1.2, 0.3, 0.3, 0.6, 0.05},
                                          load_case{"three_times", 2, 1, 0.7, 0.9, 0.8}),
-                         [](const auto& info) { return info.param.name; });
+                         [](const auto& test) { return test.param.name; });
 
 // Guards against a guard that goes on shedding after the surge.
 TEST(processor_guard, ends_with_the_surge)
--- a/src/consensus/member_upkeep_test.cpp
+++ b/src/consensus/member_upkeep_test.cpp
@@ -117,7 +117,7 @@
                         u.leave_requested(identity("d"), at(100));
                     },
                     "none"}),
-    [](const auto& info) { return info.param.name; });
+    [](const auto& test) { return test.param.name; });
 
 } // namespace
 } // namespace damaskladder::consensus
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -200,7 +200,7 @@
 {
     const auto now = http::event_loop::now();
     m_stopping = true;
-    const auto limit = m_settings.node ? m_settings.node->stop_limit : base::duration(0);
+    const auto limit = m_settings.node ? m_settings.node->stop_limit : linger_time;
     const bool serves_on = m_settings.node && m_settings.node->serve_while_stopping;
     m_stop_by = now + limit - (serves_on ? std::min(limit / 2, exit_margin) : base::duration(0));
     m_leave_at = now + std::min(unready_time, limit / 2);
--- a/src/daemon/log_budget_test.cpp
+++ b/src/daemon/log_budget_test.cpp
@@ -36,7 +36,7 @@
     testing::Values(budget_case{"few", {5000, 5010}, 2, 0},
                     budget_case{"many_in_a_second", {5000, 5010, 5020, 5030}, 2, 2},
                     budget_case{"next_second", {5000, 5010, 5020, 6001, 6002}, 4, 1}),
-    [](const auto& info) { return info.param.name; });
+    [](const auto& test) { return test.param.name; });
 
 } // namespace
 } // namespace damaskladder::daemon
--- a/src/daemon/process_settings.cpp
+++ b/src/daemon/process_settings.cpp
@@ -89,6 +89,15 @@
     };
 }
 
+value_reader flag_into(bool& into)
+{
+    return [&into](const std::string& value) {
+        const auto flag = settings::parse_yes_no(value);
+        into = flag.value_or(false);
+        return flag.has_value();
+    };
+}
+
 value_reader duration_into(base::duration& into)
 {
     return [&into](const std::string& value) {
@@ -169,12 +178,7 @@
         m_reader.read("discovery",
                       {{"control_vms", "a list of IP:PORT", false, addresses_into(control_vms)},
                        {"messages_port", "a port number", true, count_into(port, highest_port)},
-                       {"forms_cluster", "yes or no", false,
-                        [&s](const std::string& value) {
-                            const auto forms = settings::parse_yes_no(value);
-                            s.forms_cluster = forms.value_or(false);
-                            return forms.has_value();
-                        }},
+                       {"forms_cluster", "yes or no", false, flag_into(s.forms_cluster)},
                        {"membership", "failure_domains or fleet", false,
                         one_of({"failure_domains", "fleet"}, [&s](const std::string& word) {
                             s.whole_fleet_membership = word == "fleet";
@@ -209,18 +213,8 @@
                   node.retry_budget = part ? part->value() : 0;
                   return part.has_value();
               }},
-             {"guard_processor", "yes or no", false,
-              [&node](const std::string& value) {
-                  const auto guard = settings::parse_yes_no(value);
-                  node.guard_processor = guard.value_or(false);
-                  return guard.has_value();
-              }},
-             {"serve_while_stopping", "yes or no", false,
-              [&node](const std::string& value) {
-                  const auto serve = settings::parse_yes_no(value);
-                  node.serve_while_stopping = serve.value_or(false);
-                  return serve.has_value();
-              }},
+             {"guard_processor", "yes or no", false, flag_into(node.guard_processor)},
+             {"serve_while_stopping", "yes or no", false, flag_into(node.serve_while_stopping)},
              {"ready", "IP:PORT", false, [&node](const std::string& value) {
                   node.listen.ready = read_address(value);
                   return node.listen.ready.has_value();
@@ -230,12 +224,7 @@
             {{"credential", "a text", false, text_into(node.credential)},
              {"services", "a list of service names", false, services_into(node.services)},
              {"host", "an IP address", false, text_into(node.backend_server_host)},
-             {"exact_slots", "yes or no", false,
-              [&node](const std::string& value) {
-                  const auto exact = settings::parse_yes_no(value);
-                  node.exact_slots = exact.value_or(false);
-                  return exact.has_value();
-              }},
+             {"exact_slots", "yes or no", false, flag_into(node.exact_slots)},
              {"interval", "a duration such as 1s", false, duration_into(node.announce_interval)}});
     }
 
--- /dev/null
+++ b/src/membership/announced_run_test.cpp
@@ -0,0 +1,121 @@
+#include "membership/announcement_lease.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace damaskladder::membership {
+namespace {
+
+enum class step_kind { announce, withdraw };
+
+/// One message of a run at the port of the test, and the verdict on it.
+struct run_step {
+    step_kind kind = step_kind::announce;
+    std::string instance;
+    run_position position;
+    bool draining = false;
+    announce_verdict verdict = announce_verdict::accepted;
+};
+
+struct run_case {
+    std::string name;
+    std::vector<run_step> steps;
+    /// Instance announced in the end, with a mark if it drains; empty if none is.
+    std::string announced;
+};
+
+announcement offer_of(const run_step& step)
+{
+    announcement offer;
+    offer.service = base::service_id("orders");
+    offer.port = base::port_number(9000);
+    offer.slots = base::slot_count(40);
+    offer.connections = connection_count(40);
+    offer.draining = step.draining;
+    offer.instance = base::instance_id(step.instance);
+    offer.position = step.position;
+    return offer;
+}
+
+std::string announced(const announcement_lease& leases)
+{
+    std::string text;
+    for (const auto& backend : leases.backends()) {
+        text += backend.instance.value() + (backend.draining ? " draining" : "");
+    }
+    return text;
+}
+
+class announced_runs : public testing::TestWithParam<run_case> {};
+
+// Guards against late messages that revive a server that has gone, or that undo its drain.
+TEST_P(announced_runs, are_held_to_the_order_of_their_messages)
+{
+    announcement_options options;
+    options.may_announce = [](const auto&, const auto&) { return true; };
+    announcement_lease leases(options);
+    base::time_point now;
+    for (const auto& step : GetParam().steps) {
+        now += std::chrono::milliseconds(100);
+        const auto offer = offer_of(step);
+        const auto verdict = step.kind == step_kind::announce ? leases.announce(offer, now)
+                                                              : leases.withdraw(offer, now);
+        EXPECT_EQ(verdict, step.verdict) << step.instance << ' ' << step.position.sequence;
+    }
+    EXPECT_EQ(announced(leases), GetParam().announced);
+}
+
+constexpr auto announce = step_kind::announce;
+constexpr auto withdraw = step_kind::withdraw;
+constexpr auto accepted = announce_verdict::accepted;
+constexpr auto outdated = announce_verdict::outdated;
+
+INSTANTIATE_TEST_SUITE_P(
+    table, announced_runs,
+    testing::Values(run_case{"in_order",
+                             {{announce, "i1", {10, 1}, false, accepted},
+                              {announce, "i1", {10, 2}, false, accepted}},
+                             "i1"},
+                    run_case{"sent_again",
+                             {{announce, "i1", {10, 2}, false, accepted},
+                              {announce, "i1", {10, 2}, false, accepted}},
+                             "i1"},
+                    run_case{"late_ready_after_draining",
+                             {{announce, "i1", {10, 3}, true, accepted},
+                              {announce, "i1", {10, 2}, false, outdated}},
+                             "i1 draining"},
+                    run_case{"late_after_withdrawal",
+                             {{announce, "i1", {10, 3}, false, accepted},
+                              {withdraw, "i1", {}, false, accepted},
+                              {announce, "i1", {10, 4}, false, outdated}},
+                             ""},
+                    run_case{"same_name_started_again",
+                             {{announce, "i1", {10, 3}, false, accepted},
+                              {withdraw, "i1", {}, false, accepted},
+                              {announce, "i1", {20, 1}, false, accepted}},
+                             "i1"},
+                    run_case{"restart_ends_the_drain",
+                             {{announce, "i1", {10, 3}, true, accepted},
+                              {announce, "i1", {20, 1}, false, accepted}},
+                             "i1"},
+                    run_case{"later_run_takes_the_port",
+                             {{announce, "i1", {10, 9}, false, accepted},
+                              {announce, "i2", {20, 1}, false, accepted}},
+                             "i2"},
+                    run_case{"earlier_run_comes_late",
+                             {{announce, "i2", {20, 1}, false, accepted},
+                              {announce, "i1", {10, 9}, false, outdated}},
+                             "i2"},
+                    run_case{"withdrawal_of_an_unknown_run",
+                             {{withdraw, "i1", {}, false, announce_verdict::unknown}},
+                             ""},
+                    run_case{"late_withdrawal",
+                             {{announce, "i1", {20, 5}, false, accepted},
+                              {withdraw, "i1", {10, 9}, false, outdated}},
+                             "i1"}),
+    [](const auto& test) { return test.param.name; });
+
+} // namespace
+} // namespace damaskladder::membership
--- a/src/routing/weighted_rotation_test.cpp
+++ b/src/routing/weighted_rotation_test.cpp
@@ -50,7 +50,7 @@
                                          rotation_case{"weight_zero", {1, 0}, 50, {50, 0}},
                                          rotation_case{"all_zero", {0, 0}, 5, {5, 0}},
                                          rotation_case{"one_part", {7}, 5, {5}}),
-                         [](const auto& info) { return info.param.name; });
+                         [](const auto& test) { return test.param.name; });
 
 // Guards against credit of an earlier split that would favour a part of the next one.
 TEST(weighted_rotation, starts_anew_when_the_weights_change)
