--- a/src/retry/decide_retry_test.cpp
+++ b/src/retry/decide_retry_test.cpp
@@ -108,8 +108,8 @@
     options.floor = 0.2;
     budget spent(options);
     int granted = 0;
-    for (int second = 1; second <= 50; ++second) {
-        granted += spent.try_spend(base::time_point(std::chrono::seconds(second))) ? 1 : 0;
+    for (int passed = 1; passed <= 50; ++passed) {
+        granted += spent.try_spend(base::time_point(std::chrono::seconds(passed))) ? 1 : 0;
     }
     EXPECT_EQ(granted, 10);
 }
