--- a/src/routing/weighted_rotation_test.cpp
+++ b/src/routing/weighted_rotation_test.cpp
@@ -20,6 +20,7 @@
 std::vector<settings::split_part> parts_of(const std::vector<std::int32_t>& weights)
 {
     std::vector<settings::split_part> parts;
+    parts.reserve(weights.size());
     for (const auto weight : weights) {
         parts.push_back(
             {base::service_id("s" + std::to_string(parts.size())), base::share_weight(weight)});
@@ -37,6 +38,7 @@
         ++counts[turns.next(parts)];
     }
     std::vector<int> got;
+    got.reserve(parts.size());
     for (const auto& part : parts) {
         got.push_back(counts[part.service]);
     }
