--- a/src/control/document_change_test.cpp
+++ b/src/control/document_change_test.cpp
@@ -40,7 +40,8 @@
     put.edit = entries;
     put.document = document_change{
         base::document_version(step.based_on),
-        {base::document_version(step.version), "text " + std::to_string(step.version)}};
+        {base::document_version(step.version),
+         "version " + std::to_string(step.version) + " revision " + std::to_string(step.revision)}};
     return put;
 }
 
