--- a/src/daemon/traffic_front.cpp
+++ b/src/daemon/traffic_front.cpp
@@ -344,6 +344,13 @@
         [&](const base::failure& error) { refuse_malformed(request, error); });
 }
 
+http::response_head traffic_front::refusal_head(const inbound& request,
+                                                const node::refuse& refusal) const
+{
+    return request.side == inbound_side::peer ? refusal_for_node(refusal)
+                                              : m_dialect.refusal(refusal);
+}
+
 void traffic_front::refuse_malformed(const inbound_ptr& request, const base::failure& error)
 {
     constexpr node::status_code forbidden(403);
@@ -354,8 +361,7 @@
     refusal.status = error.kind == base::failure_kind::permission_denied
                          ? forbidden
                          : node::status_of(refusal.reason);
-    auto head = request->side == inbound_side::peer ? refusal_for_node(refusal)
-                                                    : m_dialect.refusal(refusal);
+    auto head = refusal_head(*request, refusal);
     request->exchange->respond(std::move(head), error.text + "\n");
     m_metrics.refused(node::refusal_reason::bad_request, node::outcome::not_run);
     end(request->id);
@@ -535,7 +541,7 @@
         break;
     }
     log(log_level::warn, "answer_foreign",
-        {{"service", request->exchange->head().target},
+        {{"target", loggable(request->exchange->head().target)},
          {"status", std::to_string(out->head->status)}});
     out->settled = true;
     m_outbound.erase(out->id);
@@ -652,8 +658,7 @@
     if (!request) {
         return;
     }
-    auto head =
-        request->side == inbound_side::peer ? refusal_for_node(wanted) : m_dialect.refusal(wanted);
+    auto head = refusal_head(*request, wanted);
     if (request->side == inbound_side::peer) {
         add_node_fields(head.headers, wanted.allowance_left, wanted.shed);
     }
--- a/src/daemon/traffic_front.hpp
+++ b/src/daemon/traffic_front.hpp
@@ -99,6 +99,8 @@
     void gatekeeper_refused(const outbound_ptr& out);
     bool body_received(const outbound_ptr& out, std::string_view data);
     void transfer_ended(const outbound_ptr& out, const http::transfer_end& how);
+    /// In the dialect of the side that is refused.
+    http::response_head refusal_head(const inbound& request, const node::refuse& refusal) const;
     void log_refusal(const inbound& request, const node::refuse& refusal);
     void refuse_malformed(const inbound_ptr& request, const base::failure& error);
     std::optional<base::time_point> round(base::time_point now);
--- a/src/http/event_loop.cpp
+++ b/src/http/event_loop.cpp
@@ -183,13 +183,13 @@
         // Milliseconds, the unit of epoll_wait, would add up along a chain of calls.
         const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(wait);
         const timespec timeout{seconds.count(), std::chrono::nanoseconds(wait - seconds).count()};
-        const auto wait_start = now();
+        const auto wait_start = m_wait_observer ? now() : base::time_point();
         const int count = epoll_pwait2(m_epoll, events.data(), max_events, &timeout, nullptr);
-        const auto wait_end = now();
         if (m_wait_observer) {
+            const auto wait_end = now();
             m_wait_observer(wait_start - m_round_start, wait_end - wait_start, wait_end);
+            m_round_start = wait_end;
         }
-        m_round_start = wait_end;
         for (int i = 0; i < count; ++i) {
             const auto data = events.at(static_cast<std::size_t>(i)).data.u64;
             dispatch(static_cast<int>(data & 0xffffffffU), data >> 32U,
