Placement: by the load that gatekeepers report with each answer; refusals without an arrival go elsewhere at once

Cause: an entry node knew only its own calls at a backend server, a thirteenth of all, so the own failure domain always seemed to have room: the slow server of a domain shed while others of its service idled, and each refusal spent retry budget although nothing had arrived anywhere. And servers that failed because a service behind them failed were ejected, which left more work for the rest. Change: gatekeepers say how many calls run and wait and how many may run; for 500 ms the router counts from that. A refusal of a gatekeeper is followed by an attempt at an untried server at once and without budget; one of the backend server itself (backend_shed) still pauses and spends. Failing servers are ejected only if they fail twice as often as the others. Ticks of the decisions come every 50 ms and after each new view instead of every 10 ms. Tests: table of reports and placements (failed before: the own domain got all); 'all fail' now ejects none instead of all three, which routing treated alike; the paused sessions use backend_shed, with a new one for the gatekeeper's refusal.

--- a/src/daemon/traffic_front.cpp
+++ b/src/daemon/traffic_front.cpp
@@ -17,7 +17,7 @@
 
 constexpr std::size_t max_kept_answer = std::size_t{64} * 1024;
 // While the decisions wait for something, they are asked at least this often.
-constexpr base::duration tick_interval = std::chrono::milliseconds(10);
+constexpr base::duration tick_interval = std::chrono::milliseconds(50);
 constexpr base::duration connect_timeout = std::chrono::milliseconds(500);
 // Between nodes: fifty round trips within a region. A VM that is cut off answers nothing, and the
 // request has to find another one within its time.
@@ -51,6 +51,27 @@
     return value == nullptr ? std::nullopt : settings::parse_importance(*value);
 }
 
+/// "busy/limit" of the backend server behind a gatekeeper.
+std::optional<routing::load_report> read_load(const http::header_list& headers)
+{
+    const auto* value = headers.find(http::header_names::load);
+    if (value == nullptr) {
+        return std::nullopt;
+    }
+    std::int64_t busy = 0;
+    std::int64_t limit = 0;
+    const char* end = value->data() + value->size();
+    const auto first = std::from_chars(value->data(), end, busy);
+    if (first.ec != std::errc() || first.ptr == end || *first.ptr != '/') {
+        return std::nullopt;
+    }
+    const auto second = std::from_chars(first.ptr + 1, end, limit);
+    if (second.ec != std::errc() || second.ptr != end || busy < 0 || limit <= 0) {
+        return std::nullopt;
+    }
+    return routing::load_report{base::slot_count(busy), base::slot_count(limit)};
+}
+
 // Enough to find the cause of a surge of refusals, and a few kilobytes a second.
 constexpr std::int64_t refusal_lines_per_second = 10;
 
@@ -83,9 +104,17 @@
     return headers;
 }
 
-void add_node_fields(http::header_list& headers, const std::optional<base::retry_count>& allowance,
-                     const std::optional<base::importance>& shed)
+/// The fields that a gatekeeper adds to an answer for another node.
+template <class Answer>
+void add_node_fields(http::header_list& headers, const Answer& answer)
 {
+    const auto& allowance = answer.allowance_left;
+    const auto& shed = answer.shed;
+    if (answer.load) {
+        headers.add(name(http::header_names::load),
+                    std::to_string(answer.load->busy.value()) + "/" +
+                        std::to_string(answer.load->limit.value()));
+    }
     if (allowance) {
         headers.add(name(http::header_names::allowance_left), std::to_string(allowance->value()));
     }
@@ -156,16 +185,16 @@
     return next ? std::optional(std::min(*next, m_last_tick + tick_interval)) : std::nullopt;
 }
 
-void traffic_front::deliver(const node::event& happened)
+void traffic_front::deliver(node::event happened)
 {
-    m_pending.push_back(happened);
+    m_pending.push_back(std::move(happened));
     if (m_handling || !m_view) {
         return;
     }
     m_handling = true;
     std::vector<node::effect> effects;
     for (std::size_t next = 0; next < m_pending.size(); ++next) {
-        const auto event = m_pending[next];
+        const auto event = std::move(m_pending[next]);
         const auto view = m_view;
         effects.clear();
         m_logic.handle(event, *view->node, http::event_loop::now(), effects);
@@ -279,7 +308,7 @@
             event.body_size = head.body_size;
             event.content = request->content;
             event.body_can_be_resent = request->body_kept;
-            deliver(event);
+            deliver(std::move(event));
             return {};
         },
         [&](const base::failure& error) { refuse_malformed(request, error); });
@@ -306,7 +335,7 @@
             event.body_size = request->exchange->head().body_size;
             event.content = request->content;
             event.body_can_be_resent = request->body_kept;
-            deliver(event);
+            deliver(std::move(event));
             return {};
         },
         [&](const base::failure& error) { refuse_malformed(request, error); });
@@ -338,7 +367,7 @@
             if (!sealed.content.value().empty()) {
                 event.content = sealed.content;
             }
-            deliver(event);
+            deliver(std::move(event));
             return {};
         },
         [&](const base::failure& error) { refuse_malformed(request, error); });
@@ -520,6 +549,7 @@
     if (out->to_gatekeeper) {
         event.allowance_left = read_allowance(out->head->headers);
         event.shed = read_shed(out->head->headers);
+        event.load = read_load(out->head->headers);
     }
     deliver(event);
 }
@@ -565,6 +595,7 @@
     }
     event.allowance_left = read_allowance(headers);
     event.shed = read_shed(headers);
+    event.load = read_load(headers);
     out->settled = true;
     deliver(event);
 }
@@ -578,7 +609,7 @@
     }
     http::response_head answer;
     answer.status = out->head->status;
-    answer.headers = end_to_end(out->head->headers);
+    answer.headers = end_to_end(std::move(out->head->headers));
     answer.body_size = out->head->body_size;
     if (wanted.keep_copy) {
         out->copy = std::make_shared<node::kept_answer>();
@@ -587,7 +618,7 @@
             out->copy->headers += field.name + ": " + field.value + "\n";
         }
     }
-    add_node_fields(answer.headers, wanted.allowance_left, wanted.shed);
+    add_node_fields(answer.headers, wanted);
     request->exchange->on_writable([this, id = out->id] {
         if (const auto relayed = find(id)) {
             relayed->transfer->resume();
@@ -660,7 +691,7 @@
     }
     auto head = refusal_head(*request, wanted);
     if (request->side == inbound_side::peer) {
-        add_node_fields(head.headers, wanted.allowance_left, wanted.shed);
+        add_node_fields(head.headers, wanted);
     }
     m_metrics.refused(wanted.reason, wanted.said);
     log_refusal(*request, wanted);
--- a/src/daemon/traffic_front.hpp
+++ b/src/daemon/traffic_front.hpp
@@ -41,7 +41,7 @@
     void set_view(std::shared_ptr<const traffic_view> view) { m_view = std::move(view); }
 
     /// Gives an event to the decisions and carries out what follows. On the loop's thread.
-    void deliver(const node::event& happened);
+    void deliver(node::event happened);
 
     /// Goes on to serve callers, but asks their connections to close.
     void prepare_stop() { m_callers.close_kept_connections(); }
--- a/src/daemon/traffic_thread.cpp
+++ b/src/daemon/traffic_thread.cpp
@@ -105,7 +105,11 @@
 
 void traffic_thread::publish(std::shared_ptr<const traffic_view> view)
 {
-    m_loop.post([this, view = std::move(view)] { m_front.set_view(view); });
+    m_loop.post([this, view = std::move(view)] {
+        m_front.set_view(view);
+        // What waits for a backend server that is leaving now goes elsewhere at once.
+        m_front.deliver(node::tick{});
+    });
 }
 
 void traffic_thread::prepare_stop()
--- a/src/node/answer_started.hpp
+++ b/src/node/answer_started.hpp
@@ -4,6 +4,7 @@
 #include "base/retry_count.hpp"
 #include "node/answer_class.hpp"
 #include "node/transfer_id.hpp"
+#include "routing/load_report.hpp"
 
 #include <optional>
 
@@ -18,6 +19,8 @@
     std::optional<base::retry_count> allowance_left;
     /// Importance level that the gatekeeper sheds now; always nothing at the gatekeeper itself.
     std::optional<base::importance> shed;
+    /// How full the backend server is; always nothing at the gatekeeper itself.
+    std::optional<routing::load_report> load = std::nullopt;
 };
 
 } // namespace damaskladder::node
--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -26,6 +26,7 @@
     using retry::failure_class;
     switch (reason) {
     case refusal_reason::shed:
+    case refusal_reason::backend_shed:
         return said == outcome::not_run ? failure_class::not_run_shed : failure_class::permanent;
     case refusal_reason::draining:
     case refusal_reason::stopping:
@@ -47,6 +48,7 @@
     using routing::attempt_result;
     switch (reason) {
     case refusal_reason::shed:
+    case refusal_reason::backend_shed:
         return attempt_result::shed;
     case refusal_reason::draining:
     case refusal_reason::stopping:
@@ -118,6 +120,7 @@
     switch (reason) {
     case refusal_reason::rate:
     case refusal_reason::shed:
+    case refusal_reason::backend_shed:
     case refusal_reason::deadline:
         return std::chrono::milliseconds(300);
     default:
@@ -289,8 +292,18 @@
         m_shared.ledger.give_back(request->context.call, request->attempt, *seen.allowance_left);
     }
     request->may_have_run = request->may_have_run || seen.said != outcome::not_run;
-    attempt_failed(*request, class_of(seen.said, seen.reason), seen.reason, result_of(seen.reason),
-                   at);
+    const base::node_id gatekeeper = request->gatekeeper;
+    const base::service_id service = request->service;
+    auto kind = class_of(seen.said, seen.reason);
+    if (seen.reason == refusal_reason::shed && kind == retry::failure_class::not_run_shed &&
+        has_untried(*request, at)) {
+        // Its backend server saw nothing of the request, so another one may take it at once.
+        kind = retry::failure_class::not_run_elsewhere;
+    }
+    attempt_failed(*request, kind, seen.reason, result_of(seen.reason), at);
+    if (seen.load) {
+        router_of(service).heard(gatekeeper, *seen.load, at.now);
+    }
 }
 
 void entry_machine::on(const transfer_connected& seen, step& at)
@@ -341,6 +354,9 @@
         return;
     }
     m_shed.heard(request->gatekeeper, seen.shed, at.now);
+    if (seen.load) {
+        router_of(request->service).heard(request->gatekeeper, *seen.load, at.now);
+    }
     request->answer_result = result_of(seen.answer);
     if (m_shared.options.pass_through && seen.answer != answer_class::served &&
         request->context.idempotent && request->attempts < pass_through_attempts) {
@@ -641,6 +657,13 @@
     return std::nullopt;
 }
 
+bool entry_machine::has_untried(const entry_request& request, step& at)
+{
+    const service_entry* service = at.view.find_service(request.service);
+    // The gatekeeper that has just refused is not among the tried ones yet.
+    return service != nullptr && service->servers.size() > request.tried.size() + 1;
+}
+
 std::optional<base::node_id> entry_machine::choose_at_random(const service_entry& service)
 {
     if (service.servers.empty()) {
--- a/src/node/entry_machine.hpp
+++ b/src/node/entry_machine.hpp
@@ -76,6 +76,8 @@
     std::optional<refusal_reason> must_not_start(const entry_request& request, step& at) const;
     std::optional<base::node_id> choose(entry_request& request, const service_entry& service,
                                         bool& held_back, step& at);
+    /// Whether a server is left beside the one that has just refused and those tried before.
+    static bool has_untried(const entry_request& request, step& at);
     std::optional<base::node_id> choose_at_random(const service_entry& service);
     void forward(entry_request& request, const base::node_id& gatekeeper, step& at);
     void attempt_failed(entry_request& request, retry::failure_class kind, refusal_reason reason,
--- a/src/node/gatekeeper_machine.cpp
+++ b/src/node/gatekeeper_machine.cpp
@@ -171,7 +171,7 @@
 {
     gatekeeper_call* call = find(seen.transfer);
     if (call != nullptr && call->phase != gatekeeper_phase::answering) {
-        refuse_call(*call, outcome::not_run, refusal_reason::shed,
+        refuse_call(*call, outcome::not_run, refusal_reason::backend_shed,
                     admission::call_outcome::overloaded, at);
     }
 }
@@ -192,6 +192,7 @@
     relay.transfer = call->transfer;
     relay.allowance_left = m_shared.ledger.close(call->context.call);
     relay.shed = shed_level(call->service, at);
+    relay.load = load_of(call->service);
     at.out.emplace_back(relay);
 }
 
@@ -432,6 +433,7 @@
     refusal.allowance_left =
         handed_over ? m_shared.ledger.close(call.context.call) : call.context.allowance;
     refusal.shed = shed_level(call.service, at);
+    refusal.load = load_of(call.service);
     refusal.service = call.service;
     at.out.emplace_back(refusal);
     end(call, ended, at);
@@ -497,6 +499,17 @@
     }
 }
 
+std::optional<routing::load_report>
+gatekeeper_machine::load_of(const base::service_id& service) const
+{
+    const admission::controller* control = control_of(service);
+    if (control == nullptr || control->limit() <= base::slot_count(0)) {
+        return std::nullopt;
+    }
+    const base::slot_count waiting(control->queued());
+    return routing::load_report{control->running() + waiting, control->limit()};
+}
+
 std::optional<base::importance> gatekeeper_machine::shed_level(const base::service_id& service,
                                                                step& at) const
 {
--- a/src/node/gatekeeper_machine.hpp
+++ b/src/node/gatekeeper_machine.hpp
@@ -73,6 +73,7 @@
                      std::optional<admission::call_outcome> ended, step& at);
     void end(gatekeeper_call& call, std::optional<admission::call_outcome> ended, step& at);
     void time_is_up(gatekeeper_call& call, step& at);
+    std::optional<routing::load_report> load_of(const base::service_id& service) const;
     std::optional<base::importance> shed_level(const base::service_id& service, step& at) const;
 
     traffic_state& m_shared;
--- a/src/node/gatekeeper_refused.hpp
+++ b/src/node/gatekeeper_refused.hpp
@@ -5,6 +5,7 @@
 #include "node/outcome.hpp"
 #include "node/refusal_reason.hpp"
 #include "node/transfer_id.hpp"
+#include "routing/load_report.hpp"
 
 #include <optional>
 
@@ -19,6 +20,8 @@
     std::optional<base::retry_count> allowance_left;
     /// Importance level that the gatekeeper sheds now.
     std::optional<base::importance> shed;
+    /// How full the backend server is; nothing if the answer does not say.
+    std::optional<routing::load_report> load = std::nullopt;
 };
 
 } // namespace damaskladder::node
--- a/src/node/refusal_reason.hpp
+++ b/src/node/refusal_reason.hpp
@@ -42,8 +42,10 @@
     backend_failed,
     /// The connection to the gatekeeper broke before its verdict.
     answer_lost,
-    /// The backend server has no capacity for this importance or share.
+    /// The gatekeeper has no capacity for this importance or share.
     shed,
+    /// The backend server itself refused to run the request.
+    backend_shed,
     /// No backend server of the service is announced.
     no_backend_server,
     /// No connection could be made.
--- a/src/node/refuse.hpp
+++ b/src/node/refuse.hpp
@@ -9,6 +9,7 @@
 #include "node/outcome.hpp"
 #include "node/refusal_reason.hpp"
 #include "node/status_code.hpp"
+#include "routing/load_report.hpp"
 
 #include <optional>
 
@@ -30,6 +31,8 @@
     std::optional<base::retry_count> allowance_left;
     /// Importance level shed now, for answers between nodes.
     std::optional<base::importance> shed;
+    /// How full the backend server is, for answers between nodes.
+    std::optional<routing::load_report> load = std::nullopt;
 };
 
 } // namespace damaskladder::node
--- a/src/node/relay_answer.hpp
+++ b/src/node/relay_answer.hpp
@@ -4,6 +4,7 @@
 #include "base/retry_count.hpp"
 #include "node/exchange_id.hpp"
 #include "node/transfer_id.hpp"
+#include "routing/load_report.hpp"
 
 #include <optional>
 
@@ -20,6 +21,8 @@
     std::optional<base::retry_count> allowance_left;
     /// Importance level shed now, for answers between nodes.
     std::optional<base::importance> shed;
+    /// How full the backend server is, for answers between nodes.
+    std::optional<routing::load_report> load = std::nullopt;
 };
 
 } // namespace damaskladder::node
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -59,6 +59,16 @@
     return take(choose_among(near.empty() ? options : near, request, now), request, now);
 }
 
+void router::heard(const base::node_id& node, const load_report& report, base::time_point now)
+{
+    const auto found = m_states.find(node);
+    if (found != m_states.end()) {
+        found->second.report = report;
+        found->second.reported_at = now;
+        found->second.since_report = 0;
+    }
+}
+
 void router::ended(const base::node_id& node, base::importance importance, attempt_result result,
                    base::time_point now)
 {
@@ -69,6 +79,7 @@
     server_state& state = found->second;
     auto& outstanding = state.outstanding.at(index_of(importance));
     outstanding = std::max<std::int64_t>(0, outstanding - 1);
+    --state.since_report;
     switch (result) {
     case attempt_result::answered:
         state.attempts = state.attempts * fade + 1;
@@ -222,10 +233,11 @@
                      base::time_point now) const
 {
     const server_state& state = *option.state;
-    const auto slots = std::max<std::int64_t>(1, option.server->slots.value());
-    const auto reported = std::clamp<std::int64_t>(option.server->reported_load.value(), 0, slots);
-    double load = static_cast<double>(total(state, request.importance) + reported + 1) /
-                  static_cast<double>(slots);
+    const bool reported = state.report && now < state.reported_at + m_options.report_lifetime;
+    const auto slots = std::max<std::int64_t>(
+        1, reported ? state.report->limit.value() : option.server->slots.value());
+    double load =
+        static_cast<double>(estimated_load(option, request, now) + 1) / static_cast<double>(slots);
     if (state.ramp_from) {
         const double grown = static_cast<double>((now - *state.ramp_from).count()) /
                              static_cast<double>(m_options.ramp.count());
@@ -234,6 +246,31 @@
     return state.ejected ? load * failing_penalty : load;
 }
 
+std::int64_t router::estimated_load(const candidate& option, const choice_request& request,
+                                    base::time_point now) const
+{
+    const server_state& state = *option.state;
+    const auto own = total(state, request.importance);
+    if (state.report && now < state.reported_at + m_options.report_lifetime) {
+        return std::max(own, state.report->busy.value() + state.since_report);
+    }
+    const auto slots = std::max<std::int64_t>(1, option.server->slots.value());
+    return own + std::clamp<std::int64_t>(option.server->reported_load.value(), 0, slots);
+}
+
+bool router::fails_more_than_others(const server_state& state) const
+{
+    double attempts = 0;
+    double failed = 0;
+    for (const auto& item : m_states) {
+        if (&item.second != &state) {
+            attempts += item.second.attempts;
+            failed += item.second.failed;
+        }
+    }
+    return attempts == 0 || state.failed * attempts > m_options.outlier_factor * failed * state.attempts;
+}
+
 void router::count_failure(server_state& state, bool unreachable, base::time_point now) const
 {
     state.attempts = state.attempts * fade + 1;
@@ -241,11 +278,12 @@
     ++state.failures_in_row;
     state.unreachable_in_row = unreachable ? state.unreachable_in_row + 1 : 0;
     const bool failed_probe = state.ejected && state.probing;
-    const bool in_row = state.failures_in_row >= m_options.failures_to_eject ||
-                        state.unreachable_in_row >= m_options.unreachable_to_eject;
+    const bool cut_off = state.unreachable_in_row >= m_options.unreachable_to_eject;
+    const bool in_row = state.failures_in_row >= m_options.failures_to_eject;
     const bool by_part = state.attempts >= m_options.attempts_to_judge &&
                          state.failed >= m_options.failed_part * state.attempts;
-    if (failed_probe || (!state.ejected && (in_row || by_part))) {
+    const bool fails = (in_row || by_part) && fails_more_than_others(state);
+    if (failed_probe || (!state.ejected && (cut_off || fails))) {
         eject(state, now);
     }
 }
@@ -264,6 +302,7 @@
                            base::time_point now)
 {
     ++chosen.state->outstanding.at(index_of(request.importance));
+    ++chosen.state->since_report;
     chosen.state->last_used = now;
     return chosen.server->node;
 }
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -29,6 +29,10 @@
     void ended(const base::node_id& node, base::importance importance, attempt_result result,
                base::time_point now);
 
+    /// The gatekeeper of a server said how full it is. After ended(), if the call ended with the
+    /// answer that says it. Unknown servers are ignored.
+    void heard(const base::node_id& node, const load_report& report, base::time_point now);
+
     /// Attempts under way at a server.
     std::int64_t outstanding(const base::node_id& node) const;
 
@@ -59,7 +63,13 @@
                   base::time_point now) const;
     double score(const candidate& option, const choice_request& request,
                  base::time_point now) const;
+    /// Calls that are probably at a server now.
+    std::int64_t estimated_load(const candidate& option, const choice_request& request,
+                                base::time_point now) const;
     void count_failure(server_state& state, bool unreachable, base::time_point now) const;
+    /// Whether a server fails much more often than the others. If all fail alike, the cause lies
+    /// behind them, and work for the rest would only grow without it.
+    bool fails_more_than_others(const server_state& state) const;
     void eject(server_state& state, base::time_point now) const;
     static base::node_id take(const candidate& chosen, const choice_request& request,
                               base::time_point now);
--- a/src/routing/router_options.hpp
+++ b/src/routing/router_options.hpp
@@ -13,6 +13,8 @@
     base::random_source random;
     /// The own failure domain has room while a server there is below this part of its slots.
     double room = 0.8;
+    /// A report of a gatekeeper counts for this time; in use, several come in each.
+    base::duration report_lifetime{std::chrono::milliseconds(500)};
     /// A server that shed a request counts as full for this time.
     base::duration full_time{std::chrono::milliseconds(100)};
     /// Failures in a row that eject a server; failed connections need fewer, as they are certain.
@@ -22,6 +24,8 @@
     /// server_state; at most 10) needed to judge it.
     double failed_part = 0.5;
     double attempts_to_judge = 8;
+    /// A server is ejected only if it fails so many times as often as the others together.
+    double outlier_factor = 2;
     /// First ejection; each further one without an answer between is twice as long.
     base::duration shortest_ejection{std::chrono::milliseconds(500)};
     base::duration longest_ejection{std::chrono::seconds(10)};
--- a/src/routing/server_state.hpp
+++ b/src/routing/server_state.hpp
@@ -3,6 +3,7 @@
 #include "base/importance.hpp"
 #include "base/incarnation.hpp"
 #include "base/time.hpp"
+#include "routing/load_report.hpp"
 
 #include <array>
 #include <cstdint>
@@ -25,6 +26,10 @@
     base::duration last_ejection{};
     /// A test request is under way.
     bool probing = false;
+    /// What its gatekeeper said last, and the own calls begun less those ended since.
+    std::optional<load_report> report;
+    base::time_point reported_at;
+    std::int64_t since_report = 0;
     base::time_point full_until;
     base::time_point draining_until;
     /// Start of the ramp; nothing after it ended.
