Rates: the holder begins when its settings are known

The control VM that won the lease of the rates did so before its settings had come, began with an empty share of the rates, and took the whole share for an increase, which is used only after 10 s so that an earlier holder elsewhere cannot double it. Ruled out: membership and settings (logged in force at 47.3 s on all nodes, service came at 56 s), lost messages. Change: the holder is made when settings are known; the lease itself is still taken at once. A control thread that works for more than 200 ms in one round logs it. Test: quota_host_test, lease before settings: no token within 5 s before, 20 ms after.

--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -18,6 +18,9 @@
 // What is read has to end before the exit, so callers' connections close soon after those of nodes.
 constexpr base::duration accept_after_leaving = std::chrono::milliseconds(300);
 constexpr base::duration stop_check_interval = std::chrono::milliseconds(20);
+// A round of the control thread that takes longer is logged: half of the time after which a leader
+// that is not heard is replaced.
+constexpr base::duration longest_control_round = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -173,6 +176,12 @@
         finish_stop(now);
         return now + stop_check_interval;
     });
+    m_loop.observe_waits([](base::duration busy, base::duration, base::time_point) {
+        if (busy > longest_control_round) {
+            const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(busy).count();
+            log(log_level::warn, "control_thread_stalled", {{"ms", std::to_string(ms)}});
+        }
+    });
     log(log_level::info, "started", {{"messages", to_string(m_settings.messages)}});
     m_loop.run();
     if (m_traffic) {
--- a/src/daemon/quota_host.cpp
+++ b/src/daemon/quota_host.cpp
@@ -191,7 +191,9 @@
     }
     const quota::holder_id self{m_settings.name, m_incarnation, m_candidate->epoch()};
     if (!m_holder || !(m_holder->self() == self)) {
-        if (m_stopping) {
+        // Without settings the share is unknown, and one that becomes larger later is used late.
+        const bool settings_known = m_version != base::settings_version();
+        if (m_stopping || !settings_known) {
             return;
         }
         log(log_level::info, "quota_lease_acquired",
--- a/src/daemon/traffic_front.cpp
+++ b/src/daemon/traffic_front.cpp
@@ -111,9 +111,9 @@
     const auto& allowance = answer.allowance_left;
     const auto& shed = answer.shed;
     if (answer.load) {
-        headers.add(name(http::header_names::load),
-                    std::to_string(answer.load->busy.value()) + "/" +
-                        std::to_string(answer.load->limit.value()));
+        headers.add(name(http::header_names::load), std::to_string(answer.load->busy.value()) +
+                                                        "/" +
+                                                        std::to_string(answer.load->limit.value()));
     }
     if (allowance) {
         headers.add(name(http::header_names::allowance_left), std::to_string(allowance->value()));
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -234,8 +234,8 @@
 {
     const server_state& state = *option.state;
     const bool reported = state.report && now < state.reported_at + m_options.report_lifetime;
-    const auto slots = std::max<std::int64_t>(
-        1, reported ? state.report->limit.value() : option.server->slots.value());
+    const auto slots = std::max<std::int64_t>(1, reported ? state.report->limit.value()
+                                                          : option.server->slots.value());
     double load =
         static_cast<double>(estimated_load(option, request, now) + 1) / static_cast<double>(slots);
     if (state.ramp_from) {
@@ -268,7 +268,8 @@
             failed += item.second.failed;
         }
     }
-    return attempts == 0 || state.failed * attempts > m_options.outlier_factor * failed * state.attempts;
+    return attempts == 0 ||
+           state.failed * attempts > m_options.outlier_factor * failed * state.attempts;
 }
 
 void router::count_failure(server_state& state, bool unreachable, base::time_point now) const
