--- a/src/wire/message_codec_test.cpp
+++ b/src/wire/message_codec_test.cpp
@@ -8,7 +8,11 @@
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <mutex>
 #include <random>
+#include <set>
+#include <string>
+#include <thread>
 
 namespace damaskladder::wire {
 namespace {
@@ -116,6 +120,28 @@
     EXPECT_EQ(encode_context(opened), encode_context(sample_context()));
 }
 
+// Guards against a nonce that is used twice, with which two sealed texts give away each other.
+TEST(sealed_box, nonces_differ_between_messages_boxes_and_threads)
+{
+    constexpr std::size_t nonce_size = 24;
+    constexpr int messages = 1000;
+    std::set<std::string> nonces;
+    std::mutex guard;
+    const auto seal_many = [&] {
+        const sealed_box box{secret_key{}};
+        const sealed_box copy = box;
+        for (int i = 0; i < messages; ++i) {
+            const std::lock_guard lock(guard);
+            nonces.insert(box.seal("text").substr(0, nonce_size));
+            nonces.insert(copy.seal("text").substr(0, nonce_size));
+        }
+    };
+    std::thread other(seal_many);
+    seal_many();
+    other.join();
+    EXPECT_EQ(nonces.size(), std::size_t{4} * messages);
+}
+
 // Guards against a context that is misread because it was cut or changed, if its seal were passed.
 TEST(context_encoding, cut_bytes_are_refused)
 {
--- a/src/wire/sealed_box.cpp
+++ b/src/wire/sealed_box.cpp
@@ -2,6 +2,9 @@
 
 #include <sodium.h>
 
+#include <array>
+#include <cstdint>
+#include <cstring>
 #include <stdexcept>
 
 namespace damaskladder::wire {
@@ -11,6 +14,23 @@
 constexpr std::size_t nonce_size = crypto_aead_xchacha20poly1305_ietf_NPUBBYTES;
 constexpr std::size_t tag_size = crypto_aead_xchacha20poly1305_ietf_ABYTES;
 
+/// Writes nonces that no other process, thread or call of this process writes.
+class nonce_source {
+public:
+    nonce_source() { randombytes_buf(m_prefix.data(), m_prefix.size()); }
+
+    void write(char* out)
+    {
+        ++m_count;
+        std::memcpy(out, m_prefix.data(), m_prefix.size());
+        std::memcpy(out + m_prefix.size(), &m_count, sizeof m_count);
+    }
+
+private:
+    std::array<char, nonce_size - sizeof(std::uint64_t)> m_prefix{};
+    std::uint64_t m_count = 0;
+};
+
 unsigned char* bytes(std::string& text)
 {
     return reinterpret_cast<unsigned char*>(text.data());
@@ -34,7 +54,8 @@
 std::string sealed_box::seal(std::string_view plain) const
 {
     std::string sealed(nonce_size + plain.size() + tag_size, '\0');
-    randombytes_buf(sealed.data(), nonce_size);
+    thread_local nonce_source nonces;
+    nonces.write(sealed.data());
     crypto_aead_xchacha20poly1305_ietf_encrypt(bytes(sealed) + nonce_size, nullptr, bytes(plain),
                                                plain.size(), nullptr, 0, nullptr, bytes(sealed),
                                                m_key.data());
--- a/src/wire/sealed_box.hpp
+++ b/src/wire/sealed_box.hpp
@@ -8,7 +8,10 @@
 
 namespace damaskladder::wire {
 
-/// Encrypts and authenticates byte strings (XChaCha20-Poly1305 with a random nonce).
+/// Encrypts and authenticates byte strings (XChaCha20-Poly1305).
+///
+/// A nonce is 16 bytes drawn at random for each process and thread, and a count. A random one for
+/// each message would cost a system call for each request.
 class sealed_box {
 public:
     explicit sealed_box(const secret_key& key);
