--- a/src/consensus/cluster_test.cpp
+++ b/src/consensus/cluster_test.cpp
@@ -402,8 +402,8 @@
 class silences : public testing::TestWithParam<silence_case> {};
 
 // Guards against a leader that gives up because it was busy itself: after a restart with a long log
-// the replicas of fomexz trouble-2 took turns to lead for half a second each, because each stalled
-// for longer than the election timeout while it applied the log.
+// the replicas took turns to lead for half a second each, because each stalled for longer than the
+// election timeout while it applied the log.
 TEST_P(silences, end_leadership_only_if_others_are_silent)
 {
     test_cluster cluster(3, 4);
--- a/src/daemon/quota_host_test.cpp
+++ b/src/daemon/quota_host_test.cpp
@@ -42,13 +42,13 @@
                      .send = [this](const quota::quota_send& sent) { m_host.send(sent); }}),
           m_host(m_loop, m_messages, m_settings, base::incarnation(1), m_members, hooks())
     {
+        m_loop.each_round([this](base::time_point now) { return m_buckets.round(now); });
         m_host.start();
     }
 
     void run_for(milliseconds time)
     {
         m_loop.call_at(http::event_loop::now() + time, [this] { m_loop.stop(); });
-        m_loop.each_round([this](base::time_point now) { return m_buckets.round(now); });
         m_loop.run();
     }
 
@@ -111,7 +111,7 @@
 
 // Guards against rates that stay closed after all processes have restarted: a holder that got its
 // lease before its settings took their arrival for a larger share of the rates, which is used only
-// after 10 s (fomexz trouble-2 and scale-1 had no service for 11 to 14 s after their last fault).
+// after 10 s.
 TEST_P(starts, give_tokens_soon)
 {
     pooled_rates rates;
--- a/src/daemon/traffic_front.cpp
+++ b/src/daemon/traffic_front.cpp
@@ -624,7 +624,7 @@
             relayed->transfer->resume();
         }
     });
-    request->exchange->start(std::move(answer));
+    request->exchange->start(answer);
     out->relaying = true;
     // Bytes that came before this effect was carried out are held back.
     out->transfer->resume();
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -25,6 +25,7 @@
 class client_connection : public std::enable_shared_from_this<client_connection> {
 public:
     client_connection(client& owner, address to);
+    ~client_connection() = default;
     client_connection(const client_connection&) = delete;
     client_connection& operator=(const client_connection&) = delete;
 
--- a/src/http/exchange.hpp
+++ b/src/http/exchange.hpp
@@ -21,6 +21,7 @@
 class exchange : public std::enable_shared_from_this<exchange> {
 public:
     exchange(server_connection& connection, request_head head);
+    ~exchange() = default;
     exchange(const exchange&) = delete;
     exchange& operator=(const exchange&) = delete;
 
--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -47,6 +47,7 @@
 
     /// `max_head` bounds the target and, separately, the fields of one head, in bytes.
     message_parser(direction reads, std::size_t max_head);
+    ~message_parser() = default;
     message_parser(const message_parser&) = delete;
     message_parser& operator=(const message_parser&) = delete;
 
--- a/src/http/raw_socket_fake.hpp
+++ b/src/http/raw_socket_fake.hpp
@@ -44,6 +44,7 @@
 
     std::uint16_t port() const { return m_port; }
     std::size_t requests_seen() const { return m_requests_seen; }
+    std::size_t connections_seen() const { return m_connections_seen; }
 
 private:
     void serve()
@@ -54,6 +55,7 @@
             if (connection < 0) {
                 return;
             }
+            ++m_connections_seen;
             while (read_request(connection) && next < m_answers.size()) {
                 const auto& answer = m_answers[next++];
                 [[maybe_unused]] const auto sent =
@@ -85,6 +87,7 @@
     int m_listening;
     std::uint16_t m_port = 0;
     std::atomic<std::size_t> m_requests_seen = 0;
+    std::atomic<std::size_t> m_connections_seen = 0;
     std::thread m_thread;
 };
 
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -22,6 +22,7 @@
 class server_connection : public std::enable_shared_from_this<server_connection> {
 public:
     server_connection(server& owner, stream_socket socket, base::time_point now);
+    ~server_connection() = default;
     server_connection(const server_connection&) = delete;
     server_connection& operator=(const server_connection&) = delete;
 
--- a/src/http/transfer.hpp
+++ b/src/http/transfer.hpp
@@ -40,6 +40,7 @@
     };
 
     transfer(client& owner, client_request request, hooks calls);
+    ~transfer() = default;
     transfer(const transfer&) = delete;
     transfer& operator=(const transfer&) = delete;
 
--- a/src/http/transfer_test.cpp
+++ b/src/http/transfer_test.cpp
@@ -306,6 +306,120 @@
     EXPECT_EQ(got.end->how, transfer_end::kind::cancelled);
 }
 
+struct conversation_case {
+    std::string name;
+    std::string sent;
+    std::string answered;
+    bool closed;
+};
+
+class conversations : public testing::TestWithParam<conversation_case> {};
+
+// Guards against answers that reach the wrong request of a connection, an end that the caller
+// cannot see, and a connection that is kept although the caller or the framing rules that out.
+TEST_P(conversations, go_as_the_protocol_says)
+{
+    event_loop loop;
+    server in(loop, {}, [](const std::shared_ptr<exchange>& request) {
+        const auto answer = [raw = request.get()] {
+            if (!raw->started() && raw->body_complete()) {
+                raw->respond({200, {}, {}}, raw->head().target + std::string(raw->body()));
+            }
+        };
+        request->on_body(answer);
+    });
+    ASSERT_TRUE(in.listen({"127.0.0.1", 0}));
+    raw_socket_caller caller(in.port(), GetParam().sent);
+    bool closed = false;
+    const auto quiet = event_loop::now() + std::chrono::milliseconds(200);
+    run_until(loop, [&] {
+        closed = caller.try_read_all();
+        return event_loop::now() > quiet;
+    });
+    EXPECT_EQ(caller.received(), GetParam().answered);
+    EXPECT_EQ(closed, GetParam().closed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, conversations,
+    testing::Values(
+        conversation_case{"two_at_once",
+                          "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+                          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n/a"
+                          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n/b",
+                          false},
+        conversation_case{"body_and_next",
+                          "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nxy"
+                          "GET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+                          "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n/axy"
+                          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n/b",
+                          false},
+        conversation_case{
+            "asked_to_close", "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n/a", true},
+        conversation_case{"old_version", "GET /a HTTP/1.0\r\n\r\n",
+                          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n/a",
+                          true},
+        conversation_case{"head_only", "HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n",
+                          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", false},
+        conversation_case{"interim_answer_wanted",
+                          "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+                          "Expect: 100-continue\r\n\r\n",
+                          "HTTP/1.1 100 Continue\r\n\r\n", false},
+        conversation_case{"smuggled_request",
+                          "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+                          "GET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+                          "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n"
+                          "Connection: close\r\n\r\n",
+                          true}),
+    [](const auto& tested) { return tested.param.name; });
+
+struct reuse_case {
+    std::string name;
+    std::string first_answer;
+    std::chrono::milliseconds pause;
+    std::size_t connections;
+};
+
+class kept_connections : public testing::TestWithParam<reuse_case> {};
+
+// Guards against a request on a connection that its server may be closing, which leaves unknown
+// whether it ran, and against a new connection for each request.
+TEST_P(kept_connections, are_used_while_the_server_keeps_them)
+{
+    raw_socket_fake fake({GetParam().first_answer, whole_answer});
+    event_loop loop;
+    client out(loop);
+    for (int i = 0; i < 2; ++i) {
+        received answer;
+        client_request request;
+        request.to = {"127.0.0.1", fake.port()};
+        out.send(request, collect(answer));
+        run_until(loop, [&] { return answer.end.has_value(); });
+        ASSERT_TRUE(answer.end);
+        EXPECT_EQ(answer.end->how, transfer_end::kind::complete) << answer.end->text;
+        const auto next = event_loop::now() + GetParam().pause;
+        run_until(loop, [&] { return event_loop::now() >= next; });
+    }
+    EXPECT_EQ(fake.connections_seen(), GetParam().connections);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, kept_connections,
+    testing::Values(
+        reuse_case{"at_once", whole_answer, std::chrono::milliseconds(1), 1},
+        reuse_case{"within_the_limit",
+                   "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok",
+                   std::chrono::milliseconds(100), 1},
+        reuse_case{"near_the_limit",
+                   "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok",
+                   std::chrono::milliseconds(800), 2},
+        reuse_case{"asked_to_close",
+                   "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+                   std::chrono::milliseconds(1), 2}),
+    [](const auto& tested) { return tested.param.name; });
+
 class malformed_requests : public testing::TestWithParam<malformed_case> {};
 
 // Guards against a crash or a leaked exchange on input that is not a request.
