Listeners pause when no descriptor is left

A listener that cannot accept for want of descriptors stays readable, and the loop ran without waiting. It is left alone for 200 ms and then tried again. Test: a process at its limit runs under 20 rounds in half a second and answers afterwards (it ran until the limit was raised, without pause, before).

--- a/src/bus/message_bus.cpp
+++ b/src/bus/message_bus.cpp
@@ -36,15 +36,34 @@
     BOOST_LEAF_AUTO(address, http::parse_address(endpoint));
     BOOST_LEAF_AUTO(opened, http::listener::open(address));
     m_listener.emplace(std::move(opened));
-    m_loop.watch(m_listener->descriptor(), EPOLLIN, [this](std::uint32_t) { accept_waiting(); });
+    watch_listener();
     return {};
 }
 
+void message_bus::watch_listener()
+{
+    m_loop.watch(m_listener->descriptor(), EPOLLIN, [this](std::uint32_t) { accept_waiting(); });
+}
+
+void message_bus::pause_accepting()
+{
+    m_loop.unwatch(m_listener->descriptor());
+    m_loop.call_at(http::event_loop::now() + http::listener::pause_when_exhausted,
+                   [this, alive = std::weak_ptr<bool>(m_alive)] {
+                       if (!alive.expired()) {
+                           watch_listener();
+                       }
+                   });
+}
+
 void message_bus::accept_waiting()
 {
     for (int accepted = 0; accepted < max_accepted; ++accepted) {
         auto made = m_listener->accept();
         if (!made) {
+            if (m_listener->exhausted()) {
+                pause_accepting();
+            }
             return;
         }
         const int fd = made->descriptor();
--- a/src/bus/message_bus.hpp
+++ b/src/bus/message_bus.hpp
@@ -39,7 +39,10 @@
 
 private:
     std::optional<base::time_point> check(base::time_point now);
+    void watch_listener();
     void accept_waiting();
+    /// Stops to accept for a while, because no descriptor is left.
+    void pause_accepting();
     void read(int fd, std::uint32_t events);
     message_sender* sender_to(const std::string& endpoint);
     void close_oldest();
@@ -49,6 +52,8 @@
     receive_handler m_handler;
     std::optional<http::listener> m_listener;
     std::vector<char> m_buffer;
+    /// Expires with the bus, for calls that may outlive it.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     /// When a connection that is being made may have to be given up.
     std::optional<base::time_point> m_check_at;
     /// By descriptor.
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <utility>
 
 namespace damaskladder::http {
@@ -38,10 +39,12 @@
     return listener(std::move(made));
 }
 
-std::optional<stream_socket> listener::accept() const
+std::optional<stream_socket> listener::accept()
 {
     base::file_descriptor made(
         accept4(descriptor(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    m_exhausted = !made.is_open() &&
+                  (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM);
     if (!made.is_open()) {
         return std::nullopt;
     }
--- a/src/http/listener.hpp
+++ b/src/http/listener.hpp
@@ -17,7 +17,14 @@
     static base::result<listener> open(const address& endpoint);
 
     /// A connection that waits to be accepted, if there is one.
-    std::optional<stream_socket> accept() const;
+    std::optional<stream_socket> accept();
+
+    /// The last accept() failed because the process or the system is out of descriptors or memory.
+    /// The connection goes on waiting, so the listener stays readable.
+    bool exhausted() const { return m_exhausted; }
+
+    /// Time after which a listener that was exhausted should be tried again.
+    static constexpr base::duration pause_when_exhausted = std::chrono::milliseconds(200);
 
     /// The port that was bound.
     std::uint16_t port() const;
@@ -28,6 +35,7 @@
     explicit listener(base::file_descriptor listening);
 
     base::file_descriptor m_descriptor;
+    bool m_exhausted = false;
 };
 
 } // namespace damaskladder::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -65,6 +65,9 @@
         }
         auto made = m_listener->accept();
         if (!made) {
+            if (m_listener->exhausted()) {
+                pause_accepting();
+            }
             return;
         }
         const int fd = made->descriptor();
@@ -79,6 +82,18 @@
     }
 }
 
+void server::pause_accepting()
+{
+    m_full = true;
+    m_loop.unwatch(m_listener->descriptor());
+    m_loop.call_at(event_loop::now() + listener::pause_when_exhausted,
+                   [this, alive = std::weak_ptr<bool>(m_alive)] {
+                       if (!alive.expired() && m_full && m_listener) {
+                           watch_listener();
+                       }
+                   });
+}
+
 void server::remove(int fd)
 {
     m_loop.unwatch(fd);
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -53,6 +53,8 @@
     void remove(int fd);
     void accept_waiting();
     void watch_listener();
+    /// Stops to accept for a while, because no descriptor is left.
+    void pause_accepting();
     void check_idle(base::time_point now);
 
     event_loop& m_loop;
@@ -62,8 +64,10 @@
     std::uint16_t m_port = 0;
     std::size_t m_open = 0;
     bool m_draining = false;
-    /// The listener is not watched because there are too many connections.
+    /// The listener is not watched because there are too many connections, or no descriptors.
     bool m_full = false;
+    /// Expires with the server, for calls that may outlive it.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     base::time_point m_next_idle_check;
     std::vector<char> m_read_buffer;
     /// By descriptor.
--- a/src/http/transfer_test.cpp
+++ b/src/http/transfer_test.cpp
@@ -2,6 +2,7 @@
 #include "http/raw_socket_fake.hpp"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
 #include <string>
 
@@ -375,6 +376,37 @@
                           true}),
     [](const auto& tested) { return tested.param.name; });
 
+// Guards against a loop that spins while a connection waits and no descriptor is left for it.
+TEST(server, waits_while_no_descriptor_is_left)
+{
+    event_loop loop;
+    int rounds = 0;
+    loop.each_round([&](base::time_point) -> std::optional<base::time_point> {
+        ++rounds;
+        return std::nullopt;
+    });
+    server in(loop, {}, [](const std::shared_ptr<exchange>& request) {
+        request->respond({200, {}, {}}, "ok");
+    });
+    ASSERT_TRUE(in.listen({"127.0.0.1", 0}));
+    rlimit before{};
+    getrlimit(RLIMIT_NOFILE, &before);
+    raw_socket_caller caller(in.port(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    // Descriptors below the limit are taken, so that none can be opened.
+    rlimit none = before;
+    none.rlim_cur = 3;
+    setrlimit(RLIMIT_NOFILE, &none);
+    loop.call_at(event_loop::now() + std::chrono::milliseconds(500), [&] { loop.stop(); });
+    loop.run();
+    setrlimit(RLIMIT_NOFILE, &before);
+    EXPECT_LT(rounds, 20);
+    run_until(loop, [&] {
+        caller.try_read_all();
+        return !caller.received().empty();
+    });
+    EXPECT_EQ(caller.received().substr(0, 12), "HTTP/1.1 200");
+}
+
 struct reuse_case {
     std::string name;
     std::string first_answer;
