Read-through: one place each for a fresh report and for the class of a refusal

The router asked twice, in the same words, whether a gatekeeper's report still counts; fresh_report() says it. That a gatekeeper's own refusal goes elsewhere at once was a special case behind class_of(); it now stands in class_of(), which is told whether an untried server is left. No change in behaviour; no test changed.

--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -21,13 +21,20 @@
 /// than two polls for newer settings.
 constexpr base::duration longest_doubt = std::chrono::milliseconds(1500);
 
-retry::failure_class class_of(outcome said, refusal_reason reason)
+/// `has_untried`: a server is left to which the request was not sent yet.
+retry::failure_class class_of(outcome said, refusal_reason reason, bool has_untried)
 {
     using retry::failure_class;
     switch (reason) {
     case refusal_reason::shed:
     case refusal_reason::backend_shed:
-        return said == outcome::not_run ? failure_class::not_run_shed : failure_class::permanent;
+        if (said != outcome::not_run) {
+            return failure_class::permanent;
+        }
+        // When a gatekeeper sheds, its backend server has seen nothing of the request, so another
+        // one may take it at once.
+        return reason == refusal_reason::shed && has_untried ? failure_class::not_run_elsewhere
+                                                             : failure_class::not_run_shed;
     case refusal_reason::draining:
     case refusal_reason::stopping:
     case refusal_reason::unreachable:
@@ -294,12 +301,7 @@
     request->may_have_run = request->may_have_run || seen.said != outcome::not_run;
     const base::node_id gatekeeper = request->gatekeeper;
     const base::service_id service = request->service;
-    auto kind = class_of(seen.said, seen.reason);
-    if (seen.reason == refusal_reason::shed && kind == retry::failure_class::not_run_shed &&
-        has_untried(*request, at)) {
-        // Its backend server saw nothing of the request, so another one may take it at once.
-        kind = retry::failure_class::not_run_elsewhere;
-    }
+    const auto kind = class_of(seen.said, seen.reason, has_untried(*request, at));
     attempt_failed(*request, kind, seen.reason, result_of(seen.reason), at);
     if (seen.load) {
         router_of(service).heard(gatekeeper, *seen.load, at.now);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -233,9 +233,9 @@
                      base::time_point now) const
 {
     const server_state& state = *option.state;
-    const bool reported = state.report && now < state.reported_at + m_options.report_lifetime;
-    const auto slots = std::max<std::int64_t>(1, reported ? state.report->limit.value()
-                                                          : option.server->slots.value());
+    const load_report* report = fresh_report(state, now);
+    const auto slots = std::max<std::int64_t>(1, report != nullptr ? report->limit.value()
+                                                                   : option.server->slots.value());
     double load =
         static_cast<double>(estimated_load(option, request, now) + 1) / static_cast<double>(slots);
     if (state.ramp_from) {
@@ -246,13 +246,19 @@
     return state.ejected ? load * failing_penalty : load;
 }
 
+const load_report* router::fresh_report(const server_state& state, base::time_point now) const
+{
+    const bool fresh = state.report && now < state.reported_at + m_options.report_lifetime;
+    return fresh ? &*state.report : nullptr;
+}
+
 std::int64_t router::estimated_load(const candidate& option, const choice_request& request,
                                     base::time_point now) const
 {
     const server_state& state = *option.state;
     const auto own = total(state, request.importance);
-    if (state.report && now < state.reported_at + m_options.report_lifetime) {
-        return std::max(own, state.report->busy.value() + state.since_report);
+    if (const load_report* report = fresh_report(state, now)) {
+        return std::max(own, report->busy.value() + state.since_report);
     }
     const auto slots = std::max<std::int64_t>(1, option.server->slots.value());
     return own + std::clamp<std::int64_t>(option.server->reported_load.value(), 0, slots);
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -63,6 +63,8 @@
                   base::time_point now) const;
     double score(const candidate& option, const choice_request& request,
                  base::time_point now) const;
+    /// What the gatekeeper said, if it is recent enough to count; else null.
+    const load_report* fresh_report(const server_state& state, base::time_point now) const;
     /// Calls that are probably at a server now.
     std::int64_t estimated_load(const candidate& option, const choice_request& request,
                                 base::time_point now) const;
