--- a/src/daemon/backend_call.hpp
+++ b/src/daemon/backend_call.hpp
@@ -4,6 +4,9 @@
 #include "base/time.hpp"
 #include "node/call_context.hpp"
 
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -18,6 +21,13 @@
     base::duration left{};
     /// Sealed form of the context, made when asked for, for servers that pass it back.
     std::function<std::string()> seal_context;
+
+    /// The time left in whole milliseconds, at least one, as front ends send it.
+    std::int64_t milliseconds_left() const
+    {
+        const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
+        return std::max<std::int64_t>(whole, 1);
+    }
 };
 
 } // namespace damaskladder::daemon
--- a/src/daemon/own_dialect.cpp
+++ b/src/daemon/own_dialect.cpp
@@ -6,8 +6,6 @@
 #include "daemon/request_parser.hpp"
 #include "http/header_names.hpp"
 
-#include <algorithm>
-
 namespace damaskladder::daemon {
 
 namespace {
@@ -19,12 +17,10 @@
 
 void address_backend_server(http::header_list& headers, const backend_call& call)
 {
-    constexpr std::int64_t shortest_ms = 1;
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(call.left).count();
     headers.add(name(http::header_names::context), call.seal_context());
     headers.add(name(http::header_names::importance),
                 std::string(to_string(call.context.importance)));
-    headers.add(name(http::header_names::timeout), std::to_string(std::max(left, shortest_ms)));
+    headers.add(name(http::header_names::timeout), std::to_string(call.milliseconds_left()));
 }
 
 http::response_head refusal(const node::refuse& wanted)
