Read-through: sockets remember what they were told; one output buffer, one acceptor

Three connections (of the HTTP server, of the client, of the bus) each kept whether their edge-triggered socket is readable and its peer leaving, each with the same lambda and event mask and the rule of the short read; stream_socket does. Each had a buffer, a position and a write loop; output_buffer does. The server and the bus each accepted connections, bounded, with a pause when no descriptor is left; acceptor does. Which statuses have no body was written three times; body_rules.hpp. Dead or derivable: message_parser::between_messages, client_connection::is_connected and m_send_failed, a test of m_request_received that could not fail, two branches of server_connection::close. A request's body is read into a piece of its size; before, 16 KiB were cleared for each body that was sent. Assertions are unchanged.

--- a/src/bus/message_bus.cpp
+++ b/src/bus/message_bus.cpp
@@ -1,7 +1,5 @@
 #include "bus/message_bus.hpp"
 
-#include <sys/epoll.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -10,22 +8,21 @@
 namespace {
 
 constexpr std::size_t read_size = std::size_t{64} * 1024;
-/// Connections accepted in one round, so that a flood of them leaves time for messages.
-constexpr int max_accepted = 64;
 
 } // namespace
 
 message_bus::message_bus(http::event_loop& loop, bus_limits limits, receive_handler handler)
-    : m_loop(loop), m_limits(limits), m_handler(std::move(handler)), m_buffer(read_size)
+    : m_loop(loop),
+      m_limits(limits),
+      m_handler(std::move(handler)),
+      m_acceptor(loop, [this](http::stream_socket socket) { accepted(std::move(socket)); }),
+      m_buffer(read_size)
 {
     m_loop.each_round([this](base::time_point now) { return check(now); });
 }
 
 message_bus::~message_bus()
 {
-    if (m_listener) {
-        m_loop.unwatch(m_listener->descriptor());
-    }
     for (const auto& item : m_receivers) {
         m_loop.unwatch(item.first);
     }
@@ -34,46 +31,15 @@
 base::result<void> message_bus::listen(const std::string& endpoint)
 {
     BOOST_LEAF_AUTO(address, http::parse_address(endpoint));
-    BOOST_LEAF_AUTO(opened, http::listener::open(address));
-    m_listener.emplace(std::move(opened));
-    watch_listener();
-    return {};
-}
-
-void message_bus::watch_listener()
-{
-    m_loop.watch(m_listener->descriptor(), EPOLLIN, [this](std::uint32_t) { accept_waiting(); });
+    return m_acceptor.listen(address);
 }
 
-void message_bus::pause_accepting()
+void message_bus::accepted(http::stream_socket socket)
 {
-    m_loop.unwatch(m_listener->descriptor());
-    m_loop.call_at(http::event_loop::now() + http::listener::pause_when_exhausted,
-                   [this, alive = std::weak_ptr<bool>(m_alive)] {
-                       if (!alive.expired()) {
-                           watch_listener();
-                       }
-                   });
-}
-
-void message_bus::accept_waiting()
-{
-    for (int accepted = 0; accepted < max_accepted; ++accepted) {
-        auto made = m_listener->accept();
-        if (!made) {
-            if (m_listener->exhausted()) {
-                pause_accepting();
-            }
-            return;
-        }
-        const int fd = made->descriptor();
-        m_receivers[fd] =
-            std::make_shared<message_receiver>(std::move(*made), m_limits.message_size);
-        m_loop.watch(fd,
-                     static_cast<std::uint32_t>(EPOLLIN) | static_cast<std::uint32_t>(EPOLLRDHUP) |
-                         static_cast<std::uint32_t>(EPOLLET),
-                     [this, fd](std::uint32_t events) { read(fd, events); });
-    }
+    const int fd = socket.descriptor();
+    m_receivers[fd] = std::make_shared<message_receiver>(std::move(socket), m_limits.message_size);
+    m_loop.watch(fd, http::stream_socket::input_events,
+                 [this, fd](std::uint32_t events) { read(fd, events); });
 }
 
 void message_bus::read(int fd, std::uint32_t events)
@@ -83,10 +49,7 @@
         return;
     }
     const auto receiver = found->second;
-    constexpr auto leaving = static_cast<std::uint32_t>(EPOLLRDHUP) |
-                             static_cast<std::uint32_t>(EPOLLHUP) |
-                             static_cast<std::uint32_t>(EPOLLERR);
-    if (!receiver->read(m_buffer, (events & leaving) != 0, m_handler)) {
+    if (!receiver->read(events, m_buffer, m_handler)) {
         m_loop.unwatch(fd);
         m_receivers.erase(fd);
     }
--- a/src/bus/message_bus.hpp
+++ b/src/bus/message_bus.hpp
@@ -4,8 +4,8 @@
 #include "bus/bus_limits.hpp"
 #include "bus/message_receiver.hpp"
 #include "bus/message_sender.hpp"
+#include "http/acceptor.hpp"
 #include "http/event_loop.hpp"
-#include "http/listener.hpp"
 
 #include <functional>
 #include <memory>
@@ -32,17 +32,14 @@
     /// Listens on "IP:PORT". Fails with io or invalid_argument.
     base::result<void> listen(const std::string& endpoint);
     /// The port that was bound.
-    std::uint16_t port() const { return m_listener ? m_listener->port() : 0; }
+    std::uint16_t port() const { return m_acceptor.port(); }
 
     /// Sends to "IP:PORT" without waiting.
     void send(const std::string& endpoint, std::string_view message);
 
 private:
     std::optional<base::time_point> check(base::time_point now);
-    void watch_listener();
-    void accept_waiting();
-    /// Stops to accept for a while, because no descriptor is left.
-    void pause_accepting();
+    void accepted(http::stream_socket socket);
     void read(int fd, std::uint32_t events);
     message_sender* sender_to(const std::string& endpoint);
     void close_oldest();
@@ -50,10 +47,8 @@
     http::event_loop& m_loop;
     bus_limits m_limits;
     receive_handler m_handler;
-    std::optional<http::listener> m_listener;
+    http::acceptor m_acceptor;
     std::vector<char> m_buffer;
-    /// Expires with the bus, for calls that may outlive it.
-    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     /// When a connection that is being made may have to be given up.
     std::optional<base::time_point> m_check_at;
     /// By descriptor.
--- a/src/bus/message_bus_test.cpp
+++ b/src/bus/message_bus_test.cpp
@@ -1,4 +1,5 @@
 #include "damaskladder/bus.hpp"
+#include "http/run_until.hpp"
 
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
@@ -15,18 +16,6 @@
 
 using std::chrono::milliseconds;
 
-/// Runs a loop until a condition holds. Gives up after a long time, which only a failing test
-/// reaches.
-void run_until(http::event_loop& loop, const std::function<bool()>& done)
-{
-    const auto give_up = http::event_loop::now() + std::chrono::seconds(10);
-    while (!done() && http::event_loop::now() < give_up) {
-        loop.call_at(http::event_loop::now() + milliseconds(1), [&] { loop.stop(); });
-        loop.run();
-    }
-    EXPECT_TRUE(done());
-}
-
 std::string endpoint_of(std::uint16_t port)
 {
     return "127.0.0.1:" + std::to_string(port);
@@ -47,7 +36,7 @@
         sent.emplace_back(size, static_cast<char>('a' + sent.size()));
         sender.send(endpoint_of(receiver.port()), sent.back());
     }
-    run_until(loop, [&] { return got.size() >= sent.size(); });
+    EXPECT_TRUE(http::run_until(loop, [&] { return got.size() >= sent.size(); }));
     EXPECT_EQ(got, sent);
 }
 
@@ -68,13 +57,13 @@
     ASSERT_TRUE(receiver->listen("127.0.0.1:0"));
     const auto endpoint = endpoint_of(receiver->port());
     sender.send(endpoint, "before");
-    run_until(loop, [&] { return got == 1; });
+    EXPECT_TRUE(http::run_until(loop, [&] { return got == 1; }));
     receiver = std::make_unique<message_bus>(loop, bus_limits{}, count);
     ASSERT_TRUE(receiver->listen(endpoint));
-    run_until(loop, [&] {
+    EXPECT_TRUE(http::run_until(loop, [&] {
         sender.send(endpoint, "after");
         return got > 1;
-    });
+    }));
 }
 
 /// A listener whose queue of connections is full, so that it does not respond, like a VM behind a
@@ -98,7 +87,7 @@
             m_taken.push_back(std::move(*taken));
         }
         char byte = 0;
-        for (const auto& connection : m_taken) {
+        for (auto& connection : m_taken) {
             if (connection.read(&byte, 1).what == http::stream_socket::io_result::status::moved) {
                 return true;
             }
@@ -122,15 +111,15 @@
     message_bus sender(loop, {}, [](const std::string&) {});
     const auto endpoint = endpoint_of(peer.port());
     const auto start = http::event_loop::now();
-    run_until(loop, [&] {
+    EXPECT_TRUE(http::run_until(loop, [&] {
         sender.send(endpoint, "during");
         return http::event_loop::now() > start + milliseconds(700);
-    });
+    }));
     const auto healed = http::event_loop::now();
-    run_until(loop, [&] {
+    EXPECT_TRUE(http::run_until(loop, [&] {
         sender.send(endpoint, "after");
         return peer.receives();
-    });
+    }));
     EXPECT_LT(http::event_loop::now() - healed, milliseconds(1500));
 }
 
--- a/src/bus/message_receiver.cpp
+++ b/src/bus/message_receiver.cpp
@@ -2,11 +2,12 @@
 
 namespace damaskladder::bus {
 
-bool message_receiver::read(std::vector<char>& buffer, bool leaving,
+bool message_receiver::read(std::uint32_t events, std::vector<char>& buffer,
                             const std::function<void(std::string)>& handler)
 {
     using status = http::stream_socket::io_result::status;
-    for (;;) {
+    m_socket.note(events);
+    while (m_socket.readable()) {
         const auto got = m_socket.read(buffer.data(), buffer.size());
         if (got.what == status::blocked) {
             return true;
@@ -17,11 +18,8 @@
         while (auto message = m_splitter.next()) {
             handler(std::move(*message));
         }
-        // A short read has emptied the socket; more input will be told by another event.
-        if (!leaving && got.size < buffer.size()) {
-            return true;
-        }
     }
+    return true;
 }
 
 } // namespace damaskladder::bus
--- a/src/bus/message_receiver.hpp
+++ b/src/bus/message_receiver.hpp
@@ -3,6 +3,7 @@
 #include "bus/message_frame.hpp"
 #include "http/stream_socket.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -17,9 +18,9 @@
     {
     }
 
-    /// Reads what there is and passes whole messages on. `leaving` tells that the peer has ended
-    /// its side. False if the connection has ended, or carries something else than messages.
-    bool read(std::vector<char>& buffer, bool leaving,
+    /// Takes in what the loop told of the socket, reads what there is and passes whole messages on.
+    /// False if the connection has ended, or carries something else than messages.
+    bool read(std::uint32_t events, std::vector<char>& buffer,
               const std::function<void(std::string)>& handler);
 
     int descriptor() const { return m_socket.descriptor(); }
--- a/src/bus/message_sender.cpp
+++ b/src/bus/message_sender.cpp
@@ -2,10 +2,7 @@
 
 #include "bus/message_frame.hpp"
 
-#include <sys/epoll.h>
-
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace damaskladder::bus {
@@ -34,11 +31,11 @@
             return;
         }
     }
-    const auto size = m_waiting.size() - m_sent + message.size();
-    if (size > static_cast<std::size_t>(m_limits.waiting_size.value())) {
+    if (m_waiting.waiting() + message.size() >
+        static_cast<std::size_t>(m_limits.waiting_size.value())) {
         return;
     }
-    append_frame(m_waiting, message);
+    append_frame(m_waiting.bytes(), message);
     if (m_connected) {
         schedule_flush();
     }
@@ -53,20 +50,16 @@
     }
     m_socket->set_unacknowledged_timeout(m_limits.unacknowledged_timeout);
     m_connect_by = now + m_limits.connect_timeout;
-    m_loop.watch(m_socket->descriptor(),
-                 static_cast<std::uint32_t>(EPOLLIN) | static_cast<std::uint32_t>(EPOLLOUT) |
-                     static_cast<std::uint32_t>(EPOLLRDHUP) | static_cast<std::uint32_t>(EPOLLET),
+    m_loop.watch(m_socket->descriptor(), http::stream_socket::all_events,
                  [this](std::uint32_t events) { ready(events); });
 }
 
 void message_sender::ready(std::uint32_t events)
 {
     const auto keep = shared_from_this();
-    const auto any_of = [events](auto... flags) {
-        return (events & (static_cast<std::uint32_t>(flags) | ...)) != 0;
-    };
+    m_socket->note(events);
     if (!m_connected) {
-        if (!any_of(EPOLLOUT, EPOLLERR, EPOLLHUP)) {
+        if (!http::stream_socket::tells_output(events)) {
             return;
         }
         if (!m_socket->finish_connect()) {
@@ -77,7 +70,7 @@
         m_pause = m_limits.shortest_pause;
     }
     // The peer sends nothing on this connection, so what can be read is its end.
-    if (any_of(EPOLLIN, EPOLLRDHUP, EPOLLHUP, EPOLLERR)) {
+    if (m_socket->readable()) {
         drop_connection(http::event_loop::now());
         return;
     }
@@ -97,20 +90,9 @@
 
 void message_sender::flush()
 {
-    while (m_connected && m_sent < m_waiting.size()) {
-        const auto sent = m_socket->write(std::string_view(m_waiting).substr(m_sent));
-        if (sent.what == http::stream_socket::io_result::status::blocked) {
-            return;
-        }
-        if (sent.what != http::stream_socket::io_result::status::moved) {
-            drop_connection(http::event_loop::now());
-            return;
-        }
-        m_sent += sent.size;
-    }
-    if (m_sent == m_waiting.size()) {
-        m_waiting.clear();
-        m_sent = 0;
+    if (m_connected &&
+        m_waiting.send(*m_socket).what == http::stream_socket::io_result::status::failed) {
+        drop_connection(http::event_loop::now());
     }
 }
 
@@ -122,7 +104,6 @@
     }
     m_connected = false;
     m_waiting = {};
-    m_sent = 0;
     m_next_try = now + m_pause;
     m_pause = std::min(m_pause + m_pause, m_limits.longest_pause);
 }
--- a/src/bus/message_sender.hpp
+++ b/src/bus/message_sender.hpp
@@ -3,12 +3,12 @@
 #include "bus/bus_limits.hpp"
 #include "http/address.hpp"
 #include "http/event_loop.hpp"
+#include "http/output_buffer.hpp"
 #include "http/stream_socket.hpp"
 
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <string>
 #include <string_view>
 
 namespace damaskladder::bus {
@@ -48,8 +48,7 @@
     base::time_point m_connect_by;
     base::time_point m_next_try;
     base::duration m_pause;
-    std::string m_waiting;
-    std::size_t m_sent = 0;
+    http::output_buffer m_waiting;
     base::time_point m_last_use;
 };
 
--- a/src/daemon/traffic_front_test.cpp
+++ b/src/daemon/traffic_front_test.cpp
@@ -1,6 +1,7 @@
 #include "daemon/own_dialect.hpp"
 #include "daemon/secure_random.hpp"
 #include "daemon/traffic_front.hpp"
+#include "http/run_until.hpp"
 #include "node/traffic_machine.hpp"
 
 #include <gtest/gtest.h>
@@ -78,16 +79,9 @@
         return *received;
     }
 
-    /// Gives up after a long time, which only a failing test reaches.
     void run_until(const std::function<bool()>& done)
     {
-        const auto give_up = http::event_loop::now() + std::chrono::seconds(20);
-        while (!done() && http::event_loop::now() < give_up) {
-            m_loop.call_at(http::event_loop::now() + std::chrono::milliseconds(1),
-                           [this] { m_loop.stop(); });
-            m_loop.run();
-        }
-        EXPECT_TRUE(done());
+        EXPECT_TRUE(http::run_until(m_loop, done));
     }
 
 private:
--- /dev/null
+++ b/src/http/acceptor.cpp
@@ -0,0 +1,101 @@
+#include "http/acceptor.hpp"
+
+#include <sys/epoll.h>
+
+#include <utility>
+
+namespace damaskladder::http {
+
+namespace {
+
+/// Connections accepted in one round, so that a flood of them leaves time for other work.
+constexpr int max_accepted = 64;
+/// Pause after an accept that found no descriptor left; connections close all the time.
+constexpr base::duration exhausted_pause = std::chrono::milliseconds(200);
+
+} // namespace
+
+acceptor::acceptor(event_loop& loop, connection_handler handler)
+    : m_loop(loop), m_handler(std::move(handler))
+{
+}
+
+acceptor::~acceptor()
+{
+    stop();
+}
+
+base::result<void> acceptor::listen(const address& endpoint)
+{
+    BOOST_LEAF_AUTO(opened, listener::open(endpoint));
+    m_listener.emplace(std::move(opened));
+    follow();
+    return {};
+}
+
+void acceptor::pause()
+{
+    m_paused = true;
+    follow();
+}
+
+void acceptor::resume()
+{
+    m_paused = false;
+    // A connection has ended, and with it a descriptor is free.
+    m_exhausted = false;
+    follow();
+}
+
+void acceptor::stop()
+{
+    if (std::exchange(m_watched, false)) {
+        m_loop.unwatch(m_listener->descriptor());
+    }
+    m_listener.reset();
+}
+
+void acceptor::follow()
+{
+    const bool wanted = m_listener && !m_paused && !m_exhausted;
+    if (wanted == m_watched) {
+        return;
+    }
+    m_watched = wanted;
+    if (wanted) {
+        m_loop.watch(m_listener->descriptor(), EPOLLIN,
+                     [this](std::uint32_t) { accept_waiting(); });
+    }
+    else {
+        m_loop.unwatch(m_listener->descriptor());
+    }
+}
+
+void acceptor::accept_waiting()
+{
+    for (int accepted = 0; accepted < max_accepted && m_watched; ++accepted) {
+        auto made = m_listener->accept();
+        if (!made) {
+            if (m_listener->exhausted()) {
+                wait_for_descriptors();
+            }
+            return;
+        }
+        m_handler(std::move(*made));
+    }
+}
+
+void acceptor::wait_for_descriptors()
+{
+    m_exhausted = true;
+    follow();
+    m_loop.call_at(event_loop::now() + exhausted_pause,
+                   [this, alive = std::weak_ptr<bool>(m_alive)] {
+                       if (!alive.expired()) {
+                           m_exhausted = false;
+                           follow();
+                       }
+                   });
+}
+
+} // namespace damaskladder::http
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -1,12 +1,10 @@
 #include "http/client_connection.hpp"
 
+#include "http/body_rules.hpp"
 #include "http/client.hpp"
 #include "http/transfer.hpp"
 
-#include <sys/epoll.h>
-
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <utility>
 
@@ -16,15 +14,14 @@
 
 /// Bounds the head of an answer; the same as libraries of browsers permit.
 constexpr std::size_t max_answer_head = std::size_t{64} * 1024;
+/// Bytes of a request's body that are taken at a time, and that wait to be sent at most.
+constexpr std::size_t upload_piece = std::size_t{16} * 1024;
 constexpr std::size_t upload_buffer = std::size_t{64} * 1024;
-constexpr int first_final_status = 200;
 constexpr int switching_protocols = 101;
 /// Servers that name no limit commonly close idle connections after 5 s or more.
 constexpr base::duration default_idle_limit = std::chrono::seconds(4);
 /// A server counts its limit from another moment, and in whole seconds.
 constexpr base::duration idle_margin = std::chrono::milliseconds(700);
-/// Buffers of idle connections are freed above this size.
-constexpr std::size_t kept_capacity = std::size_t{4} * 1024;
 
 } // namespace
 
@@ -50,11 +47,8 @@
     if (unacknowledged_timeout > base::duration::zero()) {
         m_socket->set_unacknowledged_timeout(unacknowledged_timeout);
     }
-    m_owner.loop().watch(
-        m_socket->descriptor(),
-        static_cast<std::uint32_t>(EPOLLIN) | static_cast<std::uint32_t>(EPOLLOUT) |
-            static_cast<std::uint32_t>(EPOLLRDHUP) | static_cast<std::uint32_t>(EPOLLET),
-        [this](std::uint32_t events) { ready(events); });
+    m_owner.loop().watch(m_socket->descriptor(), stream_socket::all_events,
+                         [this](std::uint32_t events) { ready(events); });
     return true;
 }
 
@@ -69,31 +63,21 @@
 void client_connection::ready(std::uint32_t events)
 {
     const auto keep = shared_from_this();
-    const auto any_of = [events](auto... flags) {
-        return (events & (static_cast<std::uint32_t>(flags) | ...)) != 0;
-    };
-    if (!m_connected) {
-        if (any_of(EPOLLOUT, EPOLLERR, EPOLLHUP)) {
-            connected();
-        }
-        if (!m_connected) {
-            return;
-        }
-    }
-    if (any_of(EPOLLRDHUP, EPOLLHUP, EPOLLERR)) {
-        m_peer_leaving = true;
-        m_readable = true;
+    m_socket->note(events);
+    const bool may_write = stream_socket::tells_output(events);
+    if (!m_connected && may_write) {
+        connected();
     }
-    if (any_of(EPOLLIN)) {
-        m_readable = true;
+    if (!m_connected) {
+        return;
     }
     if (m_transfer == nullptr) {
-        if (m_readable) {
+        if (m_socket->readable()) {
             close();
         }
         return;
     }
-    if (any_of(EPOLLOUT) && !m_request_sent) {
+    if (may_write && !m_request_sent) {
         flush();
     }
     read_answer();
@@ -119,7 +103,6 @@
 {
     const auto sending = m_transfer;
     m_bytes_sent = false;
-    m_send_failed = false;
     m_request_sent = false;
     m_interim = false;
     sending->connection_ready();
@@ -128,27 +111,27 @@
     }
     const auto& head = sending->m_request.head;
     m_parser.expect_no_body(head.method == "HEAD");
-    m_framing = append_request_head(m_out, head, m_peer);
+    m_framing = append_request_head(m_out.bytes(), head, m_peer);
     m_body_left = head.body_size ? head.body_size->value() : 0;
     flush();
 }
 
 void client_connection::fill_from_body()
 {
-    std::array<char, 16 * 1024> data{};
     while (m_framing == body_framing::sized || m_framing == body_framing::chunked) {
         if (m_framing == body_framing::sized && m_body_left == 0) {
             m_framing = body_framing::none;
             return;
         }
-        if (m_out.size() - m_out_sent >= upload_buffer) {
+        if (m_out.waiting() >= upload_buffer) {
             return;
         }
-        auto wanted = data.size();
-        if (m_framing == body_framing::sized) {
-            wanted = std::min(wanted, static_cast<std::size_t>(m_body_left));
-        }
-        const auto got = m_transfer->read_body(data.data(), wanted);
+        const auto wanted = m_framing == body_framing::sized
+                                ? std::min(upload_piece, static_cast<std::size_t>(m_body_left))
+                                : upload_piece;
+        std::string piece(wanted, '\0');
+        const auto got = m_transfer->read_body(piece.data(), wanted);
+        piece.resize(got);
         if (got == 0) {
             if (m_transfer->body_pending()) {
                 return;
@@ -157,52 +140,41 @@
                 broke("the request's body is shorter than announced");
                 return;
             }
-            append_last_chunk(m_out);
+            append_last_chunk(m_out.bytes());
             m_framing = body_framing::none;
             return;
         }
         if (m_framing == body_framing::sized) {
-            m_out.append(data.data(), got);
+            m_out.bytes() += piece;
             m_body_left -= static_cast<std::int64_t>(got);
         }
         else {
-            append_chunk(m_out, {data.data(), got});
+            append_chunk(m_out.bytes(), piece);
         }
     }
 }
 
 void client_connection::flush()
 {
-    while (m_transfer != nullptr && !m_send_failed) {
-        if (m_framing != body_framing::none) {
-            fill_from_body();
-        }
-        if (m_transfer == nullptr || m_out_sent == m_out.size()) {
+    while (m_transfer != nullptr) {
+        fill_from_body();
+        if (m_transfer == nullptr || m_out.waiting() == 0) {
             break;
         }
-        const auto sent = m_socket->write(std::string_view(m_out).substr(m_out_sent));
-        if (sent.what == stream_socket::io_result::status::blocked) {
+        const auto sent = m_out.send(*m_socket);
+        m_bytes_sent = m_bytes_sent || sent.size > 0;
+        if (sent.what == stream_socket::io_result::status::failed && !m_bytes_sent) {
+            const auto failed = std::exchange(m_transfer, nullptr);
+            close();
+            failed->end({transfer_end::kind::not_sent, "the kept connection was closed"});
             return;
         }
         if (sent.what != stream_socket::io_result::status::moved) {
-            m_send_failed = true;
-            if (!m_bytes_sent) {
-                const auto failed = std::exchange(m_transfer, nullptr);
-                close();
-                failed->end({transfer_end::kind::not_sent, "the kept connection was closed"});
-                return;
-            }
-            // The server may have answered before it closed.
-            m_readable = true;
-            m_peer_leaving = true;
+            // After a failure the server's answer may lie there still, so reading goes on.
             return;
         }
-        m_bytes_sent = true;
-        m_out_sent += sent.size;
     }
-    if (m_out_sent == m_out.size()) {
-        m_out.clear();
-        m_out_sent = 0;
+    if (m_out.waiting() == 0) {
         m_request_sent = m_framing == body_framing::none;
     }
 }
@@ -221,17 +193,14 @@
 
 void client_connection::read_answer()
 {
-    while (m_transfer != nullptr && m_readable && !m_transfer->holds_back()) {
+    while (m_transfer != nullptr && m_socket->readable() && !m_transfer->holds_back()) {
         auto& buffer = m_owner.read_buffer();
         const auto got = m_socket->read(buffer.data(), buffer.size());
         switch (got.what) {
         case stream_socket::io_result::status::moved:
-            // A short read has emptied the socket; more input will be told by another event.
-            m_readable = got.size == buffer.size() || m_peer_leaving;
             take({buffer.data(), got.size});
             break;
         case stream_socket::io_result::status::blocked:
-            m_readable = false;
             return;
         case stream_socket::io_result::status::ended:
             input_ended(true);
@@ -312,13 +281,12 @@
 void client_connection::answer_received(bool more_follows)
 {
     const auto answered = std::exchange(m_transfer, nullptr);
-    const bool reusable = m_keep_alive && m_request_sent && !more_follows && !m_peer_leaving &&
-                          !m_readable && !answered->m_request.fresh_connection;
+    const bool reusable = m_keep_alive && m_request_sent && !more_follows &&
+                          !m_socket->peer_leaving() && !m_socket->readable() &&
+                          !answered->m_request.fresh_connection;
     answered->m_connection.reset();
     if (reusable) {
-        if (m_out.capacity() > kept_capacity) {
-            m_out = {};
-        }
+        m_out.release_memory();
         m_idle_until = m_owner.loop().woken_at() + m_idle_limit;
         m_owner.keep(shared_from_this());
     }
@@ -361,7 +329,6 @@
     m_owner.forget(*this);
     m_socket.reset();
     m_connected = false;
-    m_readable = false;
     m_transfer.reset();
 }
 
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -4,6 +4,7 @@
 #include "http/address.hpp"
 #include "http/head_writer.hpp"
 #include "http/message_parser.hpp"
+#include "http/output_buffer.hpp"
 #include "http/stream_socket.hpp"
 
 #include <cstdint>
@@ -42,7 +43,6 @@
     void close();
 
     const address& peer() const { return m_peer; }
-    bool is_connected() const { return m_connected; }
     /// When the server may close the idle connection.
     base::time_point idle_until() const { return m_idle_until; }
 
@@ -68,18 +68,14 @@
     message_parser m_parser;
     std::shared_ptr<transfer> m_transfer;
 
-    std::string m_out;
-    std::size_t m_out_sent = 0;
+    output_buffer m_out;
     body_framing m_framing = body_framing::none;
     std::int64_t m_body_left = 0;
     bool m_request_sent = false;
     /// Whether the peer can have received anything of the request under way.
     bool m_bytes_sent = false;
-    bool m_send_failed = false;
 
     bool m_connected = false;
-    bool m_readable = false;
-    bool m_peer_leaving = false;
     bool m_interim = false;
     /// The answer under way, once its head is there.
     bool m_keep_alive = false;
--- a/src/http/head_writer.cpp
+++ b/src/http/head_writer.cpp
@@ -1,5 +1,7 @@
 #include "http/head_writer.hpp"
 
+#include "http/body_rules.hpp"
+
 #include <http_parser.h>
 
 #include <algorithm>
@@ -10,8 +12,6 @@
 
 namespace {
 
-constexpr int no_content = 204;
-
 void append_number(std::string& out, std::int64_t value, int base = 10)
 {
     std::array<char, 24> text{};
@@ -104,7 +104,7 @@
     out += reason_of(head.status);
     out += "\r\n";
     append_fields(out, head.headers);
-    const bool may_have_length = head.status != no_content;
+    const bool may_have_length = head.status != no_content_status;
     if (head.body_size && framing != body_framing::chunked && may_have_length) {
         append_length(out, *head.body_size);
     }
--- a/src/http/idle_connections.cpp
+++ b/src/http/idle_connections.cpp
@@ -40,12 +40,12 @@
     std::vector<connection_ptr> expired;
     for (auto item = m_by_peer.begin(); item != m_by_peer.end();) {
         auto& kept = item->second;
-        for (const auto& connection : kept) {
-            if (connection->idle_until() <= now) {
-                expired.push_back(connection);
-            }
-        }
-        std::erase_if(kept, [&](const connection_ptr& each) { return each->idle_until() <= now; });
+        const auto first =
+            std::stable_partition(kept.begin(), kept.end(), [&](const connection_ptr& each) {
+                return each->idle_until() > now;
+            });
+        expired.insert(expired.end(), first, kept.end());
+        kept.erase(first, kept.end());
         item = kept.empty() ? m_by_peer.erase(item) : std::next(item);
     }
     m_size -= expired.size();
--- a/src/http/listener.hpp
+++ b/src/http/listener.hpp
@@ -23,9 +23,6 @@
     /// The connection goes on waiting, so the listener stays readable.
     bool exhausted() const { return m_exhausted; }
 
-    /// Time after which a listener that was exhausted should be tried again.
-    static constexpr base::duration pause_when_exhausted = std::chrono::milliseconds(200);
-
     /// The port that was bound.
     std::uint16_t port() const;
 
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -1,5 +1,7 @@
 #include "http/message_parser.hpp"
 
+#include "http/body_rules.hpp"
+
 #include <utility>
 
 namespace damaskladder::http {
@@ -114,12 +116,7 @@
     /// Without a length, the body of such an answer lasts until the connection ends.
     static bool may_have_body(const message_parser& self)
     {
-        constexpr int first_final_status = 200;
-        constexpr int no_content = 204;
-        constexpr int not_modified = 304;
-        const int status = self.m_head.status;
-        return !self.m_no_body && status >= first_final_status && status != no_content &&
-               status != not_modified;
+        return !self.m_no_body && has_body(self.m_head.status);
     }
 
     static int body(http_parser* parser, const char* data, std::size_t size)
@@ -136,7 +133,6 @@
         auto& self = self_of(parser);
         self.m_event = message_parser::event::end;
         self.m_in_head = true;
-        self.m_between = true;
         http_parser_pause(parser, 1);
         return 0;
     }
@@ -167,7 +163,6 @@
 
 void message_parser::begin_message()
 {
-    m_between = false;
     m_head = parsed_head{};
     m_name.clear();
     m_value.clear();
--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -57,9 +57,6 @@
     /// The stream has ended; whether that completes the message under way.
     bool finish();
 
-    /// No byte of a message has come since the last one ended.
-    bool between_messages() const { return m_between; }
-
     /// The head of the message under way. The caller may move out of it.
     parsed_head& head() { return m_head; }
 
@@ -84,7 +81,6 @@
     bool m_in_value = false;
     std::size_t m_head_size = 0;
     bool m_in_head = true;
-    bool m_between = true;
     bool m_no_body = false;
     event m_event = event::need_input;
     std::function<void(std::string_view)> m_on_body;
--- /dev/null
+++ b/src/http/output_buffer.cpp
@@ -0,0 +1,44 @@
+#include "http/output_buffer.hpp"
+
+#include <string_view>
+
+namespace damaskladder::http {
+
+namespace {
+
+/// More than this is not kept for an idle connection.
+constexpr std::size_t kept_capacity = std::size_t{4} * 1024;
+
+} // namespace
+
+stream_socket::io_result output_buffer::send(stream_socket& socket)
+{
+    using status = stream_socket::io_result::status;
+    std::size_t total = 0;
+    while (waiting() > 0) {
+        const auto sent = socket.write(std::string_view(m_bytes).substr(m_sent));
+        if (sent.what != status::moved) {
+            return {sent.what, total};
+        }
+        m_sent += sent.size;
+        total += sent.size;
+    }
+    clear();
+    return {status::moved, total};
+}
+
+void output_buffer::clear()
+{
+    m_bytes.clear();
+    m_sent = 0;
+}
+
+void output_buffer::release_memory()
+{
+    if (waiting() == 0 && m_bytes.capacity() > kept_capacity) {
+        m_bytes = {};
+        m_sent = 0;
+    }
+}
+
+} // namespace damaskladder::http
--- /dev/null
+++ b/src/http/run_until.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "http/event_loop.hpp"
+
+#include <chrono>
+#include <functional>
+
+namespace damaskladder::http {
+
+/// For tests: runs a loop on the test's thread until a condition holds, and tells whether it does.
+/// Gives up after a long time, which only a failing test reaches.
+inline bool run_until(event_loop& loop, const std::function<bool()>& done)
+{
+    const auto give_up = event_loop::now() + std::chrono::seconds(20);
+    while (!done() && event_loop::now() < give_up) {
+        loop.call_at(event_loop::now() + std::chrono::milliseconds(1), [&loop] { loop.stop(); });
+        loop.run();
+    }
+    return done();
+}
+
+} // namespace damaskladder::http
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -1,16 +1,15 @@
 #pragma once
 
 #include "base/result.hpp"
+#include "http/acceptor.hpp"
 #include "http/address.hpp"
 #include "http/event_loop.hpp"
 #include "http/exchange.hpp"
-#include "http/listener.hpp"
 #include "http/server_connection.hpp"
 #include "http/server_limits.hpp"
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -51,23 +50,16 @@
     /// Scratch space for one read, which the connections share.
     std::vector<char>& read_buffer() { return m_read_buffer; }
     void remove(int fd);
-    void accept_waiting();
-    void watch_listener();
-    /// Stops to accept for a while, because no descriptor is left.
-    void pause_accepting();
+    void accepted(stream_socket socket);
     void check_idle(base::time_point now);
 
     event_loop& m_loop;
     server_limits m_limits;
     request_handler m_handler;
-    std::optional<listener> m_listener;
+    acceptor m_acceptor;
     std::uint16_t m_port = 0;
     std::size_t m_open = 0;
     bool m_draining = false;
-    /// The listener is not watched because there are too many connections, or no descriptors.
-    bool m_full = false;
-    /// Expires with the server, for calls that may outlive it.
-    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     base::time_point m_next_idle_check;
     std::vector<char> m_read_buffer;
     /// By descriptor.
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -1,9 +1,8 @@
 #include "http/server_connection.hpp"
 
+#include "http/body_rules.hpp"
 #include "http/server.hpp"
 
-#include <sys/epoll.h>
-
 #include <utility>
 
 namespace damaskladder::http {
@@ -14,13 +13,9 @@
 constexpr std::size_t max_body_discarded = std::size_t{1024} * 1024;
 /// After the own side has ended, a peer that reads gets this long to read and end its own.
 constexpr base::duration drain_time = std::chrono::seconds(2);
-/// Buffers of idle connections are freed above this size.
-constexpr std::size_t kept_capacity = std::size_t{4} * 1024;
 constexpr int bad_request = 400;
 constexpr int target_too_long = 414;
 constexpr int fields_too_long = 431;
-constexpr int no_content = 204;
-constexpr int not_modified = 304;
 constexpr std::string_view interim_answer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 int status_of(message_parser::event problem)
@@ -50,30 +45,26 @@
 void server_connection::ready(std::uint32_t events)
 {
     const auto keep = shared_from_this();
-    const auto any_of = [events](auto... flags) {
-        return (events & (static_cast<std::uint32_t>(flags) | ...)) != 0;
-    };
-    if (any_of(EPOLLRDHUP, EPOLLHUP, EPOLLERR)) {
-        m_peer_leaving = true;
-        m_readable = true;
-    }
-    if (any_of(EPOLLIN)) {
-        m_readable = true;
-    }
-    if (m_peer_leaving && m_exchange != nullptr && !m_exchange->m_finished) {
+    m_socket.note(events);
+    if (caller_has_left()) {
         close();
         return;
     }
-    if (any_of(EPOLLOUT) && !m_out.empty()) {
+    if (stream_socket::tells_output(events) && m_out.waiting() > 0) {
         flush();
     }
     read_input();
     // The request may have come together with the end of the caller's side.
-    if (m_peer_leaving && m_exchange != nullptr && !m_exchange->m_finished) {
+    if (caller_has_left()) {
         close();
     }
 }
 
+bool server_connection::caller_has_left() const
+{
+    return m_socket.peer_leaving() && m_exchange != nullptr && !m_exchange->m_finished;
+}
+
 bool server_connection::wants_input() const
 {
     if (m_closed) {
@@ -97,20 +88,17 @@
             take(saved);
             continue;
         }
-        if (!m_readable) {
+        if (!m_socket.readable()) {
             return;
         }
         auto& buffer = m_owner.read_buffer();
         const auto got = m_socket.read(buffer.data(), buffer.size());
         switch (got.what) {
         case stream_socket::io_result::status::moved:
-            // A short read has emptied the socket; more input will be told by another event.
-            m_readable = got.size == buffer.size() || m_peer_leaving;
             m_last_active = m_owner.loop().woken_at();
             take({buffer.data(), got.size});
             break;
         case stream_socket::io_result::status::blocked:
-            m_readable = false;
             return;
         case stream_socket::io_result::status::ended:
         case stream_socket::io_result::status::failed:
@@ -167,7 +155,7 @@
     const auto handled = m_exchange;
     m_owner.m_handler(handled);
     if (m_exchange == handled && !handled->m_started && expects_interim_answer()) {
-        m_out += interim_answer;
+        m_out.bytes() += interim_answer;
         schedule_flush();
     }
 }
@@ -175,7 +163,7 @@
 bool server_connection::expects_interim_answer() const
 {
     const auto* expected = m_exchange->head().headers.find("Expect");
-    return expected != nullptr && same_name(*expected, "100-continue") && !m_request_received;
+    return expected != nullptr && same_name(*expected, "100-continue");
 }
 
 void server_connection::body_received(std::string_view data)
@@ -221,7 +209,7 @@
     response_head refusal;
     refusal.status = status;
     refusal.body_size = base::byte_count(0);
-    append_response_head(m_out, refusal, body_framing::sized, connection_note::close);
+    append_response_head(m_out.bytes(), refusal, body_framing::sized, connection_note::close);
     end_sending();
     schedule_flush();
 }
@@ -238,9 +226,7 @@
 {
     const auto& request = m_exchange->head();
     const bool current = m_parser.head().current_version;
-    const bool bodiless =
-        request.method == "HEAD" || head.status == no_content || head.status == not_modified;
-    if (bodiless) {
+    if (request.method == "HEAD" || !has_body(head.status)) {
         m_framing = body_framing::none;
     }
     else if (head.body_size) {
@@ -258,7 +244,7 @@
     else if (!current) {
         note = connection_note::keep_alive;
     }
-    append_response_head(m_out, head, m_framing, note);
+    append_response_head(m_out.bytes(), head, m_framing, note);
     schedule_flush();
 }
 
@@ -274,13 +260,13 @@
             m_exchange->abort();
             return;
         }
-        m_out += data;
+        m_out.bytes() += data;
         break;
     case body_framing::chunked:
-        append_chunk(m_out, data);
+        append_chunk(m_out.bytes(), data);
         break;
     case body_framing::until_close:
-        m_out += data;
+        m_out.bytes() += data;
         break;
     }
     schedule_flush();
@@ -293,7 +279,7 @@
         return;
     }
     if (m_framing == body_framing::chunked) {
-        append_last_chunk(m_out);
+        append_last_chunk(m_out.bytes());
     }
     m_exchange->clear_hooks();
     if (!m_request_received) {
@@ -314,8 +300,7 @@
 
 bool server_connection::has_room() const
 {
-    return m_out.size() - m_out_sent <
-           static_cast<std::size_t>(m_owner.limits().buffer_size.value());
+    return m_out.waiting() < static_cast<std::size_t>(m_owner.limits().buffer_size.value());
 }
 
 void server_connection::schedule_flush()
@@ -335,21 +320,15 @@
         return;
     }
     const bool was_full = !has_room();
-    while (m_out_sent < m_out.size()) {
-        const auto sent = m_socket.write(std::string_view(m_out).substr(m_out_sent));
-        if (sent.what == stream_socket::io_result::status::blocked) {
-            break;
-        }
-        if (sent.what != stream_socket::io_result::status::moved) {
-            close();
-            return;
-        }
-        m_out_sent += sent.size;
+    const auto sent = m_out.send(m_socket);
+    if (sent.what == stream_socket::io_result::status::failed) {
+        close();
+        return;
+    }
+    if (sent.size > 0) {
         m_last_active = m_owner.loop().woken_at();
     }
-    if (m_out_sent == m_out.size()) {
-        m_out.clear();
-        m_out_sent = 0;
+    if (m_out.waiting() == 0) {
         answer_sent();
     }
     const auto writing = m_exchange;
@@ -376,10 +355,10 @@
         end_sending();
         m_socket.shut_down_sending();
     }
-    else if (m_out.capacity() > kept_capacity) {
-        m_out = {};
+    else {
+        m_out.release_memory();
     }
-    if (m_readable || !m_saved.empty()) {
+    if (m_socket.readable() || !m_saved.empty()) {
         read_input();
     }
 }
@@ -405,7 +384,7 @@
 void server_connection::check_idle(base::time_point now)
 {
     const auto quiet = now - m_last_active;
-    const bool callers_turn = m_exchange == nullptr || !m_request_received || !m_out.empty();
+    const bool callers_turn = m_exchange == nullptr || !m_request_received || m_out.waiting() > 0;
     if ((m_draining && quiet > drain_time) ||
         (callers_turn && quiet > m_owner.limits().idle_time)) {
         close();
@@ -428,18 +407,15 @@
     }
     const auto keep = shared_from_this();
     m_closed = true;
-    const auto left = m_exchange;
-    if (left != nullptr && !left->m_finished) {
-        left->m_gone = true;
-        const auto gone = std::exchange(left->m_on_gone, nullptr);
-        left->m_finished = true;
-        end_exchange();
-        if (gone) {
-            gone();
-        }
+    std::function<void()> gone;
+    if (m_exchange != nullptr && !m_exchange->m_finished) {
+        m_exchange->m_gone = true;
+        m_exchange->m_finished = true;
+        gone = std::exchange(m_exchange->m_on_gone, nullptr);
     }
-    else {
-        end_exchange();
+    end_exchange();
+    if (gone) {
+        gone();
     }
     m_owner.remove(m_socket.descriptor());
 }
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -3,6 +3,7 @@
 #include "http/exchange.hpp"
 #include "http/head_writer.hpp"
 #include "http/message_parser.hpp"
+#include "http/output_buffer.hpp"
 #include "http/stream_socket.hpp"
 
 #include <cstdint>
@@ -53,6 +54,8 @@
     void break_off();
     bool has_room() const;
 
+    /// The caller has ended its side while it waits for an answer.
+    bool caller_has_left() const;
     bool wants_input() const;
     void read_input();
     void take(std::string_view data);
@@ -77,15 +80,12 @@
     /// Body bytes dropped because the answer does not depend on them.
     std::size_t m_discarded = 0;
 
-    std::string m_out;
-    std::size_t m_out_sent = 0;
+    output_buffer m_out;
     body_framing m_framing = body_framing::none;
     /// Bytes still owed of an answer of known size.
     std::int64_t m_answer_left = 0;
     bool m_flush_scheduled = false;
 
-    bool m_readable = false;
-    bool m_peer_leaving = false;
     /// The connection ends with the answer under way.
     bool m_close_after = false;
     /// The own side has ended; what the peer still sends is dropped.
--- a/src/http/stream_socket.cpp
+++ b/src/http/stream_socket.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -13,6 +14,8 @@
 
 namespace {
 
+constexpr std::uint32_t leaving_events = EPOLLRDHUP | EPOLLHUP | EPOLLERR;
+
 // A connection whose peer is gone without a reset is noticed after about three seconds of silence:
 // requests wait longer for an answer than that only rarely, and a probe costs two packets.
 constexpr int keep_alive_idle_s = 1;
@@ -38,6 +41,11 @@
 
 } // namespace
 
+// EPOLLET is the sign bit of a signed enumeration.
+const std::uint32_t stream_socket::input_events =
+    EPOLLIN | EPOLLRDHUP | static_cast<std::uint32_t>(EPOLLET);
+const std::uint32_t stream_socket::all_events = input_events | EPOLLOUT;
+
 stream_socket::stream_socket(base::file_descriptor connected) : m_descriptor(std::move(connected))
 {
     const int fd = m_descriptor.get();
@@ -74,18 +82,39 @@
     return getsockopt(descriptor(), SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
 }
 
-stream_socket::io_result stream_socket::read(char* out, std::size_t size) const
+void stream_socket::note(std::uint32_t events)
+{
+    m_peer_leaving = m_peer_leaving || (events & leaving_events) != 0;
+    m_readable = m_readable || (events & (EPOLLIN | leaving_events)) != 0;
+}
+
+bool stream_socket::tells_output(std::uint32_t events)
 {
-    const auto got = result_of(recv(descriptor(), out, size, 0));
+    return (events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) != 0;
+}
+
+stream_socket::io_result stream_socket::read(char* out, std::size_t size)
+{
+    auto got = result_of(recv(descriptor(), out, size, 0));
     if (got.what == io_result::status::moved && got.size == 0) {
-        return {io_result::status::ended, 0};
+        got.what = io_result::status::ended;
+    }
+    // A short read has emptied the socket; more input will be told by another event.
+    const bool short_read = got.what == io_result::status::moved && got.size < size;
+    if (got.what == io_result::status::blocked || (short_read && !m_peer_leaving)) {
+        m_readable = false;
     }
     return got;
 }
 
-stream_socket::io_result stream_socket::write(std::string_view data) const
+stream_socket::io_result stream_socket::write(std::string_view data)
 {
-    return result_of(send(descriptor(), data.data(), data.size(), MSG_NOSIGNAL));
+    const auto sent = result_of(send(descriptor(), data.data(), data.size(), MSG_NOSIGNAL));
+    if (sent.what == io_result::status::failed) {
+        m_peer_leaving = true;
+        m_readable = true;
+    }
+    return sent;
 }
 
 void stream_socket::shut_down_sending() const
--- a/src/http/stream_socket.hpp
+++ b/src/http/stream_socket.hpp
@@ -5,14 +5,20 @@
 #include "http/address.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
 namespace damaskladder::http {
 
-/// A non-blocking TCP connection over IPv4.
+/// A non-blocking TCP connection over IPv4, for an event loop that watches it edge-triggered: each
+/// change is told once, so the socket remembers what it was told.
 class stream_socket {
 public:
+    /// Events to watch a connection for; the first if nothing is sent on it.
+    static const std::uint32_t input_events;
+    static const std::uint32_t all_events;
+
     /// Outcome of one read or write.
     struct io_result {
         enum class status {
@@ -38,8 +44,18 @@
     /// Whether the connection that connect() started stands.
     bool finish_connect() const;
 
-    io_result read(char* out, std::size_t size) const;
-    io_result write(std::string_view data) const;
+    /// Takes in what the loop tells of the socket.
+    void note(std::uint32_t events);
+    /// Whether events tell that more can be written, that a connection stands, or that it failed.
+    static bool tells_output(std::uint32_t events);
+
+    /// There may be something to read: bytes, or the peer's end.
+    bool readable() const { return m_readable; }
+    /// The peer has ended its side or the connection is broken; what it sent before can be read.
+    bool peer_leaving() const { return m_peer_leaving; }
+
+    io_result read(char* out, std::size_t size);
+    io_result write(std::string_view data);
 
     /// Ends the own side; the peer reads the rest and then the end.
     void shut_down_sending() const;
@@ -54,6 +70,8 @@
 
 private:
     base::file_descriptor m_descriptor;
+    bool m_readable = false;
+    bool m_peer_leaving = false;
 };
 
 } // namespace damaskladder::http
--- a/src/http/transfer_test.cpp
+++ b/src/http/transfer_test.cpp
@@ -1,5 +1,6 @@
 #include "damaskladder/http.hpp"
 #include "http/raw_socket_fake.hpp"
+#include "http/run_until.hpp"
 
 #include <gtest/gtest.h>
 #include <sys/resource.h>
@@ -9,26 +10,6 @@
 namespace damaskladder::http {
 namespace {
 
-/// Runs a loop on the test's thread until a condition holds. Gives up after a long time, which
-/// only a failing test reaches.
-void run_until(event_loop& loop, const std::function<bool()>& done)
-{
-    const auto give_up = event_loop::now() + std::chrono::seconds(20);
-    const auto stop = std::make_shared<bool>(false);
-    loop.each_round(
-        [&loop, &done, give_up, stop](base::time_point now) -> std::optional<base::time_point> {
-            if (*stop) {
-                return std::nullopt;
-            }
-            if (done() || now > give_up) {
-                *stop = true;
-                loop.stop();
-            }
-            return now + std::chrono::milliseconds(1);
-        });
-    loop.run();
-}
-
 struct received {
     response_head head;
     std::string body;
