Log the settings that nobody confirms, unanswered polls, leader and members

Cause of the silence: no line said which address a node polls, how old its settings are, whether the leader confirms reads, whom a replica takes for its leader, or which members count for a majority. Change: events settings_unconfirmed (at 1.5 s without confirmation, repeated each 5 s), settings_confirmed, polls_unanswered (one a second), leader_known, leader_unknown and replica_members. No other behaviour changes.

--- a/src/daemon/propagation_host.cpp
+++ b/src/daemon/propagation_host.cpp
@@ -13,6 +13,11 @@
 // Minimum advance of the confirmation time before a new view is published. Smaller steps cost
 // processor time; larger ones bring a slow node closer to max_staleness.
 constexpr base::duration min_confirmation_advance = std::chrono::milliseconds(200);
+// Age of the settings from which a node reports that they are unconfirmed: three polls in a row
+// brought nothing newer.
+constexpr base::duration unconfirmed_after = std::chrono::milliseconds(1500);
+constexpr base::duration unconfirmed_log_interval = std::chrono::seconds(5);
+constexpr std::int64_t unanswered_lines_per_second = 1;
 
 propagation::propagation_options make_options(const process_settings& settings)
 {
@@ -22,6 +27,13 @@
     return options;
 }
 
+/// Whole milliseconds, or "none".
+std::string milliseconds_text(const std::optional<base::duration>& time)
+{
+    using std::chrono::milliseconds;
+    return time ? std::to_string(std::chrono::duration_cast<milliseconds>(*time).count()) : "none";
+}
+
 } // namespace
 
 propagation_host::propagation_host(http::event_loop& loop, messenger& messages,
@@ -33,7 +45,9 @@
       m_replica(replica),
       m_hooks(std::move(callbacks)),
       m_own_source(settings.name.value() + "/control"),
-      m_relay(make_options(settings), make_settings_hooks(), secure_random())
+      m_relay(make_options(settings), make_settings_hooks(), secure_random()),
+      m_confirmations(unconfirmed_after, unconfirmed_log_interval),
+      m_unanswered_log_limiter(unanswered_lines_per_second)
 {
     if (m_replica != nullptr) {
         m_source.emplace(make_options(settings), [this] { return copy_of_replica(); });
@@ -58,6 +72,7 @@
         update_upstreams();
         perform_relay(m_relay.tick(now));
         confirm();
+        log_confirmation(now);
     }
     if (m_source) {
         perform_source(m_source->tick(now));
@@ -87,6 +102,41 @@
     }
 }
 
+void propagation_host::log_confirmation(base::time_point now)
+{
+    using report = propagation::confirmation_monitor::report;
+    const auto& node = m_relay.node();
+    const auto staleness = node.staleness(now);
+    const auto change = m_confirmations.update(staleness, now);
+    if (change == report::none) {
+        return;
+    }
+    std::string polled;
+    for (const auto& upstream : node.upstreams()) {
+        polled += (polled.empty() ? "" : ",") + upstream.node.value();
+    }
+    const auto upstream = node.upstream();
+    const bool confirmed = change == report::confirmed;
+    log(confirmed ? log_level::info : log_level::warn,
+        confirmed ? "settings_confirmed" : "settings_unconfirmed",
+        {{"version", std::to_string(node.version().value())},
+         {"age_ms", milliseconds_text(staleness)},
+         {"last_answer_ms",
+          milliseconds_text(node.last_answer() ? std::optional(now - *node.last_answer())
+                                               : std::nullopt)},
+         {"upstream", upstream ? upstream->node.value() : ""},
+         {"polled", polled}});
+}
+
+void propagation_host::log_unanswered_polls(std::size_t count, base::time_point now)
+{
+    if (m_unanswered_log_limiter.take(now)) {
+        log(log_level::warn, "polls_unanswered",
+            {{"polls", std::to_string(count)},
+             {"suppressed", std::to_string(m_unanswered_log_limiter.take_suppressed())}});
+    }
+}
+
 void propagation_host::receive(const base::node_id& sender, const propagation::message& body)
 {
     const auto now = http::event_loop::now();
@@ -122,6 +172,9 @@
     if (effects.confirm) {
         confirm_read(*effects.confirm);
     }
+    if (effects.unanswered_polls != 0) {
+        log_unanswered_polls(effects.unanswered_polls, http::event_loop::now());
+    }
     if (effects.version_changed) {
         confirm();
     }
--- a/src/daemon/propagation_host.hpp
+++ b/src/daemon/propagation_host.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "daemon/log_rate_limiter.hpp"
 #include "daemon/messenger.hpp"
 #include "daemon/process_settings.hpp"
 #include "daemon/replica_host.hpp"
+#include "propagation/confirmation_monitor.hpp"
 #include "propagation/propagation_relay.hpp"
 #include "propagation/propagation_source.hpp"
 #include "settings/compiled_settings.hpp"
@@ -44,6 +46,8 @@
     void tick();
     void update_upstreams();
     void confirm();
+    void log_confirmation(base::time_point now);
+    void log_unanswered_polls(std::size_t count, base::time_point now);
     void receive(const base::node_id& sender, const propagation::message& body);
     /// Performs effects of the relay or, if sender is m_own_source, of the source.
     void perform(const propagation::effects& effects, const base::node_id& sender);
@@ -71,6 +75,8 @@
     base::settings_version m_replica_version;
     propagation::propagation_relay m_relay;
     std::optional<propagation::propagation_source> m_source;
+    propagation::confirmation_monitor m_confirmations;
+    log_rate_limiter m_unanswered_log_limiter;
 };
 
 } // namespace damaskladder::daemon
--- a/src/daemon/replica_host.cpp
+++ b/src/daemon/replica_host.cpp
@@ -16,6 +16,8 @@
 // Proposals and claims expire by log time, which advances only with log entries, so an idle leader
 // appends one at this interval.
 constexpr base::duration log_time_interval = std::chrono::seconds(60);
+// An election takes longer, so each leader that lasts is logged.
+constexpr base::duration cluster_log_interval = std::chrono::milliseconds(100);
 
 bool may_form_cluster(const process_settings& settings)
 {
@@ -23,6 +25,17 @@
            (settings.forms_cluster && settings.replicas.contains(settings.name));
 }
 
+std::string names_of(const consensus::configuration& members, consensus::member_role role)
+{
+    std::string names;
+    for (const auto& member : members.members) {
+        if (member.role == role) {
+            names += (names.empty() ? "" : ",") + member.identity.id.value();
+        }
+    }
+    return names;
+}
+
 consensus::replica_options make_options(const process_settings& settings)
 {
     consensus::replica_options options;
@@ -70,6 +83,7 @@
     const auto now = http::event_loop::now();
     step(consensus::tick{});
     advance_log_time();
+    log_cluster_changes();
     m_loop.call_at(now + tick_interval, [this] { tick(); });
 }
 
@@ -82,6 +96,34 @@
     }
 }
 
+void replica_host::log_cluster_changes()
+{
+    const auto now = http::event_loop::now();
+    if (now < m_next_cluster_log) {
+        return;
+    }
+    m_next_cluster_log = now + cluster_log_interval;
+    const auto status = m_replica->status();
+    const auto term = std::to_string(status.term.value());
+    if (status.known_leader != m_logged_leader) {
+        m_logged_leader = status.known_leader;
+        log(log_level::info, m_logged_leader ? "leader_known" : "leader_unknown",
+            {{"leader", m_logged_leader ? m_logged_leader->value() : ""},
+             {"term", term},
+             {"role", std::string(to_string(status.role))}});
+    }
+    if (status.members != m_logged_members) {
+        m_logged_members = status.members;
+        log(log_level::info, "replica_members",
+            {{"voters", names_of(status.members, consensus::member_role::voter)},
+             {"learners", names_of(status.members, consensus::member_role::learner)},
+             {"quorum", std::to_string(status.members.quorum())},
+             {"last_index", std::to_string(status.last_index.value())},
+             {"commit_index", std::to_string(status.commit_index.value())},
+             {"term", term}});
+    }
+}
+
 void replica_host::receive(consensus::envelope message)
 {
     step(consensus::message_received{std::move(message)});
--- a/src/daemon/replica_host.hpp
+++ b/src/daemon/replica_host.hpp
@@ -60,6 +60,8 @@
     void perform(const control::leadership_changed& effect);
     void create_first_admin();
     void advance_log_time();
+    /// Logs the leader and the members that this replica knows, when they change.
+    void log_cluster_changes();
 
     http::event_loop& m_loop;
     const process_settings& m_settings;
@@ -73,6 +75,9 @@
     bool m_forms_cluster = false;
     std::uint64_t m_last_submission = 0;
     base::time_point m_next_log_time;
+    base::time_point m_next_cluster_log;
+    std::optional<consensus::replica_id> m_logged_leader;
+    consensus::configuration m_logged_members;
     std::unordered_map<control::submission_id, submit_done> m_submissions;
     std::unordered_map<control::submission_id, query_done> m_queries;
 };
--- a/src/propagation/effects.hpp
+++ b/src/propagation/effects.hpp
@@ -3,6 +3,7 @@
 #include "propagation/read_id.hpp"
 #include "propagation/send.hpp"
 
+#include <cstddef>
 #include <optional>
 #include <vector>
 
@@ -14,6 +15,9 @@
     /// Only from a source: start a read confirmation now, and report its result with
     /// read_confirmed() or read_failed().
     std::optional<read_id> confirm;
+    /// Only from a source: number of polls that stay unanswered because the read for them was not
+    /// confirmed.
+    std::size_t unanswered_polls = 0;
     /// A newer version was applied.
     bool version_changed = false;
 };
--- a/src/propagation/propagation_node.cpp
+++ b/src/propagation/propagation_node.cpp
@@ -98,6 +98,7 @@
     const bool fits = apply(body.differences);
     auto open = m_outstanding_polls.find(body.id);
     if (open != m_outstanding_polls.end()) {
+        m_last_answer = now;
         if (body.fresh.has_value() && body.fresh->age >= base::duration::zero()) {
             m_freshness.add({body.fresh->version, open->second, body.fresh->age}, m_version);
         }
--- a/src/propagation/propagation_node.hpp
+++ b/src/propagation/propagation_node.hpp
@@ -45,6 +45,9 @@
 
     /// The upstream that is polled; none if the list is empty.
     std::optional<peer> upstream() const;
+    const std::vector<peer>& upstreams() const { return m_upstreams; }
+    /// Time of the latest answer to a poll, whether or not it said how fresh the settings are.
+    const std::optional<base::time_point>& last_answer() const { return m_last_answer; }
 
     /// Called after each applied difference, and with none after an applied full copy.
     using change_listener = std::function<void(const std::optional<settings_difference>&)>;
@@ -75,6 +78,7 @@
     base::time_point m_next_poll{};
     /// Deadline of the answer; none if no poll to the current upstream is outstanding.
     std::optional<base::time_point> m_answer_due;
+    std::optional<base::time_point> m_last_answer;
     std::optional<copy_transfer> m_copy;
     std::vector<send> m_sends;
     bool m_copy_required = false;
--- a/src/propagation/propagation_source.cpp
+++ b/src/propagation/propagation_source.cpp
@@ -43,8 +43,7 @@
 {
     effects result;
     if (id == m_last_read) {
-        m_polls_in_read.clear();
-        start_read(now, result);
+        abandon_read(now, result);
     }
     return result;
 }
@@ -54,8 +53,7 @@
     effects result;
     m_reports.refresh(now);
     if (!m_polls_in_read.empty() && now - m_read_started >= m_options.read_timeout) {
-        m_polls_in_read.clear();
-        start_read(now, result);
+        abandon_read(now, result);
     }
     return result;
 }
@@ -89,6 +87,13 @@
     return result;
 }
 
+void propagation_source::abandon_read(base::time_point now, effects& result)
+{
+    result.unanswered_polls = m_polls_in_read.size();
+    m_polls_in_read.clear();
+    start_read(now, result);
+}
+
 void propagation_source::start_read(base::time_point now, effects& result)
 {
     if (m_pending_polls.empty()) {
--- a/src/propagation/propagation_source.hpp
+++ b/src/propagation/propagation_source.hpp
@@ -45,6 +45,7 @@
     using poll_map = std::map<base::node_id, poll>;
 
     void start_read(base::time_point now, effects& result);
+    void abandon_read(base::time_point now, effects& result);
 
     propagation_options m_options;
     update_server m_server;
