Test: settings after a restart of all, whichever replica leads (fails)

A fixture runs replicas and nodes on loopback addresses of their own, with real messages and disks, told of three addresses as on the users' platform. Four cases: a listed or an unlisted replica leads, all disks kept or one empty.

--- /dev/null
+++ b/src/daemon/control_fleet_fixture.hpp
@@ -0,0 +1,263 @@
+#pragma once
+
+#include "base/file_descriptor.hpp"
+#include "daemon/messenger.hpp"
+#include "daemon/propagation_host.hpp"
+#include "daemon/replica_host.hpp"
+#include "daemon/replica_membership_host.hpp"
+#include "daemon/wall_clock_now.hpp"
+#include "http/run_until.hpp"
+
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace damaskladder::daemon {
+
+/// Test fixture: control replicas and nodes, each on a loopback address of its own (127.0.0.N),
+/// with real messages and disks, on one event loop. All of them are told the addresses of replicas
+/// 1 to 3; further replicas join, as on the users' platform.
+class control_fleet {
+public:
+    /// Number of an address 127.0.0.N.
+    using vm_number = unsigned;
+
+    struct plan {
+        std::vector<vm_number> replicas;
+        /// VMs without a replica.
+        std::vector<vm_number> nodes;
+        /// VMs that processes are told of.
+        std::vector<vm_number> listed = {1, 2, 3};
+        bool forms_cluster = false;
+        /// The replica that may campaign; any of them if 0.
+        vm_number only_candidate = 0;
+    };
+
+    control_fleet(plan wanted, std::string folder)
+        : m_plan(std::move(wanted)),
+          m_folder(std::move(folder)),
+          m_secret(wire::cluster_secret::parse(std::string(64, 'a')).value())
+    {
+        for (const vm_number each : m_plan.replicas) {
+            m_vms.push_back(std::make_unique<vm>(*this, each, true));
+        }
+        for (const vm_number each : m_plan.nodes) {
+            m_vms.push_back(std::make_unique<vm>(*this, each, false));
+        }
+        for (const auto& each : m_vms) {
+            each->start();
+        }
+    }
+
+    static std::string address_of(vm_number number) { return "127.0.0." + std::to_string(number); }
+
+    bool run_until(const std::function<bool()>& done) { return http::run_until(m_loop, done); }
+
+    /// The replica that leads; 0 if none does.
+    vm_number leader() const
+    {
+        for (const auto& each : m_vms) {
+            if (each->replica && each->replica->leads()) {
+                return each->number;
+            }
+        }
+        return 0;
+    }
+
+    /// Whether the leader counts this many voters, and the latest change of them is committed.
+    bool has_voters(std::size_t count) const
+    {
+        const vm* leading = find(leader());
+        if (leading == nullptr) {
+            return false;
+        }
+        const auto status = leading->replica->replica().status();
+        return status.members.voter_count() == count && status.members.members.size() == count &&
+               status.commit_index == status.last_index;
+    }
+
+    /// Submits a change of the settings at the leader until it is accepted.
+    bool change_settings(std::uint64_t number)
+    {
+        bool accepted = false;
+        base::time_point next_attempt;
+        return run_until([&] {
+            const auto now = http::event_loop::now();
+            vm* leading = find(leader());
+            if (leading != nullptr && now >= next_attempt) {
+                next_attempt = now + std::chrono::milliseconds(200);
+                leading->replica->submit(change(number), [&](const auto& result) {
+                    const auto* reply = std::get_if<control::reply>(&result);
+                    const auto* changed =
+                        reply == nullptr ? nullptr : std::get_if<control::change_reply>(reply);
+                    accepted = accepted || (changed != nullptr && is_done(changed->verdict));
+                });
+            }
+            return accepted;
+        });
+    }
+
+    /// VMs whose settings are not known to be current at the given time or later.
+    std::vector<vm_number> unconfirmed_since(base::time_point when) const
+    {
+        std::vector<vm_number> found;
+        for (const auto& each : m_vms) {
+            if (each->version == base::settings_version() || each->confirmed_at < when) {
+                found.push_back(each->number);
+            }
+        }
+        return found;
+    }
+
+private:
+    struct vm {
+        vm(control_fleet& owner, vm_number given_number, bool has_replica)
+            : fleet(owner),
+              number(given_number),
+              settings(fleet.settings_of(number, has_replica)),
+              messages(fleet.m_loop, fleet.m_secret, settings.name,
+                       base::incarnation(
+                           static_cast<std::uint64_t>(wall_clock_now().time_since_epoch().count())))
+        {
+        }
+
+        void start()
+        {
+            ASSERT_TRUE(messages.listen(to_string(settings.messages)));
+            if (settings.replica) {
+                start_replica();
+            }
+            propagation = std::make_unique<propagation_host>(
+                fleet.m_loop, messages, settings, replica.get(),
+                propagation_host::hooks{
+                    .changed = [this](const auto& compiled) { version = compiled->version(); },
+                    .confirmed = [this](base::time_point when) { confirmed_at = when; },
+                    .relays = [] { return std::vector<propagation::peer>(); }});
+            propagation->start();
+        }
+
+        void start_replica()
+        {
+            std::filesystem::create_directories(settings.replica->data);
+            replica = std::make_unique<replica_host>(
+                fleet.m_loop, settings,
+                replica_host::hooks{.send = [this](const auto& message) { send(message); },
+                                    .settings_changed =
+                                        [this](base::settings_version changed) {
+                                            if (propagation) {
+                                                propagation->replica_changed(changed);
+                                            }
+                                        }});
+            messages.on_message<consensus::envelope>(
+                wire::message_kind::consensus,
+                [this](const auto&, const auto& message) { replica->receive(message); });
+            ASSERT_TRUE(replica->start());
+            membership = std::make_unique<replica_membership_host>(fleet.m_loop, messages, settings,
+                                                                   *replica);
+            membership->start();
+        }
+
+        void send(const consensus::envelope& message)
+        {
+            const bool campaigns =
+                std::holds_alternative<consensus::pre_vote_request>(message.body);
+            const vm_number only = fleet.m_plan.only_candidate;
+            if (campaigns && only != 0 && only != number) {
+                return;
+            }
+            const base::node_id to(message.to.id.value());
+            messages.send(to, to.value() + ":" + std::to_string(fleet.m_port),
+                          wire::message_kind::consensus, message);
+        }
+
+        control_fleet& fleet;
+        vm_number number;
+        process_settings settings;
+        messenger messages;
+        std::unique_ptr<replica_host> replica;
+        std::unique_ptr<replica_membership_host> membership;
+        std::unique_ptr<propagation_host> propagation;
+        base::settings_version version;
+        base::time_point confirmed_at;
+    };
+
+    /// A port that was free on 127.0.0.1; all VMs use the same one.
+    static std::uint16_t free_port()
+    {
+        const base::file_descriptor probe(socket(AF_INET, SOCK_STREAM, 0));
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        auto* generic = reinterpret_cast<sockaddr*>(&address);
+        EXPECT_EQ(bind(probe.get(), generic, size), 0);
+        EXPECT_EQ(getsockname(probe.get(), generic, &size), 0);
+        return ntohs(address.sin_port);
+    }
+
+    static bool is_done(control::change_verdict verdict)
+    {
+        return verdict == control::change_verdict::accepted ||
+               verdict == control::change_verdict::unchanged;
+    }
+
+    vm* find(vm_number number) const
+    {
+        for (const auto& each : m_vms) {
+            if (each->number == number) {
+                return each.get();
+            }
+        }
+        return nullptr;
+    }
+
+    process_settings settings_of(vm_number number, bool has_replica) const
+    {
+        process_settings settings;
+        settings.name = base::node_id(address_of(number));
+        settings.domain = base::failure_domain_id("d" + std::to_string(number));
+        settings.messages = {address_of(number), m_port};
+        settings.messages_port = m_port;
+        settings.discovers_replicas = true;
+        settings.forms_cluster = m_plan.forms_cluster;
+        for (const vm_number each : m_plan.listed) {
+            settings.replicas[base::node_id(address_of(each))] = {address_of(each), m_port};
+        }
+        settings.node.emplace();
+        if (has_replica) {
+            settings.replica.emplace();
+            settings.replica->data = m_folder + "/" + settings.name.value();
+            settings.replica->admin = base::operator_id("operator");
+        }
+        return settings;
+    }
+
+    /// A change of the settings that is made once, however often it is submitted.
+    static control::change_settings change(std::uint64_t number)
+    {
+        control::change_settings command;
+        command.header = {base::change_id("change-" + std::to_string(number)),
+                          base::operator_id("operator"), wall_clock_now()};
+        command.subtree = settings::setting_path::parse("teams/main").value();
+        command.edit = settings::setting_tree();
+        command.document = control::document_change{
+            base::document_version(number - 1),
+            {base::document_version(number), "document " + std::to_string(number)}};
+        return command;
+    }
+
+    plan m_plan;
+    std::string m_folder;
+    wire::cluster_secret m_secret;
+    std::uint16_t m_port = free_port();
+    http::event_loop m_loop;
+    std::vector<std::unique_ptr<vm>> m_vms;
+};
+
+} // namespace damaskladder::daemon
--- /dev/null
+++ b/src/daemon/propagation_host_test.cpp
@@ -0,0 +1,63 @@
+#include "daemon/control_fleet_fixture.hpp"
+#include "daemon/scratch_folder.hpp"
+
+#include <gtest/gtest.h>
+
+namespace damaskladder::daemon {
+namespace {
+
+using vm_number = control_fleet::vm_number;
+
+struct restart_case {
+    std::string name;
+    vm_number leader;
+    /// Replica whose disk is empty at the restart; none if 0.
+    vm_number wiped = 0;
+};
+
+class restarts_of_all : public testing::TestWithParam<restart_case> {};
+
+control_fleet::plan plan_of_four()
+{
+    return {.replicas = {1, 2, 3, 4}, .nodes = {5, 6}};
+}
+
+void form_cluster(const std::string& folder)
+{
+    auto plan = plan_of_four();
+    plan.forms_cluster = true;
+    control_fleet fleet(plan, folder);
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.has_voters(4); }));
+    ASSERT_TRUE(fleet.change_settings(1));
+}
+
+// Guards against an outage that lasts as long as the leader is a replica whose address the
+// processes were not told: nobody polled it, so no VM had settings, not even the leader's own.
+TEST_P(restarts_of_all, settings_are_confirmed_whichever_replica_leads)
+{
+    const scratch_folder folder;
+    form_cluster(folder.path());
+    if (GetParam().wiped != 0) {
+        std::filesystem::remove_all(folder.path() + "/" +
+                                    control_fleet::address_of(GetParam().wiped));
+    }
+    auto plan = plan_of_four();
+    plan.only_candidate = GetParam().leader;
+    control_fleet fleet(plan, folder.path());
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.leader() != 0; }));
+    EXPECT_EQ(fleet.leader(), GetParam().leader);
+    const auto led_since = http::event_loop::now();
+    EXPECT_TRUE(fleet.run_until([&] { return fleet.unconfirmed_since(led_since).empty(); }))
+        << "VMs without confirmed settings: "
+        << testing::PrintToString(fleet.unconfirmed_since(led_since));
+}
+
+INSTANTIATE_TEST_SUITE_P(table, restarts_of_all,
+                         testing::Values(restart_case{"listed_leader", 1},
+                                         restart_case{"listed_leader_one_disk_empty", 1, 2},
+                                         restart_case{"unlisted_leader", 4},
+                                         restart_case{"unlisted_leader_one_disk_empty", 4, 2}),
+                         [](const auto& tested) { return tested.param.name; });
+
+} // namespace
+} // namespace damaskladder::daemon
