Propagation: a replica polls the leader that it knows

Cause: every process polled the addresses of its settings file, three of the four control VMs. A replica that does not lead answers polls from what its own node polled at those addresses, so when the fourth replica led, nobody polled it, its own node included, and the others passed their ageing settings round among themselves. With three replicas the same loop closes for up to max_relay_age (3 s) after each change of leader: two followers poll each other, and neither is old enough to be left. Ruled out: reads that the leader cannot confirm after a membership change (documents are acknowledged, no polls_unanswered in that term, and no membership change at 30 s); a leader saturated after a restart (no restart at 30 s, no stall, six idle VMs show it in the test). Change: a process with a replica polls the leader that its replica knows, itself if it leads, and nobody else. Which peers to poll is decided by a pure function, propagation::choose_upstreams. Why it works: replicas know the leader from the log itself, whatever their settings file says, and one step separates any poller from a process that asks the leader, so no loop is left.

--- a/include/damaskladder/propagation.hpp
+++ b/include/damaskladder/propagation.hpp
@@ -32,6 +32,7 @@
 /// differences at most 1 MiB; 4,096 pollers, 256 reporting relays and 64 failure domains per
 /// server.
 
+#include "propagation/choose_upstreams.hpp"
 #include "propagation/confirmation_monitor.hpp"
 #include "propagation/domain_status.hpp"
 #include "propagation/effects.hpp"
--- a/src/daemon/propagation_host.cpp
+++ b/src/daemon/propagation_host.cpp
@@ -1,7 +1,9 @@
 #include "daemon/propagation_host.hpp"
 
 #include "daemon/log.hpp"
+#include "daemon/replica_address.hpp"
 #include "daemon/secure_random.hpp"
+#include "propagation/choose_upstreams.hpp"
 #include "settings/ini_reader.hpp"
 #include "settings/ini_writer.hpp"
 
@@ -82,14 +84,35 @@
 
 void propagation_host::update_upstreams()
 {
-    auto upstreams = m_hooks.relays();
-    if (upstreams.empty()) {
-        for (const auto& [name, address] : m_settings.replicas) {
-            upstreams.push_back({name == m_settings.name ? m_own_source : name,
-                                 base::message_address(to_string(address))});
+    propagation::upstream_candidates known;
+    known.leader = known_leader();
+    known.relays = m_hooks.relays();
+    for (const auto& [name, address] : m_settings.replicas) {
+        if (name != m_settings.name) {
+            known.replicas.push_back({name, base::message_address(to_string(address))});
         }
     }
-    m_relay.node().set_upstreams(std::move(upstreams));
+    m_relay.node().set_upstreams(propagation::choose_upstreams(known));
+}
+
+std::optional<propagation::peer> propagation_host::known_leader() const
+{
+    if (m_replica == nullptr) {
+        return std::nullopt;
+    }
+    const auto leader = m_replica->replica().status().known_leader;
+    if (!leader) {
+        return std::nullopt;
+    }
+    const base::node_id name(leader->value());
+    if (name == m_settings.name) {
+        return propagation::peer{m_own_source,
+                                 base::message_address(to_string(m_settings.messages))};
+    }
+    const auto address = replica_address(m_settings, name);
+    return address
+               ? std::optional(propagation::peer{name, base::message_address(to_string(*address))})
+               : std::nullopt;
 }
 
 void propagation_host::confirm()
--- a/src/daemon/propagation_host.hpp
+++ b/src/daemon/propagation_host.hpp
@@ -45,6 +45,8 @@
 private:
     void tick();
     void update_upstreams();
+    /// The leader as known to the replica of this process; m_own_source if it leads itself.
+    std::optional<propagation::peer> known_leader() const;
     void confirm();
     void log_confirmation(base::time_point now);
     void log_unanswered_polls(std::size_t count, base::time_point now);
