Replica membership: a leaving replica repeats its request

Seen by: a planned replacement of the control VM that leads keeps the old member for 6 s (until it counts as silent); with four replicas one of which is down, the log has no majority to spare in that time. Cause: leave() was sent once. Followers forward it to the leader that they know, which is the leaving replica itself, and leadership then moves to a replica that never heard of the request. The fixture of the daemon tests runs a loop for each VM, so that VMs can be killed and retired.

--- a/src/daemon/control_fleet_fixture.hpp
+++ b/src/daemon/control_fleet_fixture.hpp
@@ -6,13 +6,14 @@
 #include "daemon/replica_host.hpp"
 #include "daemon/replica_membership_host.hpp"
 #include "daemon/wall_clock_now.hpp"
-#include "http/run_until.hpp"
 
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <filesystem>
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <variant>
@@ -20,60 +21,81 @@
 
 namespace damaskladder::daemon {
 
-/// Test fixture: control replicas and nodes, each on a loopback address of its own (127.0.0.N),
-/// with real messages and disks, on one event loop. All of them are told the addresses of replicas
-/// 1 to 3; further replicas join, as on the users' platform.
+/// Test fixture: control replicas and nodes, each on a loopback address of its own (127.0.0.N) and
+/// an event loop of its own, with real messages and disks. The loops run by turns on the test's
+/// thread.
 class control_fleet {
 public:
     /// Number of an address 127.0.0.N.
     using vm_number = unsigned;
 
-    struct plan {
-        std::vector<vm_number> replicas;
-        /// VMs without a replica.
-        std::vector<vm_number> nodes;
-        /// VMs that processes are told of.
+    struct vm_plan {
+        bool has_replica = true;
+        /// VMs whose addresses the process is told at its start.
         std::vector<vm_number> listed = {1, 2, 3};
         bool forms_cluster = false;
-        /// The replica that may campaign; any of them if 0.
-        vm_number only_candidate = 0;
+        bool may_campaign = true;
     };
 
-    control_fleet(plan wanted, std::string folder)
-        : m_plan(std::move(wanted)),
-          m_folder(std::move(folder)),
+    /// Data folders are made in `folder`, one for each replica.
+    explicit control_fleet(std::string folder)
+        : m_folder(std::move(folder)),
           m_secret(wire::cluster_secret::parse(std::string(64, 'a')).value())
     {
-        for (const vm_number each : m_plan.replicas) {
-            m_vms.push_back(std::make_unique<vm>(*this, each, true));
-        }
-        for (const vm_number each : m_plan.nodes) {
-            m_vms.push_back(std::make_unique<vm>(*this, each, false));
-        }
-        for (const auto& each : m_vms) {
-            each->start();
-        }
     }
 
     static std::string address_of(vm_number number) { return "127.0.0." + std::to_string(number); }
 
-    bool run_until(const std::function<bool()>& done) { return http::run_until(m_loop, done); }
+    void start(vm_number number, const vm_plan& plan)
+    {
+        auto& added = m_vms[number];
+        added = std::make_unique<vm>(*this, number, plan);
+        added->start();
+    }
 
-    /// The replica that leads; 0 if none does.
-    vm_number leader() const
+    /// Ends a process without notice.
+    void kill(vm_number number) { m_vms.erase(number); }
+
+    /// A replica announces that it leaves, and ends when it is no longer a member.
+    bool retire(vm_number number)
     {
-        for (const auto& each : m_vms) {
-            if (each->replica && each->replica->leads()) {
-                return each->number;
+        m_vms.at(number)->membership->leave();
+        m_vms.at(number)->replica->transfer_leadership();
+        const bool removed = run_until([&] {
+            const vm* leading = leading_vm();
+            return leading != nullptr && leading->number != number &&
+                   leading->replica->replica().status().members.find(
+                       consensus::replica_id(address_of(number))) == nullptr;
+        });
+        kill(number);
+        return removed;
+    }
+
+    /// Runs all VMs until a condition holds, and returns whether it does. Gives up after 20 s,
+    /// which only a failing test reaches.
+    bool run_until(const std::function<bool()>& done)
+    {
+        const auto give_up = http::event_loop::now() + std::chrono::seconds(20);
+        while (!done() && http::event_loop::now() < give_up) {
+            for (const auto& [number, each] : m_vms) {
+                run_once(each->loop);
             }
         }
-        return 0;
+        return done();
     }
 
-    /// Whether the leader counts this many voters, and the latest change of them is committed.
+    /// The replica that leads; 0 if none does.
+    vm_number leader() const
+    {
+        const vm* leading = leading_vm();
+        return leading == nullptr ? 0 : leading->number;
+    }
+
+    /// Whether the leader counts this many voters and no other member, and all entries are
+    /// committed.
     bool has_voters(std::size_t count) const
     {
-        const vm* leading = find(leader());
+        const vm* leading = leading_vm();
         if (leading == nullptr) {
             return false;
         }
@@ -89,7 +111,7 @@
         base::time_point next_attempt;
         return run_until([&] {
             const auto now = http::event_loop::now();
-            vm* leading = find(leader());
+            const vm* leading = leading_vm();
             if (leading != nullptr && now >= next_attempt) {
                 next_attempt = now + std::chrono::milliseconds(200);
                 leading->replica->submit(change(number), [&](const auto& result) {
@@ -107,9 +129,9 @@
     std::vector<vm_number> unconfirmed_since(base::time_point when) const
     {
         std::vector<vm_number> found;
-        for (const auto& each : m_vms) {
+        for (const auto& [number, each] : m_vms) {
             if (each->version == base::settings_version() || each->confirmed_at < when) {
-                found.push_back(each->number);
+                found.push_back(number);
             }
         }
         return found;
@@ -117,11 +139,12 @@
 
 private:
     struct vm {
-        vm(control_fleet& owner, vm_number given_number, bool has_replica)
+        vm(const control_fleet& owner, vm_number given_number, const vm_plan& plan)
             : fleet(owner),
               number(given_number),
-              settings(fleet.settings_of(number, has_replica)),
-              messages(fleet.m_loop, fleet.m_secret, settings.name,
+              may_campaign(plan.may_campaign),
+              settings(fleet.settings_of(number, plan)),
+              messages(loop, fleet.m_secret, settings.name,
                        base::incarnation(
                            static_cast<std::uint64_t>(wall_clock_now().time_since_epoch().count())))
         {
@@ -134,7 +157,7 @@
                 start_replica();
             }
             propagation = std::make_unique<propagation_host>(
-                fleet.m_loop, messages, settings, replica.get(),
+                loop, messages, settings, replica.get(),
                 propagation_host::hooks{
                     .changed = [this](const auto& compiled) { version = compiled->version(); },
                     .confirmed = [this](base::time_point when) { confirmed_at = when; },
@@ -146,7 +169,7 @@
         {
             std::filesystem::create_directories(settings.replica->data);
             replica = std::make_unique<replica_host>(
-                fleet.m_loop, settings,
+                loop, settings,
                 replica_host::hooks{.send = [this](const auto& message) { send(message); },
                                     .settings_changed =
                                         [this](base::settings_version changed) {
@@ -158,17 +181,15 @@
                 wire::message_kind::consensus,
                 [this](const auto&, const auto& message) { replica->receive(message); });
             ASSERT_TRUE(replica->start());
-            membership = std::make_unique<replica_membership_host>(fleet.m_loop, messages, settings,
-                                                                   *replica);
+            membership =
+                std::make_unique<replica_membership_host>(loop, messages, settings, *replica);
             membership->start();
         }
 
         void send(const consensus::envelope& message)
         {
-            const bool campaigns =
-                std::holds_alternative<consensus::pre_vote_request>(message.body);
-            const vm_number only = fleet.m_plan.only_candidate;
-            if (campaigns && only != 0 && only != number) {
+            if (!may_campaign &&
+                std::holds_alternative<consensus::pre_vote_request>(message.body)) {
                 return;
             }
             const base::node_id to(message.to.id.value());
@@ -176,9 +197,11 @@
                           wire::message_kind::consensus, message);
         }
 
-        control_fleet& fleet;
+        const control_fleet& fleet;
         vm_number number;
+        bool may_campaign;
         process_settings settings;
+        http::event_loop loop;
         messenger messages;
         std::unique_ptr<replica_host> replica;
         std::unique_ptr<replica_membership_host> membership;
@@ -187,6 +210,13 @@
         base::time_point confirmed_at;
     };
 
+    static void run_once(http::event_loop& loop)
+    {
+        loop.call_at(http::event_loop::now() + std::chrono::milliseconds(1),
+                     [&loop] { loop.stop(); });
+        loop.run();
+    }
+
     /// A port that was free on 127.0.0.1; all VMs use the same one.
     static std::uint16_t free_port()
     {
@@ -207,17 +237,17 @@
                verdict == control::change_verdict::unchanged;
     }
 
-    vm* find(vm_number number) const
+    const vm* leading_vm() const
     {
-        for (const auto& each : m_vms) {
-            if (each->number == number) {
+        for (const auto& [number, each] : m_vms) {
+            if (each->replica && each->replica->leads()) {
                 return each.get();
             }
         }
         return nullptr;
     }
 
-    process_settings settings_of(vm_number number, bool has_replica) const
+    process_settings settings_of(vm_number number, const vm_plan& plan) const
     {
         process_settings settings;
         settings.name = base::node_id(address_of(number));
@@ -225,12 +255,12 @@
         settings.messages = {address_of(number), m_port};
         settings.messages_port = m_port;
         settings.discovers_replicas = true;
-        settings.forms_cluster = m_plan.forms_cluster;
-        for (const vm_number each : m_plan.listed) {
+        settings.forms_cluster = plan.forms_cluster;
+        for (const vm_number each : plan.listed) {
             settings.replicas[base::node_id(address_of(each))] = {address_of(each), m_port};
         }
         settings.node.emplace();
-        if (has_replica) {
+        if (plan.has_replica) {
             settings.replica.emplace();
             settings.replica->data = m_folder + "/" + settings.name.value();
             settings.replica->admin = base::operator_id("operator");
@@ -252,12 +282,10 @@
         return command;
     }
 
-    plan m_plan;
     std::string m_folder;
     wire::cluster_secret m_secret;
     std::uint16_t m_port = free_port();
-    http::event_loop m_loop;
-    std::vector<std::unique_ptr<vm>> m_vms;
+    std::map<vm_number, std::unique_ptr<vm>> m_vms;
 };
 
 } // namespace damaskladder::daemon
--- a/src/daemon/propagation_host_test.cpp
+++ b/src/daemon/propagation_host_test.cpp
@@ -7,30 +7,36 @@
 namespace {
 
 using vm_number = control_fleet::vm_number;
+using vm_plan = control_fleet::vm_plan;
 
-struct restart_case {
-    std::string name;
-    vm_number leader;
-    /// Replica whose disk is empty at the restart; none if 0.
-    vm_number wiped = 0;
-};
-
-class restarts_of_all : public testing::TestWithParam<restart_case> {};
-
-control_fleet::plan plan_of_four()
+/// Starts replicas 1 to 4 and nodes 5 and 6. All are told of 1, 2 and 3.
+void start_four_replicas(control_fleet& fleet, const std::function<vm_plan(vm_number)>& plan_of)
 {
-    return {.replicas = {1, 2, 3, 4}, .nodes = {5, 6}};
+    for (const vm_number replica : {1U, 2U, 3U, 4U}) {
+        fleet.start(replica, plan_of(replica));
+    }
+    for (const vm_number node : {5U, 6U}) {
+        fleet.start(node, {.has_replica = false});
+    }
 }
 
 void form_cluster(const std::string& folder)
 {
-    auto plan = plan_of_four();
-    plan.forms_cluster = true;
-    control_fleet fleet(plan, folder);
+    control_fleet fleet(folder);
+    start_four_replicas(fleet, [](vm_number) { return vm_plan{.forms_cluster = true}; });
     ASSERT_TRUE(fleet.run_until([&] { return fleet.has_voters(4); }));
     ASSERT_TRUE(fleet.change_settings(1));
 }
 
+struct restart_case {
+    std::string name;
+    vm_number leader;
+    /// Replica whose disk is empty at the restart; none if 0.
+    vm_number wiped = 0;
+};
+
+class restarts_of_all : public testing::TestWithParam<restart_case> {};
+
 // Guards against an outage that lasts as long as the leader is a replica whose address the
 // processes were not told: nobody polled it, so no VM had settings, not even the leader's own.
 TEST_P(restarts_of_all, settings_are_confirmed_whichever_replica_leads)
@@ -41,9 +47,10 @@
         std::filesystem::remove_all(folder.path() + "/" +
                                     control_fleet::address_of(GetParam().wiped));
     }
-    auto plan = plan_of_four();
-    plan.only_candidate = GetParam().leader;
-    control_fleet fleet(plan, folder.path());
+    control_fleet fleet(folder.path());
+    start_four_replicas(fleet, [](vm_number number) {
+        return vm_plan{.may_campaign = number == GetParam().leader};
+    });
     ASSERT_TRUE(fleet.run_until([&] { return fleet.leader() != 0; }));
     EXPECT_EQ(fleet.leader(), GetParam().leader);
     const auto led_since = http::event_loop::now();
--- a/src/daemon/replica_membership_host.cpp
+++ b/src/daemon/replica_membership_host.cpp
@@ -30,7 +30,12 @@
     const bool is_member = present != nullptr && present->identity == status.identity;
     const bool forms =
         status.members.members.empty() && !status.awaiting_admission && m_replica.forms_cluster();
-    if (!is_member && !forms && !m_leaving) {
+    if (m_leaving) {
+        // Repeated, because a request that arrives while leadership moves away from this replica is
+        // forwarded to this replica itself.
+        request_removal();
+    }
+    else if (!is_member && !forms) {
         send_to_known_replicas({status.identity, false, false});
     }
     if (const auto change = m_policy.next_change(status, now)) {
@@ -49,6 +54,11 @@
 void replica_membership_host::leave()
 {
     m_leaving = true;
+    request_removal();
+}
+
+void replica_membership_host::request_removal()
+{
     const wire::replica_request request{m_replica.replica().status().identity, true, false};
     receive(request);
     send_to_known_replicas(request);
--- /dev/null
+++ b/src/daemon/replica_membership_host_test.cpp
@@ -0,0 +1,36 @@
+#include "daemon/control_fleet_fixture.hpp"
+#include "daemon/scratch_folder.hpp"
+
+#include <gtest/gtest.h>
+
+namespace damaskladder::daemon {
+namespace {
+
+struct leave_case {
+    std::string name;
+    bool leads;
+};
+
+class leaving_replicas : public testing::TestWithParam<leave_case> {};
+
+// Guards against a leader that leaves and stays a member: its request reached followers that
+// forwarded it to the leader that they still knew, the leaving replica itself.
+TEST_P(leaving_replicas, are_removed)
+{
+    const scratch_folder folder;
+    control_fleet fleet(folder.path());
+    for (const control_fleet::vm_number replica : {1U, 2U, 3U, 4U}) {
+        fleet.start(replica, {.forms_cluster = true});
+    }
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.has_voters(4); }));
+    const auto other = fleet.leader() == 2 ? 3U : 2U;
+    EXPECT_TRUE(fleet.retire(GetParam().leads ? fleet.leader() : other));
+    EXPECT_TRUE(fleet.run_until([&] { return fleet.has_voters(3); }));
+}
+
+INSTANTIATE_TEST_SUITE_P(table, leaving_replicas,
+                         testing::Values(leave_case{"leader", true}, leave_case{"follower", false}),
+                         [](const auto& tested) { return tested.param.name; });
+
+} // namespace
+} // namespace damaskladder::daemon
