Replica directory: find the control replicas where the log has them now

Change: daemon::replica_directory holds the present members of the log, and the addresses of the settings file as first contacts. Replicas tell their pollers of the members (message replica_list, with the number of the configuration, so that an older list never replaces a newer one), when the list changes and each 10 s; relays pass it on. Event replicas_known. The list is kept in memory; a node that missed several replacements while it was cut off falls back on its settings file.

--- a/include/damaskladder/propagation.hpp
+++ b/include/damaskladder/propagation.hpp
@@ -42,4 +42,5 @@
 #include "propagation/propagation_options.hpp"
 #include "propagation/propagation_relay.hpp"
 #include "propagation/propagation_source.hpp"
+#include "propagation/replica_list.hpp"
 #include "propagation/settings_hooks.hpp"
--- a/src/daemon/claims_host.cpp
+++ b/src/daemon/claims_host.cpp
@@ -102,29 +102,28 @@
 } // namespace
 
 claims_host::claims_host(http::event_loop& loop, messenger& messages,
-                         const process_settings& settings, replica_host* replica, hooks callbacks)
+                         const process_settings& settings, const replica_directory& replicas,
+                         replica_host* replica, hooks callbacks)
     : m_loop(loop),
       m_messages(messages),
       m_settings(settings),
+      m_replicas(replicas),
       m_replica(replica),
       m_hooks(std::move(callbacks)),
       m_client(claims::claim_options{}, secure_random())
 {
-    for (const auto& [name, address] : settings.replicas) {
-        m_replicas.push_back(name);
-    }
     m_messages.on_message<wire::claim_command>(
         wire::message_kind::claim_commands, [this](const auto& sender, const auto& command) {
             // A command is accepted only from its origin or from a control replica that forwards
             // it.
-            const bool passed_on = m_settings.replicas.contains(sender);
+            const bool passed_on = m_replicas.contains(sender);
             if (passed_on || command.origin == sender) {
                 receive(command, passed_on);
             }
         });
     m_messages.on_message<wire::claim_response>(wire::message_kind::claim_responses,
                                                 [this](const auto& sender, const auto& answer) {
-                                                    if (m_settings.replicas.contains(sender)) {
+                                                    if (m_replicas.contains(sender)) {
                                                         receive(answer);
                                                     }
                                                 });
@@ -188,11 +187,12 @@
 
 void claims_host::submit(const submission& wanted)
 {
-    if (m_replicas.empty()) {
+    const auto replicas = replica_names();
+    if (replicas.empty()) {
         return;
     }
     choose_replica(http::event_loop::now());
-    send(m_replicas[m_target],
+    send(replicas[m_target % replicas.size()],
          {m_settings.name, base::message_address(to_string(m_settings.messages)), wanted});
 }
 
@@ -202,19 +202,32 @@
         m_unanswered_since = now;
     }
     else if (now - *m_unanswered_since > replica_answer_timeout) {
-        m_target = (m_target + 1) % m_replicas.size();
+        ++m_target;
         m_unanswered_since = now;
     }
 }
 
+std::vector<base::node_id> claims_host::replica_names() const
+{
+    std::vector<base::node_id> names;
+    if (m_replica != nullptr) {
+        names.push_back(m_settings.name);
+    }
+    for (const auto& replica : m_replicas.others()) {
+        names.push_back(replica.node);
+    }
+    return names;
+}
+
 void claims_host::send(const base::node_id& replica, const wire::claim_command& command)
 {
     if (replica == m_settings.name) {
         m_loop.post([this, command] { receive(command, false); });
         return;
     }
-    m_messages.send(replica, to_string(m_settings.replicas.at(replica)),
-                    wire::message_kind::claim_commands, command);
+    if (const auto address = m_replicas.address_of(replica)) {
+        m_messages.send(replica, to_string(*address), wire::message_kind::claim_commands, command);
+    }
 }
 
 void claims_host::receive(const wire::claim_response& answer)
@@ -238,7 +251,7 @@
         const auto leader = m_replica->replica().status().known_leader;
         // Forwarded at most once, so that two replicas with outdated knowledge of the leader do not
         // forward a command to each other in a loop.
-        if (leader && !passed_on && m_settings.replicas.contains(base::node_id(leader->value()))) {
+        if (leader && !passed_on) {
             send(base::node_id(leader->value()), command);
         }
         return;
--- a/src/daemon/claims_host.hpp
+++ b/src/daemon/claims_host.hpp
@@ -4,6 +4,7 @@
 #include "claims/claim_client.hpp"
 #include "daemon/messenger.hpp"
 #include "daemon/process_settings.hpp"
+#include "daemon/replica_directory.hpp"
 #include "daemon/replica_host.hpp"
 #include "node/complete_claim.hpp"
 #include "node/event.hpp"
@@ -30,7 +31,7 @@
 
     /// replica is null if this process runs no control replica.
     claims_host(http::event_loop& loop, messenger& messages, const process_settings& settings,
-                replica_host* replica, hooks callbacks);
+                const replica_directory& replicas, replica_host* replica, hooks callbacks);
 
     void start() { tick(); }
     void acquire(const node::request_claim& wanted);
@@ -49,16 +50,18 @@
     void send(const base::node_id& replica, const wire::claim_command& command);
     void answer(const wire::claim_command& command, const wire::claim_response& text);
     void choose_replica(base::time_point now);
+    /// Known replicas; this process first if it runs one.
+    std::vector<base::node_id> replica_names() const;
 
     http::event_loop& m_loop;
     messenger& m_messages;
     const process_settings& m_settings;
+    const replica_directory& m_replicas;
     replica_host* m_replica;
     hooks m_hooks;
     claims::claim_client m_client;
     claims::abandoned_attempts m_abandoned;
-    std::vector<base::node_id> m_replicas;
-    /// Index in m_replicas of the replica that receives submissions.
+    /// Position of the replica that receives submissions in replica_names(), modulo their number.
     std::size_t m_target = 0;
     /// Time of the first submission after the last reply; unset if none is outstanding.
     std::optional<base::time_point> m_unanswered_since;
--- a/src/daemon/control_fleet_fixture.hpp
+++ b/src/daemon/control_fleet_fixture.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/file_descriptor.hpp"
+#include "daemon/claims_host.hpp"
 #include "daemon/messenger.hpp"
 #include "daemon/propagation_host.hpp"
 #include "daemon/replica_host.hpp"
@@ -137,6 +138,24 @@
         return found;
     }
 
+    /// Whether a claim from this VM is granted.
+    bool claim(vm_number number, const std::string& request)
+    {
+        vm& from = *m_vms.at(number);
+        from.granted = false;
+        node::request_claim wanted;
+        wanted.attempt = base::attempt_id(++m_last_attempt);
+        wanted.workspace = base::workspace_id("w1");
+        wanted.request =
+            base::request_id(std::to_string(std::chrono::duration_cast<std::chrono::seconds>(
+                                                wall_clock_now().time_since_epoch())
+                                                .count()) +
+                             "-" + request);
+        wanted.deadline = http::event_loop::now() + std::chrono::seconds(20);
+        from.claims->acquire(wanted);
+        return run_until([&] { return from.granted; });
+    }
+
 private:
     struct vm {
         vm(const control_fleet& owner, vm_number given_number, const vm_plan& plan)
@@ -144,6 +163,7 @@
               number(given_number),
               may_campaign(plan.may_campaign),
               settings(fleet.settings_of(number, plan)),
+              replicas(settings),
               messages(loop, fleet.m_secret, settings.name,
                        base::incarnation(
                            static_cast<std::uint64_t>(wall_clock_now().time_since_epoch().count())))
@@ -157,12 +177,18 @@
                 start_replica();
             }
             propagation = std::make_unique<propagation_host>(
-                loop, messages, settings, replica.get(),
+                loop, messages, settings, replicas, replica.get(),
                 propagation_host::hooks{
                     .changed = [this](const auto& compiled) { version = compiled->version(); },
                     .confirmed = [this](base::time_point when) { confirmed_at = when; },
                     .relays = [] { return std::vector<propagation::peer>(); }});
             propagation->start();
+            claims = std::make_unique<claims_host>(
+                loop, messages, settings, replicas, replica.get(),
+                claims_host::hooks{.deliver = [this](const node::event& event) {
+                    granted = granted || std::holds_alternative<node::claim_granted>(event);
+                }});
+            claims->start();
         }
 
         void start_replica()
@@ -181,8 +207,8 @@
                 wire::message_kind::consensus,
                 [this](const auto&, const auto& message) { replica->receive(message); });
             ASSERT_TRUE(replica->start());
-            membership =
-                std::make_unique<replica_membership_host>(loop, messages, settings, *replica);
+            membership = std::make_unique<replica_membership_host>(loop, messages, settings,
+                                                                   replicas, *replica);
             membership->start();
         }
 
@@ -201,13 +227,16 @@
         vm_number number;
         bool may_campaign;
         process_settings settings;
+        replica_directory replicas;
         http::event_loop loop;
         messenger messages;
         std::unique_ptr<replica_host> replica;
         std::unique_ptr<replica_membership_host> membership;
         std::unique_ptr<propagation_host> propagation;
+        std::unique_ptr<claims_host> claims;
         base::settings_version version;
         base::time_point confirmed_at;
+        bool granted = false;
     };
 
     static void run_once(http::event_loop& loop)
@@ -285,6 +314,7 @@
     std::string m_folder;
     wire::cluster_secret m_secret;
     std::uint16_t m_port = free_port();
+    std::uint64_t m_last_attempt = 0;
     std::map<vm_number, std::unique_ptr<vm>> m_vms;
 };
 
--- a/src/daemon/propagation_host.cpp
+++ b/src/daemon/propagation_host.cpp
@@ -1,7 +1,6 @@
 #include "daemon/propagation_host.hpp"
 
 #include "daemon/log.hpp"
-#include "daemon/replica_address.hpp"
 #include "daemon/secure_random.hpp"
 #include "propagation/choose_upstreams.hpp"
 #include "settings/ini_reader.hpp"
@@ -29,6 +28,15 @@
     return options;
 }
 
+std::string names_of(const std::vector<propagation::peer>& peers)
+{
+    std::string names;
+    for (const auto& each : peers) {
+        names += (names.empty() ? "" : ",") + each.node.value();
+    }
+    return names;
+}
+
 /// Whole milliseconds, or "none".
 std::string milliseconds_text(const std::optional<base::duration>& time)
 {
@@ -39,11 +47,12 @@
 } // namespace
 
 propagation_host::propagation_host(http::event_loop& loop, messenger& messages,
-                                   const process_settings& settings, replica_host* replica,
-                                   hooks callbacks)
+                                   const process_settings& settings, replica_directory& replicas,
+                                   replica_host* replica, hooks callbacks)
     : m_loop(loop),
       m_messages(messages),
       m_settings(settings),
+      m_replicas(replicas),
       m_replica(replica),
       m_hooks(std::move(callbacks)),
       m_own_source(settings.name.value() + "/control"),
@@ -70,6 +79,7 @@
 void propagation_host::tick()
 {
     const auto now = http::event_loop::now();
+    update_replicas();
     if (m_settings.node) {
         update_upstreams();
         perform_relay(m_relay.tick(now));
@@ -82,16 +92,46 @@
     m_loop.call_at(now + tick_interval, [this] { tick(); });
 }
 
+void propagation_host::update_replicas()
+{
+    if (m_replica != nullptr) {
+        learn_members(m_replica->replica().status().members);
+    }
+    const auto& known = m_relay.replicas();
+    if (known.version == m_known_replicas) {
+        return;
+    }
+    m_known_replicas = known.version;
+    m_replicas.update(known);
+    if (m_source) {
+        m_source->set_replicas(known);
+    }
+    log(log_level::info, "replicas_known",
+        {{"list", std::to_string(known.version.value())}, {"replicas", names_of(known.replicas)}});
+}
+
+void propagation_host::learn_members(const consensus::configuration& members)
+{
+    propagation::replica_list present{propagation::replica_list_version(members.id.value()), {}};
+    if (present.version <= m_relay.replicas().version) {
+        return;
+    }
+    for (const auto& member : members.members) {
+        const base::node_id name(member.identity.id.value());
+        const auto address = m_replicas.address_of(name);
+        if (member.role == consensus::member_role::voter && address) {
+            present.replicas.push_back({name, base::message_address(to_string(*address))});
+        }
+    }
+    m_relay.learn_replicas(present);
+}
+
 void propagation_host::update_upstreams()
 {
     propagation::upstream_candidates known;
     known.leader = known_leader();
     known.relays = m_hooks.relays();
-    for (const auto& [name, address] : m_settings.replicas) {
-        if (name != m_settings.name) {
-            known.replicas.push_back({name, base::message_address(to_string(address))});
-        }
-    }
+    known.replicas = m_replicas.others();
     m_relay.node().set_upstreams(propagation::choose_upstreams(known));
 }
 
@@ -109,7 +149,7 @@
         return propagation::peer{m_own_source,
                                  base::message_address(to_string(m_settings.messages))};
     }
-    const auto address = replica_address(m_settings, name);
+    const auto address = m_replicas.address_of(name);
     return address
                ? std::optional(propagation::peer{name, base::message_address(to_string(*address))})
                : std::nullopt;
@@ -134,10 +174,6 @@
     if (change == report::none) {
         return;
     }
-    std::string polled;
-    for (const auto& upstream : node.upstreams()) {
-        polled += (polled.empty() ? "" : ",") + upstream.node.value();
-    }
     const auto upstream = node.upstream();
     const bool confirmed = change == report::confirmed;
     log(confirmed ? log_level::info : log_level::warn,
@@ -148,7 +184,7 @@
           milliseconds_text(node.last_answer() ? std::optional(now - *node.last_answer())
                                                : std::nullopt)},
          {"upstream", upstream ? upstream->node.value() : ""},
-         {"polled", polled}});
+         {"polled", names_of(node.upstreams())}});
 }
 
 void propagation_host::log_unanswered_polls(std::size_t count, base::time_point now)
@@ -164,7 +200,8 @@
 {
     const auto now = http::event_loop::now();
     const bool is_answer = std::holds_alternative<propagation::update>(body) ||
-                           std::holds_alternative<propagation::copy_chunk>(body);
+                           std::holds_alternative<propagation::copy_chunk>(body) ||
+                           std::holds_alternative<propagation::replica_list>(body);
     const bool is_chunk_request = std::holds_alternative<propagation::chunk_request>(body);
     // Polls and reports go to the source if this replica leads; otherwise it serves them as a
     // relay. Chunk requests go to both, since a copy may have been offered in either role.
--- a/src/daemon/propagation_host.hpp
+++ b/src/daemon/propagation_host.hpp
@@ -3,6 +3,7 @@
 #include "daemon/log_rate_limiter.hpp"
 #include "daemon/messenger.hpp"
 #include "daemon/process_settings.hpp"
+#include "daemon/replica_directory.hpp"
 #include "daemon/replica_host.hpp"
 #include "propagation/confirmation_monitor.hpp"
 #include "propagation/propagation_relay.hpp"
@@ -30,9 +31,10 @@
         std::function<std::vector<propagation::peer>()> relays;
     };
 
+    /// The directory is updated with the members that the replica or another process reports.
     /// replica is null if this process runs no control replica.
     propagation_host(http::event_loop& loop, messenger& messages, const process_settings& settings,
-                     replica_host* replica, hooks callbacks);
+                     replica_directory& replicas, replica_host* replica, hooks callbacks);
 
     void start();
 
@@ -45,6 +47,10 @@
 private:
     void tick();
     void update_upstreams();
+    /// Passes the members of the replicated log, as known to the replica of this process or to the
+    /// replicas that it polls, to the directory and to the pollers.
+    void update_replicas();
+    void learn_members(const consensus::configuration& members);
     /// The leader as known to the replica of this process; m_own_source if it leads itself.
     std::optional<propagation::peer> known_leader() const;
     void confirm();
@@ -67,6 +73,7 @@
     http::event_loop& m_loop;
     messenger& m_messages;
     const process_settings& m_settings;
+    replica_directory& m_replicas;
     replica_host* m_replica;
     hooks m_hooks;
     /// Peer name that stands for this process's own control replica as a source; distinct from the
@@ -79,6 +86,7 @@
     std::optional<propagation::propagation_source> m_source;
     propagation::confirmation_monitor m_confirmations;
     log_rate_limiter m_unanswered_log_limiter;
+    propagation::replica_list_version m_known_replicas;
 };
 
 } // namespace damaskladder::daemon
--- a/src/daemon/propagation_host_test.cpp
+++ b/src/daemon/propagation_host_test.cpp
@@ -66,5 +66,50 @@
                                          restart_case{"unlisted_leader_one_disk_empty", 4, 2}),
                          [](const auto& tested) { return tested.param.name; });
 
+struct replacement_case {
+    std::string name;
+    /// Replicas that are started one after the other, and those that leave after them.
+    std::vector<vm_number> started;
+    std::vector<vm_number> retired;
+    vm_plan plan = {};
+};
+
+class replacements : public testing::TestWithParam<replacement_case> {};
+
+// Guards against a node that goes on asking the control VMs that it was told at its start, although
+// each of them has been replaced since: its settings aged, and its claims got no answer.
+TEST_P(replacements, are_found_by_a_running_node)
+{
+    const vm_number node = 9;
+    const scratch_folder folder;
+    control_fleet fleet(folder.path());
+    for (const vm_number replica : {1U, 2U, 3U}) {
+        fleet.start(replica, {.forms_cluster = true});
+    }
+    fleet.start(node, {.has_replica = false});
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.has_voters(3); }));
+    ASSERT_TRUE(fleet.change_settings(1));
+    for (const vm_number replica : GetParam().started) {
+        fleet.start(replica, GetParam().plan);
+    }
+    const std::size_t all = 3 + GetParam().started.size();
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.has_voters(all); }));
+    for (const vm_number replica : GetParam().retired) {
+        ASSERT_TRUE(fleet.retire(replica)) << replica;
+    }
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.has_voters(all - GetParam().retired.size()); }));
+    const auto replaced_at = http::event_loop::now();
+    EXPECT_TRUE(fleet.run_until([&] { return fleet.unconfirmed_since(replaced_at).empty(); }))
+        << "VMs without confirmed settings: "
+        << testing::PrintToString(fleet.unconfirmed_since(replaced_at));
+    EXPECT_TRUE(fleet.claim(node, "order-1"));
+}
+
+INSTANTIATE_TEST_SUITE_P(table, replacements,
+                         testing::Values(replacement_case{"one_of_three", {4}, {1}},
+                                         replacement_case{"one_added", {4}, {}},
+                                         replacement_case{"all_three", {4, 5, 6}, {1, 2, 3}}),
+                         [](const auto& tested) { return tested.param.name; });
+
 } // namespace
 } // namespace damaskladder::daemon
--- a/src/daemon/quota_host.cpp
+++ b/src/daemon/quota_host.cpp
@@ -1,7 +1,6 @@
 #include "daemon/quota_host.hpp"
 
 #include "daemon/log.hpp"
-#include "daemon/replica_address.hpp"
 #include "daemon/secure_random.hpp"
 
 #include <algorithm>
@@ -75,11 +74,13 @@
 } // namespace
 
 quota_host::quota_host(http::event_loop& loop, messenger& messages,
-                       const process_settings& settings, base::incarnation incarnation,
-                       const membership::membership_node& members, hooks callbacks)
+                       const process_settings& settings, const replica_directory& replicas,
+                       base::incarnation incarnation, const membership::membership_node& members,
+                       hooks callbacks)
     : m_loop(loop),
       m_messages(messages),
       m_settings(settings),
+      m_replicas(replicas),
       m_incarnation(incarnation),
       m_members(members),
       m_hooks(std::move(callbacks))
@@ -363,7 +364,7 @@
         return member->messages;
     }
     if (std::find(m_voters.begin(), m_voters.end(), node) != m_voters.end()) {
-        if (const auto replica = replica_address(m_settings, node)) {
+        if (const auto replica = m_replicas.address_of(node)) {
             return base::message_address(to_string(*replica));
         }
     }
--- a/src/daemon/quota_host.hpp
+++ b/src/daemon/quota_host.hpp
@@ -2,6 +2,7 @@
 
 #include "daemon/messenger.hpp"
 #include "daemon/process_settings.hpp"
+#include "daemon/replica_directory.hpp"
 #include "lease/lease_candidate.hpp"
 #include "lease/lease_voter.hpp"
 #include "membership/membership_node.hpp"
@@ -30,8 +31,8 @@
     };
 
     quota_host(http::event_loop& loop, messenger& messages, const process_settings& settings,
-               base::incarnation incarnation, const membership::membership_node& members,
-               hooks callbacks);
+               const replica_directory& replicas, base::incarnation incarnation,
+               const membership::membership_node& members, hooks callbacks);
 
     void start() { tick(); }
     void set_settings(const settings::compiled_settings& settings);
@@ -63,6 +64,7 @@
     http::event_loop& m_loop;
     messenger& m_messages;
     const process_settings& m_settings;
+    const replica_directory& m_replicas;
     base::incarnation m_incarnation;
     const membership::membership_node& m_members;
     hooks m_hooks;
--- a/src/daemon/replica_membership_host.cpp
+++ b/src/daemon/replica_membership_host.cpp
@@ -1,7 +1,6 @@
 #include "daemon/replica_membership_host.hpp"
 
 #include "daemon/log.hpp"
-#include "daemon/replica_address.hpp"
 
 namespace damaskladder::daemon {
 
@@ -14,8 +13,13 @@
 
 replica_membership_host::replica_membership_host(http::event_loop& loop, messenger& messages,
                                                  const process_settings& settings,
+                                                 const replica_directory& replicas,
                                                  replica_host& replica)
-    : m_loop(loop), m_messages(messages), m_settings(settings), m_replica(replica)
+    : m_loop(loop),
+      m_messages(messages),
+      m_settings(settings),
+      m_replicas(replicas),
+      m_replica(replica)
 {
     m_messages.on_message<wire::replica_request>(
         wire::message_kind::replica_requests,
@@ -79,7 +83,7 @@
     }
     if (status.known_leader && status.known_leader->value() != m_settings.name.value()) {
         const base::node_id leader(status.known_leader->value());
-        if (const auto address = replica_address(m_settings, leader)) {
+        if (const auto address = m_replicas.address_of(leader)) {
             m_messages.send(leader, to_string(*address), wire::message_kind::replica_requests,
                             wire::replica_request{request.identity, request.leaving, true});
         }
@@ -88,11 +92,9 @@
 
 void replica_membership_host::send_to_known_replicas(const wire::replica_request& request)
 {
-    for (const auto& [name, address] : m_settings.replicas) {
-        if (name != m_settings.name) {
-            m_messages.send(name, to_string(address), wire::message_kind::replica_requests,
-                            request);
-        }
+    for (const auto& replica : m_replicas.others()) {
+        m_messages.send(replica.node, replica.address.value(), wire::message_kind::replica_requests,
+                        request);
     }
 }
 
--- a/src/daemon/replica_membership_host.hpp
+++ b/src/daemon/replica_membership_host.hpp
@@ -3,6 +3,7 @@
 #include "consensus/membership_policy.hpp"
 #include "daemon/messenger.hpp"
 #include "daemon/process_settings.hpp"
+#include "daemon/replica_directory.hpp"
 #include "daemon/replica_host.hpp"
 #include "wire/replica_request.hpp"
 
@@ -15,7 +16,8 @@
 class replica_membership_host {
 public:
     replica_membership_host(http::event_loop& loop, messenger& messages,
-                            const process_settings& settings, replica_host& replica);
+                            const process_settings& settings, const replica_directory& replicas,
+                            replica_host& replica);
 
     void start() { tick(); }
     /// Notifies the leader that this replica stops.
@@ -30,6 +32,7 @@
     http::event_loop& m_loop;
     messenger& m_messages;
     const process_settings& m_settings;
+    const replica_directory& m_replicas;
     replica_host& m_replica;
     consensus::membership_policy m_policy;
     bool m_leaving = false;
--- a/src/propagation/message.hpp
+++ b/src/propagation/message.hpp
@@ -3,6 +3,7 @@
 #include "propagation/chunk_request.hpp"
 #include "propagation/copy_chunk.hpp"
 #include "propagation/poll.hpp"
+#include "propagation/replica_list.hpp"
 #include "propagation/report.hpp"
 #include "propagation/update.hpp"
 
@@ -11,6 +12,6 @@
 namespace damaskladder::propagation {
 
 /// Any message of the propagation protocol.
-using message = std::variant<poll, update, chunk_request, copy_chunk, report>;
+using message = std::variant<poll, update, chunk_request, copy_chunk, report, replica_list>;
 
 } // namespace damaskladder::propagation
--- a/src/propagation/message_check.cpp
+++ b/src/propagation/message_check.cpp
@@ -54,6 +54,13 @@
         return body.chunk < options.max_chunks_per_copy &&
                body.bytes.value().size() <= options.chunk_bytes;
     }
+    bool operator()(const replica_list& body) const
+    {
+        return body.replicas.size() <= options.max_replicas &&
+               std::all_of(body.replicas.begin(), body.replicas.end(), [](const peer& each) {
+                   return is_valid_name(each.node.value()) && is_valid_name(each.address.value());
+               });
+    }
     bool operator()(const report& body) const
     {
         return body.domains.size() <= options.max_domains &&
--- a/src/propagation/propagation_options.hpp
+++ b/src/propagation/propagation_options.hpp
@@ -33,6 +33,9 @@
     base::duration copy_timeout = std::chrono::seconds(2);
     /// Time for which a prepared copy is offered. Differences bring its receivers up to date.
     base::duration copy_lifetime = std::chrono::seconds(10);
+    /// The list of control replicas is sent to a poller when it changes, and again after this time
+    /// in case it was lost.
+    base::duration replica_list_interval = std::chrono::seconds(10);
 
     /// Limits. Data beyond a limit is dropped or replaced by a full copy.
     std::size_t chunk_bytes = 16'384;
@@ -44,6 +47,7 @@
     std::size_t max_pollers = 4'096;
     std::size_t max_domains = 64;
     std::size_t max_reporters = 256;
+    std::size_t max_replicas = 16;
 };
 
 } // namespace damaskladder::propagation
--- a/src/propagation/propagation_relay.cpp
+++ b/src/propagation/propagation_relay.cpp
@@ -55,6 +55,9 @@
         fresh = freshness{stamp->version, stamp->staleness_bound(now)};
     }
     m_effects.sends.push_back(m_server.answer(from, body, fresh, now));
+    if (auto replicas = m_server.take_replica_list(from, now)) {
+        m_effects.sends.push_back(std::move(*replicas));
+    }
 }
 
 void propagation_relay::handle(const base::node_id& from, const update& body, base::time_point now)
@@ -82,6 +85,21 @@
     m_reports.add(from, body, now);
 }
 
+void propagation_relay::handle(const base::node_id& /*from*/, const replica_list& body,
+                               base::time_point /*now*/)
+{
+    learn_replicas(body);
+}
+
+void propagation_relay::learn_replicas(const replica_list& replicas)
+{
+    if (replicas.version <= m_replicas.version) {
+        return;
+    }
+    m_replicas = replicas;
+    m_server.set_replicas(replicas);
+}
+
 void propagation_relay::append(effects part)
 {
     for (send& item : part.sends) {
--- a/src/propagation/propagation_relay.hpp
+++ b/src/propagation/propagation_relay.hpp
@@ -30,6 +30,11 @@
     /// Messages beyond the limits are dropped and counted.
     effects receive(const base::node_id& from, const message& body, base::time_point now);
 
+    /// Sets the control replicas if the list is newer than the known one. Pollers are told of them.
+    void learn_replicas(const replica_list& replicas);
+    /// The newest list that was learned; empty before the first one.
+    const replica_list& replicas() const { return m_replicas; }
+
     std::vector<domain_report> reports() const { return m_reports.reports(); }
     std::uint64_t refused_messages() const { return m_refused; }
 
@@ -39,6 +44,7 @@
     void handle(const base::node_id& from, const chunk_request& body, base::time_point now);
     void handle(const base::node_id& from, const copy_chunk& body, base::time_point now);
     void handle(const base::node_id& from, const report& body, base::time_point now);
+    void handle(const base::node_id& from, const replica_list& body, base::time_point now);
     void append(effects part);
     effects take_effects(base::time_point now);
 
@@ -46,6 +52,7 @@
     propagation_node m_node;
     update_server m_server;
     report_table m_reports;
+    replica_list m_replicas;
     base::settings_version m_report_version;
     base::time_point m_next_report{};
     effects m_effects;
--- a/src/propagation/propagation_source.cpp
+++ b/src/propagation/propagation_source.cpp
@@ -34,6 +34,9 @@
     for (const auto& [from, body] : std::exchange(m_polls_in_read, {})) {
         result.sends.push_back(
             m_server.answer(from, body, freshness{m_version, base::duration::zero()}, now));
+        if (auto replicas = m_server.take_replica_list(from, now)) {
+            result.sends.push_back(std::move(*replicas));
+        }
     }
     start_read(now, result);
     return result;
--- a/src/propagation/propagation_source.hpp
+++ b/src/propagation/propagation_source.hpp
@@ -37,6 +37,9 @@
     /// Messages beyond the limits are dropped and counted.
     effects receive(const base::node_id& from, const message& body, base::time_point now);
 
+    /// Sets the control replicas of which pollers are told. An older list is ignored.
+    void set_replicas(const replica_list& replicas) { m_server.set_replicas(replicas); }
+
     /// One entry per failure domain, for `status`, as of the last tick.
     std::vector<domain_status> statuses() const { return m_reports.statuses(); }
     std::uint64_t refused_messages() const { return m_refused; }
--- a/src/propagation/propagation_test.cpp
+++ b/src/propagation/propagation_test.cpp
@@ -227,6 +227,15 @@
             base::settings_version(1), false};
 }
 
+replica_list replicas_named(const std::vector<std::string>& names)
+{
+    replica_list list{replica_list_version(1), {}};
+    for (const std::string& name : names) {
+        list.replicas.push_back({base::node_id(name), base::message_address(name)});
+    }
+    return list;
+}
+
 INSTANTIATE_TEST_SUITE_P(
     table, settings_bounds,
     testing::Values(
@@ -254,6 +263,9 @@
             false},
         bound_case{"chunk_beyond_copy",
                    copy_chunk{base::settings_version(1), 1'024, settings_bytes("x")}, false},
+        bound_case{"replicas", replicas_named({"a", "b"}), true},
+        bound_case{"too_many_replicas", replicas_named(std::vector<std::string>(17, "a")), false},
+        bound_case{"replica_without_name", replicas_named({"a", ""}), false},
         bound_case{
             "too_many_domains",
             report{std::vector<domain_report>(65, {base::failure_domain_id("d"), 1, {}, {}})},
--- a/src/propagation/update_server.cpp
+++ b/src/propagation/update_server.cpp
@@ -37,7 +37,10 @@
                            const std::optional<freshness>& fresh, base::time_point now)
 {
     if (m_pollers.size() < m_options.max_pollers || m_pollers.count(from) > 0) {
-        m_pollers[from] = {body.reply_to, body.applied_version, now};
+        poller& entry = m_pollers[from];
+        entry.address = body.reply_to;
+        entry.version = body.applied_version;
+        entry.last_poll = now;
     }
     update result;
     result.id = body.id;
@@ -55,6 +58,30 @@
     return {{from, body.reply_to}, std::move(result)};
 }
 
+void update_server::set_replicas(const replica_list& replicas)
+{
+    if (replicas.version > m_replicas.version) {
+        m_replicas = replicas;
+    }
+}
+
+std::optional<send> update_server::take_replica_list(const base::node_id& to, base::time_point now)
+{
+    const auto found = m_pollers.find(to);
+    if (found == m_pollers.end() || m_replicas.replicas.empty()) {
+        return std::nullopt;
+    }
+    auto& entry = found->second;
+    const bool due = entry.sent_replicas != m_replicas.version ||
+                     now - entry.replicas_sent_at >= m_options.replica_list_interval;
+    if (!due) {
+        return std::nullopt;
+    }
+    entry.sent_replicas = m_replicas.version;
+    entry.replicas_sent_at = now;
+    return send{{to, entry.address}, m_replicas};
+}
+
 std::optional<copy_offer> update_server::offer_copy(base::time_point now)
 {
     const bool usable = !m_prepared_copies.empty() &&
--- a/src/propagation/update_server.hpp
+++ b/src/propagation/update_server.hpp
@@ -8,6 +8,7 @@
 #include "propagation/freshness.hpp"
 #include "propagation/poll.hpp"
 #include "propagation/propagation_options.hpp"
+#include "propagation/replica_list.hpp"
 #include "propagation/send.hpp"
 #include "propagation/settings_copy.hpp"
 
@@ -32,6 +33,11 @@
     /// Answers a poll and records its sender for later pushes.
     send answer(const base::node_id& from, const poll& body, const std::optional<freshness>& fresh,
                 base::time_point now);
+    /// Sets the control replicas of which pollers are told. An older list is ignored.
+    void set_replicas(const replica_list& replicas);
+    /// The list of control replicas for a poller, if it is due.
+    std::optional<send> take_replica_list(const base::node_id& to, base::time_point now);
+
     /// None if the copy is no longer held; the requester polls again.
     std::optional<send> answer(const base::node_id& from, const chunk_request& body) const;
 
@@ -43,6 +49,8 @@
         base::message_address address;
         base::settings_version version;
         base::time_point last_poll;
+        replica_list_version sent_replicas;
+        base::time_point replicas_sent_at;
     };
     struct prepared_copy {
         settings_copy copy;
@@ -59,6 +67,7 @@
     difference_log m_log;
     std::map<base::node_id, poller> m_pollers;
     std::deque<prepared_copy> m_prepared_copies;
+    replica_list m_replicas;
     bool m_push_pending = false;
 };
 
