Client: interim responses are limited

Asked by the users: a backend server in trouble may send bytes that are no answer without end, in a head or a body, until the caller closes. Seen in a test: of nine endless heads, eight ended within the limits of a head; endless interim responses (1xx) were skipped one after the other. The client read 256 MB in 3.1 s, where the fake gives up, and meanwhile served nothing else. Cause: each interim response starts a new head, so the limit of a head never applied, and an interim response counted as nothing. Change: the 17th interim response ends the transfer as broken. Before: endless_heads/interim_responses fails; after: 12 of 12 endless cases pass, and http_test as a whole. Bodies without end (three cases) leave the loop time for timers and end when cancelled, before and after.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t upload_read_size = std::size_t{16} * 1024;
 constexpr std::size_t upload_buffer_size = std::size_t{64} * 1024;
 constexpr int switching_protocols = 101;
+/// Interim responses accepted before the final one. Servers send one or two.
+constexpr int max_interim_responses = 16;
 /// Servers that announce no timeout commonly close idle connections after 5 s or more.
 constexpr base::duration default_idle_timeout = std::chrono::seconds(4);
 /// The server starts its idle timer at a different time than the client and announces whole
@@ -106,6 +108,7 @@
     m_bytes_sent = false;
     m_request_sent = false;
     m_interim = false;
+    m_interim_responses = 0;
     sending->connection_ready();
     if (m_transfer != sending || m_closed) {
         return;
@@ -251,6 +254,9 @@
     }
     m_interim = parsed.status < first_final_status;
     if (m_interim) {
+        if (++m_interim_responses > max_interim_responses) {
+            fail_transfer("too many interim responses");
+        }
         return;
     }
     m_keep_alive = parsed.keep_alive;
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -78,6 +78,7 @@
 
     bool m_connected = false;
     bool m_interim = false;
+    int m_interim_responses = 0;
     /// Whether the response allows the connection to be reused. Set when its head has arrived.
     bool m_keep_alive = false;
     bool m_closed = false;
