Replica membership: a removed replica asks to be admitted again

Seen by: a replica that was silent for over 6 s is removed where three others remain, and stays outside for ever when it is back, also after a restart. The cluster then has one replica less than its operator believes. Cause: it asks for admission only if its own log does not name it. A removed replica never receives the entry that removes it. Besides, a learner, which does not campaign, took its last leader for present for ever. Change: a replica asks whenever it has no leader, too (pure function consensus::requests_admission), and forgets the leader when its election deadline passes, whether or not it may campaign. Before: daemon_test/returning_replicas/own_disk fails (3 voters 20 s after the return), empty_disk passes. After: both pass, 7.6 s, of which 6 s are the silence. consensus_test (schedules with wipes and replacements among them): 114 of 114.

--- a/include/damaskladder/consensus.hpp
+++ b/include/damaskladder/consensus.hpp
@@ -68,3 +68,4 @@
 #include "consensus/replica.hpp"
 #include "consensus/replica_options.hpp"
 #include "consensus/replica_status.hpp"
+#include "consensus/requests_admission.hpp"
--- a/src/consensus/replica_core.cpp
+++ b/src/consensus/replica_core.cpp
@@ -124,6 +124,7 @@
         return;
     }
     reset_election_deadline();
+    m_leader.reset();
     if (can_campaign()) {
         start_pre_vote();
     }
--- a/src/daemon/replica_membership_host.cpp
+++ b/src/daemon/replica_membership_host.cpp
@@ -1,5 +1,6 @@
 #include "daemon/replica_membership_host.hpp"
 
+#include "consensus/requests_admission.hpp"
 #include "daemon/log.hpp"
 
 namespace damaskladder::daemon {
@@ -30,8 +31,6 @@
 {
     const auto now = http::event_loop::now();
     const auto status = m_replica.replica().status();
-    const auto* present = status.members.find(status.identity.id);
-    const bool is_member = present != nullptr && present->identity == status.identity;
     const bool forms =
         status.members.members.empty() && !status.awaiting_admission && m_replica.forms_cluster();
     if (m_leaving) {
@@ -39,7 +38,7 @@
         // forwarded to this replica itself.
         request_removal();
     }
-    else if (!is_member && !forms) {
+    else if (consensus::requests_admission(status) && !forms) {
         send_to_known_replicas({status.identity, false, false});
     }
     if (const auto change = m_policy.next_change(status, now)) {
--- a/src/daemon/replica_membership_host_test.cpp
+++ b/src/daemon/replica_membership_host_test.cpp
@@ -32,5 +32,36 @@
                          testing::Values(leave_case{"leader", true}, leave_case{"follower", false}),
                          [](const auto& tested) { return tested.param.name; });
 
+struct return_case {
+    std::string name;
+    bool disk_is_empty;
+};
+
+class returning_replicas : public testing::TestWithParam<return_case> {};
+
+// Guards against a replica that stays outside after it was removed for its silence: its own log
+// still names it as a member, so it did not ask to be admitted, and the leader did not contact it.
+TEST_P(returning_replicas, are_admitted_again)
+{
+    const scratch_folder folder;
+    control_fleet fleet(folder.path());
+    for (const control_fleet::vm_number replica : {1U, 2U, 3U, 4U}) {
+        fleet.start(replica, {.forms_cluster = true});
+    }
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.has_voters(4); }));
+    fleet.kill(4);
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.has_voters(3); }));
+    if (GetParam().disk_is_empty) {
+        std::filesystem::remove_all(folder.path() + "/" + control_fleet::address_of(4));
+    }
+    fleet.start(4, {});
+    EXPECT_TRUE(fleet.run_until([&] { return fleet.has_voters(4); }));
+}
+
+INSTANTIATE_TEST_SUITE_P(table, returning_replicas,
+                         testing::Values(return_case{"own_disk", false},
+                                         return_case{"empty_disk", true}),
+                         [](const auto& tested) { return tested.param.name; });
+
 } // namespace
 } // namespace damaskladder::daemon
