Propagation: leave a relay that is cut off before settings are too old

Cause: a node left a relay when it reported an age above 3 s, which is also the shortest max_staleness in use, and needs up to two polls (1 s) to get an answer from another one. Change: the bound is 1.5 s. A current relay two steps from the leader reports 1.1 s at most.

--- a/src/propagation/fake_settings_fleet_test.hpp
+++ b/src/propagation/fake_settings_fleet_test.hpp
@@ -35,6 +35,8 @@
     std::size_t copy_size = 100'000;
     std::size_t difference_size = 300;
     std::set<std::string> partitioned;
+    /// Pairs of processes whose messages are lost, in both directions.
+    std::set<std::pair<std::string, std::string>> cut_links;
     base::time_point now{};
     std::int64_t bytes = 0;
     std::uint64_t messages = 0;
@@ -297,6 +299,11 @@
         return size;
     }
 
+    bool is_cut(const std::string& from, const std::string& to) const
+    {
+        return cut_links.count({from, to}) > 0 || cut_links.count({to, from}) > 0;
+    }
+
     double random_fraction() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
     void transmit(const std::string& from, const std::string& to,
@@ -304,7 +311,8 @@
     {
         const int copies = duplication > 0 && random_fraction() < duplication ? 2 : 1;
         for (int copy = 0; copy < copies; ++copy) {
-            if ((loss > 0 && random_fraction() < loss) || m_processes.count(to) == 0) {
+            if ((loss > 0 && random_fraction() < loss) || m_processes.count(to) == 0 ||
+                is_cut(from, to)) {
                 continue;
             }
             const auto spread = static_cast<std::uint64_t>((max_delay - min_delay).count());
--- a/src/propagation/propagation_options.hpp
+++ b/src/propagation/propagation_options.hpp
@@ -18,8 +18,10 @@
     base::duration poll_interval = std::chrono::milliseconds(500);
     /// Time to wait for an answer before failing over to another relay or source.
     base::duration answer_timeout = std::chrono::milliseconds(400);
-    /// A relay that reports a greater age counts as cut off, and the node fails over to another.
-    base::duration max_relay_age = std::chrono::seconds(3);
+    /// A relay that reports a greater age counts as cut off, and the node fails over to another. A
+    /// current relay two steps from the leader reports up to 1.1 s. Leaving takes two polls, which
+    /// must end before the shortest max_staleness in use, 3 s.
+    base::duration max_relay_age = std::chrono::milliseconds(1500);
     /// Changes are pushed to the nodes that polled within this time.
     base::duration push_window = std::chrono::seconds(2);
     /// Nodes that have not polled within this time are left out of reports.
--- a/src/propagation/propagation_test.cpp
+++ b/src/propagation/propagation_test.cpp
@@ -159,6 +159,32 @@
     }
 }
 
+// Guards against nodes that stay with a relay that is cut off from the sources until their settings
+// are too old to serve by, although another relay is current. Installations withdraw keys within 5
+// s and allow settings an age of 0.6 of that.
+TEST(propagation, a_relay_that_is_cut_off_is_left_in_time)
+{
+    constexpr base::duration shortest_max_staleness = 3s;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        fake_settings_fleet fleet(seed);
+        start_two_levels(fleet, 10);
+        fleet.accept();
+        fleet.run(5s);
+        for (const std::string source : {"s0", "s1", "s2"}) {
+            fleet.cut_links.insert({"r0", source});
+        }
+        for (int step = 0; step < 100; ++step) {
+            fleet.run(100ms);
+            for (const std::string& name : fleet.nodes()) {
+                if (name != "r0") {
+                    ASSERT_LT(fleet.staleness(name).value(), shortest_max_staleness)
+                        << name << ", seed " << seed << ", step " << step;
+                }
+            }
+        }
+    }
+}
+
 // Guards against an answer to a poll of an earlier run being matched to a poll of this run.
 TEST(propagation, answers_to_an_earlier_run_do_not_count)
 {
