--- a/src/http/endless_server_fake.hpp
+++ b/src/http/endless_server_fake.hpp
@@ -22,7 +22,7 @@
 public:
     static constexpr std::size_t limit = std::size_t{256} * 1024 * 1024;
 
-    endless_server_fake(std::string prefix, std::string piece)
+    endless_server_fake(std::string prefix, const std::string& piece)
         : m_prefix(std::move(prefix)), m_listening(socket(AF_INET, SOCK_STREAM, 0))
     {
         while (m_pieces.size() < piece_size) {
