Daemon: read-through of the replica directory

One name for one thing: members that hold the directory are m_directory, beside m_replica for the replica of the process. address_of() returns a message address, prefers that of the list (a process with [replicas/NAME] sections knows no address of a member that joined later), and its callers no longer convert. Lists of names in log lines are joined in one place. Test: known_replicas/addresses_from_the_list. No other behaviour changes.

--- a/src/daemon/claims_host.cpp
+++ b/src/daemon/claims_host.cpp
@@ -102,12 +102,12 @@
 } // namespace
 
 claims_host::claims_host(http::event_loop& loop, messenger& messages,
-                         const process_settings& settings, const replica_directory& replicas,
+                         const process_settings& settings, const replica_directory& directory,
                          replica_host* replica, hooks callbacks)
     : m_loop(loop),
       m_messages(messages),
       m_settings(settings),
-      m_replicas(replicas),
+      m_directory(directory),
       m_replica(replica),
       m_hooks(std::move(callbacks)),
       m_client(claims::claim_options{}, secure_random())
@@ -116,14 +116,14 @@
         wire::message_kind::claim_commands, [this](const auto& sender, const auto& command) {
             // A command is accepted only from its origin or from a control replica that forwards
             // it.
-            const bool passed_on = m_replicas.contains(sender);
+            const bool passed_on = m_directory.contains(sender);
             if (passed_on || command.origin == sender) {
                 receive(command, passed_on);
             }
         });
     m_messages.on_message<wire::claim_response>(wire::message_kind::claim_responses,
                                                 [this](const auto& sender, const auto& answer) {
-                                                    if (m_replicas.contains(sender)) {
+                                                    if (m_directory.contains(sender)) {
                                                         receive(answer);
                                                     }
                                                 });
@@ -213,7 +213,7 @@
     if (m_replica != nullptr) {
         names.push_back(m_settings.name);
     }
-    for (const auto& replica : m_replicas.others()) {
+    for (const auto& replica : m_directory.others()) {
         names.push_back(replica.node);
     }
     return names;
@@ -225,8 +225,8 @@
         m_loop.post([this, command] { receive(command, false); });
         return;
     }
-    if (const auto address = m_replicas.address_of(replica)) {
-        m_messages.send(replica, to_string(*address), wire::message_kind::claim_commands, command);
+    if (const auto address = m_directory.address_of(replica)) {
+        m_messages.send(replica, address->value(), wire::message_kind::claim_commands, command);
     }
 }
 
--- a/src/daemon/claims_host.hpp
+++ b/src/daemon/claims_host.hpp
@@ -31,7 +31,7 @@
 
     /// replica is null if this process runs no control replica.
     claims_host(http::event_loop& loop, messenger& messages, const process_settings& settings,
-                const replica_directory& replicas, replica_host* replica, hooks callbacks);
+                const replica_directory& directory, replica_host* replica, hooks callbacks);
 
     void start() { tick(); }
     void acquire(const node::request_claim& wanted);
@@ -56,7 +56,7 @@
     http::event_loop& m_loop;
     messenger& m_messages;
     const process_settings& m_settings;
-    const replica_directory& m_replicas;
+    const replica_directory& m_directory;
     replica_host* m_replica;
     hooks m_hooks;
     claims::claim_client m_client;
--- a/src/daemon/control_fleet_fixture.hpp
+++ b/src/daemon/control_fleet_fixture.hpp
@@ -163,7 +163,7 @@
               number(given_number),
               may_campaign(plan.may_campaign),
               settings(fleet.settings_of(number, plan)),
-              replicas(settings),
+              directory(settings),
               messages(loop, fleet.m_secret, settings.name,
                        base::incarnation(
                            static_cast<std::uint64_t>(wall_clock_now().time_since_epoch().count())))
@@ -177,14 +177,14 @@
                 start_replica();
             }
             propagation = std::make_unique<propagation_host>(
-                loop, messages, settings, replicas, replica.get(),
+                loop, messages, settings, directory, replica.get(),
                 propagation_host::hooks{
                     .changed = [this](const auto& compiled) { version = compiled->version(); },
                     .confirmed = [this](base::time_point when) { confirmed_at = when; },
                     .relays = [] { return std::vector<propagation::peer>(); }});
             propagation->start();
             claims = std::make_unique<claims_host>(
-                loop, messages, settings, replicas, replica.get(),
+                loop, messages, settings, directory, replica.get(),
                 claims_host::hooks{.deliver = [this](const node::event& event) {
                     granted = granted || std::holds_alternative<node::claim_granted>(event);
                 }});
@@ -208,7 +208,7 @@
                 [this](const auto&, const auto& message) { replica->receive(message); });
             ASSERT_TRUE(replica->start());
             membership = std::make_unique<replica_membership_host>(loop, messages, settings,
-                                                                   replicas, *replica);
+                                                                   directory, *replica);
             membership->start();
         }
 
@@ -227,7 +227,7 @@
         vm_number number;
         bool may_campaign;
         process_settings settings;
-        replica_directory replicas;
+        replica_directory directory;
         http::event_loop loop;
         messenger messages;
         std::unique_ptr<replica_host> replica;
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -32,7 +32,7 @@
       m_settings(settings),
       m_secret(secret),
       m_incarnation(incarnation),
-      m_replicas(settings),
+      m_directory(settings),
       m_messages(m_loop, secret, settings.name, incarnation)
 {
 }
@@ -46,8 +46,8 @@
             replica_host::hooks{.send =
                                     [this](const consensus::envelope& message) {
                                         const base::node_id to(message.to.id.value());
-                                        if (const auto address = m_replicas.address_of(to)) {
-                                            m_messages.send(to, to_string(*address),
+                                        if (const auto address = m_directory.address_of(to)) {
+                                            m_messages.send(to, address->value(),
                                                             wire::message_kind::consensus, message);
                                         }
                                     },
@@ -67,7 +67,7 @@
         BOOST_LEAF_CHECK(m_replica->start());
         if (m_settings.discovers_replicas) {
             m_replica_membership = std::make_unique<replica_membership_host>(
-                m_loop, m_messages, m_settings, m_replicas, *m_replica);
+                m_loop, m_messages, m_settings, m_directory, *m_replica);
             m_replica_membership->start();
         }
         m_operators =
@@ -75,7 +75,7 @@
         BOOST_LEAF_CHECK(m_operators->listen(m_settings.replica->operators));
     }
     m_propagation = std::make_unique<propagation_host>(
-        m_loop, m_messages, m_settings, m_replicas, m_replica.get(),
+        m_loop, m_messages, m_settings, m_directory, m_replica.get(),
         propagation_host::hooks{
             .changed = [this](auto compiled) { on_settings_changed(std::move(compiled)); },
             .confirmed =
@@ -86,7 +86,7 @@
                 },
             .relays = [this] { return m_node->upstream_relays(); }});
     m_claims = std::make_unique<claims_host>(
-        m_loop, m_messages, m_settings, m_replicas, m_replica.get(),
+        m_loop, m_messages, m_settings, m_directory, m_replica.get(),
         claims_host::hooks{.deliver = [this](const node::event& event) {
             m_traffic->post(
                 [event](traffic_frontend& frontend, traffic_quota&) { frontend.deliver(event); });
@@ -109,7 +109,7 @@
         m_loop, m_messages, m_settings, m_incarnation,
         node_host::hooks{.publish = [this](auto view) { m_traffic->publish(std::move(view)); }});
     m_quota = std::make_unique<quota_host>(
-        m_loop, m_messages, m_settings, m_replicas, m_incarnation, m_node->members(),
+        m_loop, m_messages, m_settings, m_directory, m_incarnation, m_node->members(),
         quota_host::hooks{
             .control_voters =
                 [this] { return m_replica ? m_replica->voters() : std::vector<base::node_id>(); },
--- a/src/daemon/control_thread.hpp
+++ b/src/daemon/control_thread.hpp
@@ -48,7 +48,7 @@
     const process_settings& m_settings;
     const wire::cluster_secret& m_secret;
     base::incarnation m_incarnation;
-    replica_directory m_replicas;
+    replica_directory m_directory;
     http::event_loop m_loop;
     messenger m_messages;
     std::unique_ptr<replica_host> m_replica;
--- a/src/daemon/propagation_host.cpp
+++ b/src/daemon/propagation_host.cpp
@@ -1,5 +1,6 @@
 #include "daemon/propagation_host.hpp"
 
+#include "daemon/comma_separated.hpp"
 #include "daemon/log.hpp"
 #include "daemon/secure_random.hpp"
 #include "propagation/choose_upstreams.hpp"
@@ -30,11 +31,7 @@
 
 std::string names_of(const std::vector<propagation::peer>& peers)
 {
-    std::string names;
-    for (const auto& each : peers) {
-        names += (names.empty() ? "" : ",") + each.node.value();
-    }
-    return names;
+    return comma_separated(peers, [](const propagation::peer& each) { return each.node.value(); });
 }
 
 /// Whole milliseconds, or "none".
@@ -47,12 +44,12 @@
 } // namespace
 
 propagation_host::propagation_host(http::event_loop& loop, messenger& messages,
-                                   const process_settings& settings, replica_directory& replicas,
+                                   const process_settings& settings, replica_directory& directory,
                                    replica_host* replica, hooks callbacks)
     : m_loop(loop),
       m_messages(messages),
       m_settings(settings),
-      m_replicas(replicas),
+      m_directory(directory),
       m_replica(replica),
       m_hooks(std::move(callbacks)),
       m_own_source(settings.name.value() + "/control"),
@@ -98,11 +95,11 @@
         learn_members(m_replica->replica().status().members);
     }
     const auto& known = m_relay.replicas();
-    if (known.version == m_known_replicas) {
+    if (known.version == m_members_version) {
         return;
     }
-    m_known_replicas = known.version;
-    m_replicas.update(known);
+    m_members_version = known.version;
+    m_directory.update(known);
     if (m_source) {
         m_source->set_replicas(known);
     }
@@ -118,9 +115,9 @@
     }
     for (const auto& member : members.members) {
         const base::node_id name(member.identity.id.value());
-        const auto address = m_replicas.address_of(name);
+        const auto address = m_directory.address_of(name);
         if (member.role == consensus::member_role::voter && address) {
-            present.replicas.push_back({name, base::message_address(to_string(*address))});
+            present.replicas.push_back({name, *address});
         }
     }
     m_relay.learn_replicas(present);
@@ -131,7 +128,7 @@
     propagation::upstream_candidates known;
     known.leader = known_leader();
     known.relays = m_hooks.relays();
-    known.replicas = m_replicas.others();
+    known.replicas = m_directory.others();
     m_relay.node().set_upstreams(propagation::choose_upstreams(known));
 }
 
@@ -149,10 +146,8 @@
         return propagation::peer{m_own_source,
                                  base::message_address(to_string(m_settings.messages))};
     }
-    const auto address = m_replicas.address_of(name);
-    return address
-               ? std::optional(propagation::peer{name, base::message_address(to_string(*address))})
-               : std::nullopt;
+    const auto address = m_directory.address_of(name);
+    return address ? std::optional(propagation::peer{name, *address}) : std::nullopt;
 }
 
 void propagation_host::confirm()
--- a/src/daemon/propagation_host.hpp
+++ b/src/daemon/propagation_host.hpp
@@ -34,7 +34,7 @@
     /// The directory is updated with the members that the replica or another process reports.
     /// replica is null if this process runs no control replica.
     propagation_host(http::event_loop& loop, messenger& messages, const process_settings& settings,
-                     replica_directory& replicas, replica_host* replica, hooks callbacks);
+                     replica_directory& directory, replica_host* replica, hooks callbacks);
 
     void start();
 
@@ -73,7 +73,7 @@
     http::event_loop& m_loop;
     messenger& m_messages;
     const process_settings& m_settings;
-    replica_directory& m_replicas;
+    replica_directory& m_directory;
     replica_host* m_replica;
     hooks m_hooks;
     /// Peer name that stands for this process's own control replica as a source; distinct from the
@@ -86,7 +86,8 @@
     std::optional<propagation::propagation_source> m_source;
     propagation::confirmation_monitor m_confirmations;
     log_rate_limiter m_unanswered_log_limiter;
-    propagation::replica_list_version m_known_replicas;
+    /// Version of the list that the directory and the source have.
+    propagation::replica_list_version m_members_version;
 };
 
 } // namespace damaskladder::daemon
--- a/src/daemon/quota_host.cpp
+++ b/src/daemon/quota_host.cpp
@@ -74,13 +74,13 @@
 } // namespace
 
 quota_host::quota_host(http::event_loop& loop, messenger& messages,
-                       const process_settings& settings, const replica_directory& replicas,
+                       const process_settings& settings, const replica_directory& directory,
                        base::incarnation incarnation, const membership::membership_node& members,
                        hooks callbacks)
     : m_loop(loop),
       m_messages(messages),
       m_settings(settings),
-      m_replicas(replicas),
+      m_directory(directory),
       m_incarnation(incarnation),
       m_members(members),
       m_hooks(std::move(callbacks))
@@ -364,8 +364,8 @@
         return member->messages;
     }
     if (std::find(m_voters.begin(), m_voters.end(), node) != m_voters.end()) {
-        if (const auto replica = m_replicas.address_of(node)) {
-            return base::message_address(to_string(*replica));
+        if (const auto replica = m_directory.address_of(node)) {
+            return replica;
         }
     }
     if (m_known_holder && m_known_holder->node == node) {
--- a/src/daemon/quota_host.hpp
+++ b/src/daemon/quota_host.hpp
@@ -31,7 +31,7 @@
     };
 
     quota_host(http::event_loop& loop, messenger& messages, const process_settings& settings,
-               const replica_directory& replicas, base::incarnation incarnation,
+               const replica_directory& directory, base::incarnation incarnation,
                const membership::membership_node& members, hooks callbacks);
 
     void start() { tick(); }
@@ -64,7 +64,7 @@
     http::event_loop& m_loop;
     messenger& m_messages;
     const process_settings& m_settings;
-    const replica_directory& m_replicas;
+    const replica_directory& m_directory;
     base::incarnation m_incarnation;
     const membership::membership_node& m_members;
     hooks m_hooks;
--- a/src/daemon/quota_host_test.cpp
+++ b/src/daemon/quota_host_test.cpp
@@ -40,7 +40,7 @@
           m_buckets(m_settings.name, base::incarnation(1),
                     {.deliver = [this](const node::event& event) { on_event(event); },
                      .send = [this](const quota::quota_send& sent) { m_host.send(sent); }}),
-          m_host(m_loop, m_messages, m_settings, m_replicas, base::incarnation(1), m_members,
+          m_host(m_loop, m_messages, m_settings, m_directory, base::incarnation(1), m_members,
                  hooks())
     {
         m_loop.each_round([this](base::time_point now) { return m_buckets.round(now); });
@@ -92,7 +92,7 @@
     }
 
     process_settings m_settings = settings_of_one();
-    replica_directory m_replicas{m_settings};
+    replica_directory m_directory{m_settings};
     http::event_loop m_loop;
     wire::cluster_secret m_secret;
     messenger m_messages;
--- a/src/daemon/replica_directory.cpp
+++ b/src/daemon/replica_directory.cpp
@@ -6,10 +6,13 @@
 
 namespace {
 
-bool names(const std::vector<propagation::peer>& peers, const base::node_id& node)
+const propagation::peer* find(const std::vector<propagation::peer>& peers,
+                              const base::node_id& node)
 {
-    return std::any_of(peers.begin(), peers.end(),
-                       [&](const propagation::peer& each) { return each.node == node; });
+    const auto found = std::find_if(peers.begin(), peers.end(), [&](const propagation::peer& each) {
+        return each.node == node;
+    });
+    return found == peers.end() ? nullptr : &*found;
 }
 
 } // namespace
@@ -25,7 +28,7 @@
 {
     std::vector<propagation::peer> all = m_members.replicas;
     for (const auto& [name, address] : m_settings.replicas) {
-        if (!names(all, name)) {
+        if (find(all, name) == nullptr) {
             all.push_back({name, base::message_address(to_string(address))});
         }
     }
@@ -35,17 +38,22 @@
 
 bool replica_directory::contains(const base::node_id& replica) const
 {
-    return names(m_members.replicas, replica) || m_settings.replicas.contains(replica);
+    return find(m_members.replicas, replica) != nullptr || m_settings.replicas.contains(replica);
 }
 
-std::optional<http::address> replica_directory::address_of(const base::node_id& replica) const
+std::optional<base::message_address>
+replica_directory::address_of(const base::node_id& replica) const
 {
+    if (const auto* member = find(m_members.replicas, replica)) {
+        return member->address;
+    }
     const auto listed = m_settings.replicas.find(replica);
     if (listed != m_settings.replicas.end()) {
-        return listed->second;
+        return base::message_address(to_string(listed->second));
     }
     if (m_settings.discovers_replicas) {
-        return http::address{replica.value(), m_settings.messages_port};
+        const http::address discovered{replica.value(), m_settings.messages_port};
+        return base::message_address(to_string(discovered));
     }
     return std::nullopt;
 }
--- a/src/daemon/replica_directory.hpp
+++ b/src/daemon/replica_directory.hpp
@@ -29,7 +29,7 @@
 
     /// Messages address of a replica; nullopt if it is unknown. Where replicas are discovered by
     /// address, every name is one.
-    std::optional<http::address> address_of(const base::node_id& replica) const;
+    std::optional<base::message_address> address_of(const base::node_id& replica) const;
 
 private:
     const process_settings& m_settings;
--- a/src/daemon/replica_directory_test.cpp
+++ b/src/daemon/replica_directory_test.cpp
@@ -26,6 +26,7 @@
     std::vector<std::string> listed;
     std::vector<propagation::replica_list> updates;
     std::vector<std::string> expected_others;
+    bool discovers_replicas = true;
 };
 
 class known_replicas : public testing::TestWithParam<directory_case> {};
@@ -35,7 +36,7 @@
 {
     process_settings settings;
     settings.name = base::node_id("10.0.0.9");
-    settings.discovers_replicas = true;
+    settings.discovers_replicas = GetParam().discovers_replicas;
     settings.messages_port = 7000;
     for (const auto& name : GetParam().listed) {
         settings.replicas[base::node_id(name)] = {name, settings.messages_port};
@@ -48,7 +49,7 @@
     for (const auto& name : GetParam().expected_others) {
         expected.push_back(peer_of(name));
         EXPECT_TRUE(directory.contains(base::node_id(name))) << name;
-        EXPECT_EQ(to_string(directory.address_of(base::node_id(name)).value()), name + ":7000");
+        EXPECT_EQ(directory.address_of(base::node_id(name)), base::message_address(name + ":7000"));
     }
     EXPECT_EQ(directory.others(), expected);
     EXPECT_FALSE(directory.contains(base::node_id("10.0.0.77")));
@@ -66,6 +67,11 @@
                        {"10.0.0.1"},
                        {list_of(2, {"10.0.0.4", "10.0.0.5"})},
                        {"10.0.0.4", "10.0.0.5", "10.0.0.1"}},
+        directory_case{"addresses_from_the_list",
+                       {"10.0.0.1"},
+                       {list_of(2, {"10.0.0.4"})},
+                       {"10.0.0.4", "10.0.0.1"},
+                       false},
         directory_case{"older_list_ignored",
                        {},
                        {list_of(3, {"10.0.0.5"}), list_of(2, {"10.0.0.4"})},
--- a/src/daemon/replica_host.cpp
+++ b/src/daemon/replica_host.cpp
@@ -1,6 +1,7 @@
 #include "daemon/replica_host.hpp"
 
 #include "consensus/posix_file_layer.hpp"
+#include "daemon/comma_separated.hpp"
 #include "daemon/log.hpp"
 #include "daemon/secure_random.hpp"
 #include "daemon/wall_clock_now.hpp"
@@ -27,13 +28,9 @@
 
 std::string names_of(const consensus::configuration& members, consensus::member_role role)
 {
-    std::string names;
-    for (const auto& member : members.members) {
-        if (member.role == role) {
-            names += (names.empty() ? "" : ",") + member.identity.id.value();
-        }
-    }
-    return names;
+    return comma_separated(members.members, [role](const consensus::member& each) {
+        return each.role == role ? each.identity.id.value() : std::string();
+    });
 }
 
 consensus::replica_options make_options(const process_settings& settings)
--- a/src/daemon/replica_membership_host.cpp
+++ b/src/daemon/replica_membership_host.cpp
@@ -14,12 +14,12 @@
 
 replica_membership_host::replica_membership_host(http::event_loop& loop, messenger& messages,
                                                  const process_settings& settings,
-                                                 const replica_directory& replicas,
+                                                 const replica_directory& directory,
                                                  replica_host& replica)
     : m_loop(loop),
       m_messages(messages),
       m_settings(settings),
-      m_replicas(replicas),
+      m_directory(directory),
       m_replica(replica)
 {
     m_messages.on_message<wire::replica_request>(
@@ -82,8 +82,8 @@
     }
     if (status.known_leader && status.known_leader->value() != m_settings.name.value()) {
         const base::node_id leader(status.known_leader->value());
-        if (const auto address = m_replicas.address_of(leader)) {
-            m_messages.send(leader, to_string(*address), wire::message_kind::replica_requests,
+        if (const auto address = m_directory.address_of(leader)) {
+            m_messages.send(leader, address->value(), wire::message_kind::replica_requests,
                             wire::replica_request{request.identity, request.leaving, true});
         }
     }
@@ -91,7 +91,7 @@
 
 void replica_membership_host::send_to_known_replicas(const wire::replica_request& request)
 {
-    for (const auto& replica : m_replicas.others()) {
+    for (const auto& replica : m_directory.others()) {
         m_messages.send(replica.node, replica.address.value(), wire::message_kind::replica_requests,
                         request);
     }
--- a/src/daemon/replica_membership_host.hpp
+++ b/src/daemon/replica_membership_host.hpp
@@ -16,7 +16,7 @@
 class replica_membership_host {
 public:
     replica_membership_host(http::event_loop& loop, messenger& messages,
-                            const process_settings& settings, const replica_directory& replicas,
+                            const process_settings& settings, const replica_directory& directory,
                             replica_host& replica);
 
     void start() { tick(); }
@@ -32,7 +32,7 @@
     http::event_loop& m_loop;
     messenger& m_messages;
     const process_settings& m_settings;
-    const replica_directory& m_replicas;
+    const replica_directory& m_directory;
     replica_host& m_replica;
     consensus::membership_policy m_policy;
     bool m_leaving = false;
