--- a/src/daemon/quota_host.cpp
+++ b/src/daemon/quota_host.cpp
@@ -364,7 +364,7 @@
         return member->messages;
     }
     if (std::find(m_voters.begin(), m_voters.end(), node) != m_voters.end()) {
-        if (const auto replica = m_directory.address_of(node)) {
+        if (auto replica = m_directory.address_of(node)) {
             return replica;
         }
     }
