Propagation: hold the list of replicas once, read the replica's status once a tick

Read-through of the change. propagation_relay kept a second copy of the list that its update_server holds, with a second check for older lists, and propagation_host kept a third version number to see a change: the relay now asks its server, and replica_directory::update() says whether a list was newer. propagation_host copied the status of the replica twice each 50 ms; it takes it once and passes on what is needed.

--- a/src/daemon/propagation_host.cpp
+++ b/src/daemon/propagation_host.cpp
@@ -76,9 +76,11 @@
 void propagation_host::tick()
 {
     const auto now = http::event_loop::now();
-    update_replicas();
+    const auto status =
+        m_replica == nullptr ? consensus::replica_status() : m_replica->replica().status();
+    update_replicas(status.members);
     if (m_settings.node) {
-        update_upstreams();
+        update_upstreams(status.known_leader);
         perform_relay(m_relay.tick(now));
         confirm();
         log_confirmation(now);
@@ -89,17 +91,13 @@
     m_loop.call_at(now + tick_interval, [this] { tick(); });
 }
 
-void propagation_host::update_replicas()
+void propagation_host::update_replicas(const consensus::configuration& members)
 {
-    if (m_replica != nullptr) {
-        learn_members(m_replica->replica().status().members);
-    }
+    learn_members(members);
     const auto& known = m_relay.replicas();
-    if (known.version == m_members_version) {
+    if (!m_directory.update(known)) {
         return;
     }
-    m_members_version = known.version;
-    m_directory.update(known);
     if (m_source) {
         m_source->set_replicas(known);
     }
@@ -123,25 +121,19 @@
     m_relay.learn_replicas(present);
 }
 
-void propagation_host::update_upstreams()
+void propagation_host::update_upstreams(const std::optional<consensus::replica_id>& leader)
 {
     propagation::upstream_candidates known;
-    known.leader = known_leader();
+    known.leader = leader ? peer_of(*leader) : std::nullopt;
     known.relays = m_hooks.relays();
     known.replicas = m_directory.others();
     m_relay.node().set_upstreams(propagation::choose_upstreams(known));
 }
 
-std::optional<propagation::peer> propagation_host::known_leader() const
+std::optional<propagation::peer>
+propagation_host::peer_of(const consensus::replica_id& leader) const
 {
-    if (m_replica == nullptr) {
-        return std::nullopt;
-    }
-    const auto leader = m_replica->replica().status().known_leader;
-    if (!leader) {
-        return std::nullopt;
-    }
-    const base::node_id name(leader->value());
+    const base::node_id name(leader.value());
     if (name == m_settings.name) {
         return propagation::peer{m_own_source,
                                  base::message_address(to_string(m_settings.messages))};
--- a/src/daemon/propagation_host.hpp
+++ b/src/daemon/propagation_host.hpp
@@ -46,13 +46,13 @@
 
 private:
     void tick();
-    void update_upstreams();
+    void update_upstreams(const std::optional<consensus::replica_id>& leader);
     /// Passes the members of the replicated log, as known to the replica of this process or to the
     /// replicas that it polls, to the directory and to the pollers.
-    void update_replicas();
+    void update_replicas(const consensus::configuration& members);
     void learn_members(const consensus::configuration& members);
-    /// The leader as known to the replica of this process; m_own_source if it leads itself.
-    std::optional<propagation::peer> known_leader() const;
+    /// The process to poll if this replica leads; m_own_source if it is this process.
+    std::optional<propagation::peer> peer_of(const consensus::replica_id& leader) const;
     void confirm();
     void log_confirmation(base::time_point now);
     void log_unanswered_polls(std::size_t count, base::time_point now);
@@ -86,8 +86,6 @@
     std::optional<propagation::propagation_source> m_source;
     propagation::confirmation_monitor m_confirmations;
     log_rate_limiter m_unanswered_log_limiter;
-    /// Version of the list that the directory and the source have.
-    propagation::replica_list_version m_members_version;
 };
 
 } // namespace damaskladder::daemon
--- a/src/daemon/replica_directory.cpp
+++ b/src/daemon/replica_directory.cpp
@@ -17,11 +17,13 @@
 
 } // namespace
 
-void replica_directory::update(const propagation::replica_list& members)
+bool replica_directory::update(const propagation::replica_list& members)
 {
-    if (members.version > m_members.version) {
+    const bool is_newer = members.version > m_members.version;
+    if (is_newer) {
         m_members = members;
     }
+    return is_newer;
 }
 
 std::vector<propagation::peer> replica_directory::others() const
--- a/src/daemon/replica_directory.hpp
+++ b/src/daemon/replica_directory.hpp
@@ -17,8 +17,9 @@
 public:
     explicit replica_directory(const process_settings& settings) : m_settings(settings) {}
 
-    /// Sets the present members of the replicated log. An older list is ignored.
-    void update(const propagation::replica_list& members);
+    /// Sets the present members of the replicated log, and returns whether the list is newer than
+    /// the known one. An older list is ignored.
+    bool update(const propagation::replica_list& members);
 
     /// Known replicas without this process: the present members first, then those of the settings
     /// file, which may be the only ones left if this process missed several replacements.
--- a/src/propagation/propagation_relay.cpp
+++ b/src/propagation/propagation_relay.cpp
@@ -93,10 +93,6 @@
 
 void propagation_relay::learn_replicas(const replica_list& replicas)
 {
-    if (replicas.version <= m_replicas.version) {
-        return;
-    }
-    m_replicas = replicas;
     m_server.set_replicas(replicas);
 }
 
--- a/src/propagation/propagation_relay.hpp
+++ b/src/propagation/propagation_relay.hpp
@@ -33,7 +33,7 @@
     /// Sets the control replicas if the list is newer than the known one. Pollers are told of them.
     void learn_replicas(const replica_list& replicas);
     /// The newest list that was learned; empty before the first one.
-    const replica_list& replicas() const { return m_replicas; }
+    const replica_list& replicas() const { return m_server.replicas(); }
 
     std::vector<domain_report> reports() const { return m_reports.reports(); }
     std::uint64_t refused_messages() const { return m_refused; }
@@ -52,7 +52,6 @@
     propagation_node m_node;
     update_server m_server;
     report_table m_reports;
-    replica_list m_replicas;
     base::settings_version m_report_version;
     base::time_point m_next_report{};
     effects m_effects;
--- a/src/propagation/update_server.hpp
+++ b/src/propagation/update_server.hpp
@@ -35,6 +35,8 @@
                 base::time_point now);
     /// Sets the control replicas of which pollers are told. An older list is ignored.
     void set_replicas(const replica_list& replicas);
+    /// The newest list; empty before the first one.
+    const replica_list& replicas() const { return m_replicas; }
     /// The list of control replicas for a poller, if it is due.
     std::optional<send> take_replica_list(const base::node_id& to, base::time_point now);
 
