--- a/src/daemon/control_fleet_fixture.hpp
+++ b/src/daemon/control_fleet_fixture.hpp
@@ -1,16 +1,14 @@
 #pragma once
 
-#include "base/file_descriptor.hpp"
 #include "daemon/claims_host.hpp"
 #include "daemon/messenger.hpp"
 #include "daemon/propagation_host.hpp"
 #include "daemon/replica_host.hpp"
 #include "daemon/replica_membership_host.hpp"
 #include "daemon/wall_clock_now.hpp"
+#include "http/loopback_listener.hpp"
 
 #include <gtest/gtest.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 
 #include <filesystem>
 #include <functional>
@@ -246,20 +244,6 @@
         loop.run();
     }
 
-    /// A port that was free on 127.0.0.1; all VMs use the same one.
-    static std::uint16_t free_port()
-    {
-        const base::file_descriptor probe(socket(AF_INET, SOCK_STREAM, 0));
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof address;
-        auto* generic = reinterpret_cast<sockaddr*>(&address);
-        EXPECT_EQ(bind(probe.get(), generic, size), 0);
-        EXPECT_EQ(getsockname(probe.get(), generic, &size), 0);
-        return ntohs(address.sin_port);
-    }
-
     static bool is_done(control::change_verdict verdict)
     {
         return verdict == control::change_verdict::accepted ||
@@ -313,7 +297,8 @@
 
     std::string m_folder;
     wire::cluster_secret m_secret;
-    std::uint16_t m_port = free_port();
+    /// A port that was free on 127.0.0.1; all VMs use the same one.
+    std::uint16_t m_port = http::loopback_listener().port();
     std::uint64_t m_last_attempt = 0;
     std::map<vm_number, std::unique_ptr<vm>> m_vms;
 };
--- a/src/http/endless_response_test.cpp
+++ b/src/http/endless_response_test.cpp
@@ -19,25 +19,41 @@
     std::string piece;
 };
 
-class endless_heads : public testing::TestWithParam<endless_case> {};
+/// A request to a server that sends the bytes of the case.
+class endless_responses : public testing::TestWithParam<endless_case> {
+protected:
+    std::shared_ptr<transfer> send_request()
+    {
+        client_request request;
+        request.to = {"127.0.0.1", m_fake.port()};
+        transfer::hooks hooks;
+        hooks.on_body = [](std::string_view) { return true; };
+        hooks.on_end = [this](const transfer_result& result) { m_end = result; };
+        return m_out.send(request, hooks);
+    }
+
+    void run_until_ended()
+    {
+        run_until(m_loop, [this] { return m_end.has_value() && m_fake.ended(); });
+    }
+
+    endless_server_fake m_fake{GetParam().prefix, GetParam().piece};
+    event_loop m_loop;
+    client m_out{m_loop};
+    std::optional<transfer_result> m_end;
+};
+
+class endless_heads : public endless_responses {};
 
 // Guards against a backend server in trouble that sends a head without end, which would hold the
 // traffic thread and every other request of the node for as long as it sends.
 TEST_P(endless_heads, are_given_up)
 {
-    endless_server_fake fake(GetParam().prefix, GetParam().piece);
-    event_loop loop;
-    client out(loop);
-    client_request request;
-    request.to = {"127.0.0.1", fake.port()};
-    std::optional<transfer_result> end;
-    transfer::hooks hooks;
-    hooks.on_end = [&](const transfer_result& result) { end = result; };
-    out.send(request, hooks);
-    run_until(loop, [&] { return end.has_value() && fake.ended(); });
-    ASSERT_TRUE(end);
-    EXPECT_EQ(end->completion, transfer_result::kind::broken) << end->text;
-    EXPECT_LT(fake.bytes_sent(), max_bytes_read);
+    send_request();
+    run_until_ended();
+    ASSERT_TRUE(m_end);
+    EXPECT_EQ(m_end->completion, transfer_result::kind::broken) << m_end->text;
+    EXPECT_LT(m_fake.bytes_sent(), max_bytes_read);
 }
 
 const std::string head = "HTTP/1.1 200 OK\r\n";
@@ -54,28 +70,18 @@
         endless_case{"trailers", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "a: b\r\n"}),
     [](const auto& tested) { return tested.param.name; });
 
-class endless_bodies : public testing::TestWithParam<endless_case> {};
+class endless_bodies : public endless_responses {};
 
 // Guards against a body without end that holds the traffic thread: timers do not run, and the
 // cancellation of the request does not take effect while the backend server sends.
 TEST_P(endless_bodies, leave_time_for_timers_and_end_when_cancelled)
 {
-    endless_server_fake fake(GetParam().prefix, GetParam().piece);
-    event_loop loop;
-    client out(loop);
-    client_request request;
-    request.to = {"127.0.0.1", fake.port()};
-    std::optional<transfer_result> end;
-    std::shared_ptr<transfer> started;
-    transfer::hooks hooks;
-    hooks.on_body = [](std::string_view) { return true; };
-    hooks.on_end = [&](const transfer_result& result) { end = result; };
-    started = out.send(request, hooks);
-    loop.call_at(event_loop::now() + std::chrono::milliseconds(20), [&] { started->cancel(); });
-    run_until(loop, [&] { return end.has_value() && fake.ended(); });
-    ASSERT_TRUE(end);
-    EXPECT_EQ(end->completion, transfer_result::kind::cancelled) << end->text;
-    EXPECT_LT(fake.bytes_sent(), endless_server_fake::limit);
+    const auto started = send_request();
+    m_loop.call_at(event_loop::now() + std::chrono::milliseconds(20), [&] { started->cancel(); });
+    run_until_ended();
+    ASSERT_TRUE(m_end);
+    EXPECT_EQ(m_end->completion, transfer_result::kind::cancelled) << m_end->text;
+    EXPECT_LT(m_fake.bytes_sent(), endless_server_fake::limit);
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/src/http/endless_server_fake.hpp
+++ b/src/http/endless_server_fake.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <arpa/inet.h>
+#include "http/loopback_listener.hpp"
+
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -8,7 +9,6 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
-#include <stdexcept>
 #include <string>
 #include <thread>
 #include <utility>
@@ -23,33 +23,18 @@
     static constexpr std::size_t limit = std::size_t{256} * 1024 * 1024;
 
     endless_server_fake(std::string prefix, const std::string& piece)
-        : m_prefix(std::move(prefix)), m_listening(socket(AF_INET, SOCK_STREAM, 0))
+        : m_prefix(std::move(prefix)), m_pieces(repeat(piece)), m_thread([this] { serve(); })
     {
-        while (m_pieces.size() < piece_size) {
-            m_pieces += piece;
-        }
-        sockaddr_in bound{};
-        bound.sin_family = AF_INET;
-        bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        if (bind(m_listening, reinterpret_cast<sockaddr*>(&bound), sizeof bound) != 0 ||
-            listen(m_listening, 1) != 0) {
-            throw std::runtime_error("cannot listen on a free port");
-        }
-        socklen_t size = sizeof bound;
-        getsockname(m_listening, reinterpret_cast<sockaddr*>(&bound), &size);
-        m_port = ntohs(bound.sin_port);
-        m_thread = std::thread([this] { serve(); });
     }
     ~endless_server_fake()
     {
-        shutdown(m_listening, SHUT_RDWR);
+        m_listener.stop();
         m_thread.join();
-        close(m_listening);
     }
     endless_server_fake(const endless_server_fake&) = delete;
     endless_server_fake& operator=(const endless_server_fake&) = delete;
 
-    std::uint16_t port() const { return m_port; }
+    std::uint16_t port() const { return m_listener.port(); }
     std::size_t bytes_sent() const { return m_bytes_sent; }
     /// The caller closed the connection, or the limit was reached.
     bool ended() const { return m_ended; }
@@ -57,9 +42,19 @@
 private:
     static constexpr std::size_t piece_size = 16'384;
 
+    /// Repeats a piece up to the size of one write.
+    static std::string repeat(const std::string& piece)
+    {
+        std::string pieces;
+        while (pieces.size() < piece_size) {
+            pieces += piece;
+        }
+        return pieces;
+    }
+
     void serve()
     {
-        const int connection = accept(m_listening, nullptr, nullptr);
+        const int connection = m_listener.wait_for_connection();
         std::array<char, 4096> request{};
         if (connection >= 0 && read(connection, request.data(), request.size()) > 0) {
             bool open = send_all(connection, m_prefix);
@@ -88,8 +83,7 @@
 
     std::string m_prefix;
     std::string m_pieces;
-    int m_listening;
-    std::uint16_t m_port = 0;
+    loopback_listener m_listener;
     std::atomic<std::size_t> m_bytes_sent = 0;
     std::atomic<bool> m_ended = false;
     std::thread m_thread;
--- a/src/http/raw_socket_fake.hpp
+++ b/src/http/raw_socket_fake.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "http/loopback_listener.hpp"
+
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <sys/socket.h>
@@ -20,30 +22,18 @@
 class raw_socket_fake {
 public:
     explicit raw_socket_fake(std::vector<std::string> responses)
-        : m_responses(std::move(responses)), m_listening(socket(AF_INET, SOCK_STREAM, 0))
+        : m_responses(std::move(responses)), m_thread([this] { serve(); })
     {
-        sockaddr_in bound{};
-        bound.sin_family = AF_INET;
-        bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        if (bind(m_listening, reinterpret_cast<sockaddr*>(&bound), sizeof bound) != 0 ||
-            listen(m_listening, 8) != 0) {
-            throw std::runtime_error("cannot listen on a free port");
-        }
-        socklen_t size = sizeof bound;
-        getsockname(m_listening, reinterpret_cast<sockaddr*>(&bound), &size);
-        m_port = ntohs(bound.sin_port);
-        m_thread = std::thread([this] { serve(); });
     }
     ~raw_socket_fake()
     {
-        shutdown(m_listening, SHUT_RDWR);
+        m_listener.stop();
         m_thread.join();
-        close(m_listening);
     }
     raw_socket_fake(const raw_socket_fake&) = delete;
     raw_socket_fake& operator=(const raw_socket_fake&) = delete;
 
-    std::uint16_t port() const { return m_port; }
+    std::uint16_t port() const { return m_listener.port(); }
     std::size_t requests_seen() const { return m_requests_seen; }
     std::size_t connections_seen() const { return m_connections_seen; }
 
@@ -52,7 +42,7 @@
     {
         std::size_t next = 0;
         for (;;) {
-            const int connection = accept(m_listening, nullptr, nullptr);
+            const int connection = m_listener.wait_for_connection();
             if (connection < 0) {
                 return;
             }
@@ -85,8 +75,7 @@
     }
 
     std::vector<std::string> m_responses;
-    int m_listening;
-    std::uint16_t m_port = 0;
+    loopback_listener m_listener;
     std::atomic<std::size_t> m_requests_seen = 0;
     std::atomic<std::size_t> m_connections_seen = 0;
     std::thread m_thread;
