--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -187,6 +187,12 @@
             log(log_level::warn, "control_thread_stalled", {{"ms", std::to_string(ms)}});
         }
     });
+    m_loop.observe_timers([](base::duration late) {
+        if (late > max_control_round) {
+            const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(late).count();
+            log(log_level::warn, "control_thread_late", {{"ms", std::to_string(ms)}});
+        }
+    });
     log(log_level::info, "started", {{"messages", to_string(m_settings.messages)}});
     m_loop.run();
     if (m_traffic) {
--- a/src/daemon/propagation_host.cpp
+++ b/src/daemon/propagation_host.cpp
@@ -270,6 +270,7 @@
 
 bool propagation_host::apply(const propagation::settings_difference& difference)
 {
+    const auto started = http::event_loop::now();
     return base::handle_failure(
         [&]() -> base::result<bool> {
             BOOST_LEAF_AUTO(diff, wire::decode<settings::setting_diff>(difference.bytes.value()));
@@ -278,6 +279,7 @@
             }
             m_tree.set_version(difference.to);
             publish_settings();
+            log_applied("difference", difference.bytes, started);
             return true;
         },
         [](const base::failure& error) {
@@ -288,6 +290,7 @@
 
 bool propagation_host::replace(const propagation::settings_copy& copy)
 {
+    const auto started = http::event_loop::now();
     auto document = settings::read_ini(copy.bytes.value(), "settings");
     if (!document.problems.empty()) {
         log(log_level::error, "settings_unreadable",
@@ -297,9 +300,21 @@
     m_tree = std::move(document.tree);
     m_tree.set_version(copy.version);
     publish_settings();
+    log_applied("copy", copy.bytes, started);
     return true;
 }
 
+void propagation_host::log_applied(std::string_view form, const propagation::settings_bytes& bytes,
+                                   base::time_point started)
+{
+    const auto spent = http::event_loop::now() - started;
+    log(log_level::info, "settings_applied",
+        {{"version", std::to_string(m_tree.version().value())},
+         {"form", std::string(form)},
+         {"bytes", std::to_string(bytes.value().size())},
+         {"ms", milliseconds_text(spent)}});
+}
+
 void propagation_host::publish_settings()
 {
     m_hooks.changed(settings::compiled_settings::compile(m_tree));
--- a/src/daemon/propagation_host.hpp
+++ b/src/daemon/propagation_host.hpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace damaskladder::daemon {
@@ -68,6 +69,9 @@
     bool apply(const propagation::settings_difference& difference);
     bool replace(const propagation::settings_copy& copy);
     void publish_settings();
+    /// Logs the version that has come into force, and how long it took since `started`.
+    void log_applied(std::string_view form, const propagation::settings_bytes& bytes,
+                     base::time_point started);
     propagation::settings_copy copy_of_replica() const;
 
     http::event_loop& m_loop;
--- a/src/daemon/traffic_frontend.cpp
+++ b/src/daemon/traffic_frontend.cpp
@@ -727,6 +727,7 @@
          {"gatekeeper", refusal.gatekeeper.value()},
          {"attempts", std::to_string(refusal.attempts)},
          {"held_ms", std::to_string(held.count())},
+         {"settings", std::to_string(m_view->node->settings_version.value())},
          {"settings_age_ms", std::to_string(settings_age.count())},
          {"suppressed", std::to_string(m_refusal_log_limiter.take_suppressed())}});
 }
--- a/src/http/event_loop.cpp
+++ b/src/http/event_loop.cpp
@@ -151,6 +151,9 @@
 
 void event_loop::run_timers(base::time_point now)
 {
+    if (m_timer_observer && !m_timers.empty() && m_timers.begin()->first <= now) {
+        m_timer_observer(now - m_timers.begin()->first);
+    }
     while (!m_timers.empty() && m_timers.begin()->first <= now) {
         const auto call = std::move(m_timers.begin()->second);
         m_timers.erase(m_timers.begin());
--- a/src/http/event_loop.hpp
+++ b/src/http/event_loop.hpp
@@ -43,6 +43,10 @@
     using wait_observer = std::function<void(base::duration, base::duration, base::time_point)>;
     void observe_waits(wait_observer observer) { m_wait_observer = std::move(observer); }
 
+    /// Called when timers are due, with the time by which the earliest of them is late.
+    using timer_observer = std::function<void(base::duration)>;
+    void observe_timers(timer_observer observer) { m_timer_observer = std::move(observer); }
+
     /// Stops watching a descriptor. Its pending events of the current round are discarded.
     void unwatch(int fd);
 
@@ -95,6 +99,7 @@
     std::uint64_t m_generation = 0;
     bool m_round_requested = false;
     wait_observer m_wait_observer;
+    timer_observer m_timer_observer;
     base::time_point m_woken_at = now();
     std::unordered_map<int, std::shared_ptr<watched>> m_watched;
     std::vector<round_handler> m_rounds;
--- a/src/node/node_view.hpp
+++ b/src/node/node_view.hpp
@@ -4,6 +4,7 @@
 #include "base/key_hash.hpp"
 #include "base/key_id.hpp"
 #include "base/node_id.hpp"
+#include "base/settings_version.hpp"
 #include "base/share_weight.hpp"
 #include "base/time.hpp"
 #include "base/workspace_id.hpp"
@@ -24,6 +25,8 @@
 struct node_view {
     base::node_id self;
     base::failure_domain_id own_domain;
+    /// Version of the settings; 0 if none have arrived.
+    base::settings_version settings_version;
     /// The settings include everything that was accepted up to this time of the local clock.
     base::time_point settings_confirmed_at;
     /// False until the first settings have arrived. Requests cannot be checked without settings.
