Gatekeeper: refuse a key of a newer version as stale, not as withdrawn

Callers: 401 or 403 for a request with a key that had been added and was in force at their entry node, because the gatekeeper had not yet received the version that added it. The refusal is final, so the entry node tried no other server and the caller does not come back.

Cause: the gatekeeper checks the key again by its own settings, and an unknown key looked like a withdrawn one. Class: a final verdict from settings older than those by which another node admitted the request.

Evidence: the new row "key of a version that has not arrived here" failed on the code before (403 key-withdrawn instead of 503 stale-settings).

Change: the context of a call carries the version by which its issuer admitted it. If the key is not active here and the own version is below that, the answer is stale-settings (not run), and the entry node goes on to another server. A key withdrawn in the issuer's version or in a newer one is refused for good as before, so a withdrawal is not delayed. The encoding of contexts has a new version; nodes of different program versions refuse each other's calls, as with each earlier change of it.

--- a/src/node/call_context.hpp
+++ b/src/node/call_context.hpp
@@ -9,6 +9,7 @@
 #include "base/request_id.hpp"
 #include "base/retry_count.hpp"
 #include "base/service_id.hpp"
+#include "base/settings_version.hpp"
 #include "base/time.hpp"
 #include "base/workspace_id.hpp"
 
@@ -21,6 +22,8 @@
     base::workspace_id workspace;
     /// Empty on open routes.
     base::key_id key;
+    /// Version of the settings by which the issuer admitted the call.
+    base::settings_version settings;
     base::request_id request;
     base::chain_id chain;
     /// Random, new for each attempt. Onward calls name it as their parent.
--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -715,6 +715,7 @@
     forwarded.service = request.service;
     forwarded.context = request.context;
     forwarded.context.call = request.attempt;
+    forwarded.context.settings = ctx.view.settings_version;
     forwarded.context.allowance = request.lent_allowance;
     forwarded.context.budget = request.deadline - ctx.now - return_path_time();
     forwarded.deadline = request.deadline;
--- a/src/node/entry_machine_test.cpp
+++ b/src/node/entry_machine_test.cpp
@@ -465,6 +465,7 @@
     EXPECT_EQ(context.importance, base::importance::low);
     EXPECT_EQ(context.depth, base::call_depth(4));
     EXPECT_EQ(context.workspace, base::workspace_id("w"));
+    EXPECT_EQ(context.settings, fixture.view.settings_version);
     // 400 ms minus 100 ms elapsed, minus the return margin of 5 ms for each of the two hops.
     EXPECT_EQ(context.budget, std::chrono::milliseconds(290));
     // The parent call lends 2 of its 3 extra attempts, and the onward call keeps 1 of these back.
--- a/src/node/gatekeeper_machine.cpp
+++ b/src/node/gatekeeper_machine.cpp
@@ -338,7 +338,9 @@
         return refusal_reason::stale_settings;
     }
     if (!ctx.view.key_active(call.context.key)) {
-        return refusal_reason::key_withdrawn;
+        // The issuer may know a key that was added after this node's version.
+        const bool behind = ctx.view.settings_version < call.context.settings;
+        return behind ? refusal_reason::stale_settings : refusal_reason::key_withdrawn;
     }
     return std::nullopt;
 }
--- a/src/node/gatekeeper_machine_test.cpp
+++ b/src/node/gatekeeper_machine_test.cpp
@@ -235,6 +235,13 @@
 
 class arrivals : public testing::TestWithParam<arrival_case> {};
 
+/// Sets the versions of the settings of the node and of the issuer of the call.
+void set_versions(call_driver& path, call_arrived& call, std::uint64_t own, std::uint64_t issuer)
+{
+    path.fixture.view.settings_version = base::settings_version(own);
+    call.context.settings = base::settings_version(issuer);
+}
+
 // Guards against calls that are accepted with a withdrawn key, with stale settings, at a draining
 // backend server or while the node stops.
 TEST_P(arrivals, are_checked)
@@ -251,6 +258,26 @@
         arrival_case{"runs", [](auto&, auto&) {}, "start t1 e1\n"},
         arrival_case{"withdrawn key", [](auto& path, auto&) { path.fixture.key.active = false; },
                      "refuse e1 403 not-run key-withdrawn left 2\n"},
+        // Guards against refusing for good a key that was added after this node's version: callers
+        // got 401 for keys that had been in force at their entry node.
+        arrival_case{"key of a version that has not arrived here",
+                     [](auto& path, auto& call) {
+                         path.fixture.key.active = false;
+                         set_versions(path, call, 6, 7);
+                     },
+                     "refuse e1 503 not-run stale-settings left 2\n"},
+        arrival_case{"key withdrawn in the issuer's version",
+                     [](auto& path, auto& call) {
+                         path.fixture.key.active = false;
+                         set_versions(path, call, 7, 7);
+                     },
+                     "refuse e1 403 not-run key-withdrawn left 2\n"},
+        arrival_case{"key withdrawn in a version that the issuer lacks",
+                     [](auto& path, auto& call) {
+                         path.fixture.key.active = false;
+                         set_versions(path, call, 8, 7);
+                     },
+                     "refuse e1 403 not-run key-withdrawn left 2\n"},
         arrival_case{"stale settings",
                      [](auto& path, auto&) {
                          path.fixture.view.settings_confirmed_at = traffic_fixture::at_ms(-10'001);
--- a/src/node/traffic_fixture.hpp
+++ b/src/node/traffic_fixture.hpp
@@ -57,6 +57,7 @@
     {
         view.self = base::node_id("n1");
         view.own_domain = base::failure_domain_id("d1");
+        view.settings_version = base::settings_version(9);
         keyed.route = base::route_id("keyed");
         keyed.service = base::service_id("s");
         keyed.timeout = std::chrono::seconds(1);
--- a/src/wire/context_encoding.cpp
+++ b/src/wire/context_encoding.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Must be incremented when the fields or their order change.
-constexpr std::uint8_t encoding_version = 2;
+constexpr std::uint8_t encoding_version = 3;
 /// Initial capacity in bytes, enough for a typical context without reallocation.
 constexpr std::size_t typical_size = 256;
 
@@ -62,6 +62,7 @@
                                       (call.claimed ? claimed_flag : 0)))
         .text(call.workspace.value())
         .text(call.key.value())
+        .u64(call.settings.value())
         .text(call.request.value())
         .u64(call.chain.value())
         .u64(call.call.value())
@@ -91,6 +92,7 @@
     call.claimed = (flags & claimed_flag) != 0;
     call.workspace = read_id<base::workspace_id>(in);
     call.key = read_id<base::key_id>(in);
+    call.settings = read_id<base::settings_version>(in);
     call.request = read_id<base::request_id>(in);
     call.chain = read_id<base::chain_id>(in);
     call.call = read_id<base::call_id>(in);
--- a/src/wire/message_codec_test.cpp
+++ b/src/wire/message_codec_test.cpp
@@ -100,6 +100,7 @@
     sealed_context context;
     context.receiver = base::node_id("n2");
     context.call.workspace = base::workspace_id("w3");
+    context.call.settings = base::settings_version(12);
     context.call.request = base::request_id("1796380000-a");
     context.call.budget = std::chrono::milliseconds(250);
     context.call.idempotent = false;
@@ -114,6 +115,7 @@
     const auto opened = codec.open(codec.seal(sample_context())).value();
     EXPECT_EQ(opened.receiver, base::node_id("n2"));
     EXPECT_EQ(opened.call.workspace, base::workspace_id("w3"));
+    EXPECT_EQ(opened.call.settings, base::settings_version(12));
     EXPECT_EQ(opened.call.budget, base::duration(std::chrono::milliseconds(250)));
     EXPECT_FALSE(opened.call.idempotent);
     EXPECT_EQ(opened.call.allowance, base::retry_count(2));
