Bus: connect again within 500 ms of a failed attempt

Cause: after a failed connection attempt (300 ms) messages to the peer were dropped for up to 800 ms, so a poll or its answer that was repeated every 500 ms could be lost twice in a row.

Change: the delay is at most 200 ms; with the connection timeout a repeated message starts an attempt every time. An attempt is made only when there is something to send, so a dead peer costs two attempts a second at most.

The new test compares the limits with the interval of polls; it failed before (1,100 ms against 500 ms).

--- a/src/bus/bus_limits.hpp
+++ b/src/bus/bus_limits.hpp
@@ -23,9 +23,11 @@
     /// reopened. TCP itself backs off exponentially: after a network partition it may retransmit
     /// only after as long again as the partition lasted.
     base::duration unacknowledged_timeout{std::chrono::seconds(1)};
-    /// Delay before the next connection attempt; doubled each time up to the maximum.
+    /// Delay before the next connection attempt; doubled each time up to the maximum. Messages sent
+    /// during the delay are dropped, so with connect_timeout it is at most the interval at which
+    /// the protocols on top repeat a message, 500 ms.
     base::duration min_reconnect_delay{std::chrono::milliseconds(50)};
-    base::duration max_reconnect_delay{std::chrono::milliseconds(800)};
+    base::duration max_reconnect_delay{std::chrono::milliseconds(200)};
 };
 
 } // namespace damaskladder::bus
--- a/src/bus/message_bus_test.cpp
+++ b/src/bus/message_bus_test.cpp
@@ -124,6 +124,14 @@
     EXPECT_LT(http::event_loop::now() - healed, milliseconds(1500));
 }
 
+// Guards against answers that are dropped for a second after a network partition has ended, because
+// the connection attempt before them failed: protocols repeat a message every 500 ms.
+TEST(bus_limits, a_repeated_message_starts_a_connection_attempt)
+{
+    const bus_limits limits;
+    EXPECT_LE(limits.connect_timeout + limits.max_reconnect_delay, milliseconds(500));
+}
+
 // Guards against an established connection whose peer becomes unreachable: without these socket
 // options the loss is detected only after minutes.
 TEST(stream_socket, detects_an_unresponsive_peer_within_seconds)
