Propagation: poll all upstreams when the settings are old

Change: a node whose settings are older than 1.75 s, which a node with a current relay never reaches, sends a poll that is not answered by a current relay within 100 ms to all other upstreams too, and goes on with the first one that gives a current answer. The poll to the current upstream is sent first and alone, so that a node that has only been stalled is not counted at two relays in the reports of versions in force.

Whether this is the cause of the users' report is not shown; it shortens the time from the end of a cut to the newest settings, for which a node has 3 s.

--- a/src/propagation/propagation_node.cpp
+++ b/src/propagation/propagation_node.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Answers to older polls are not needed once newer polls are outstanding.
-constexpr std::size_t max_outstanding_polls = 8;
+constexpr std::size_t max_outstanding_polls = 32;
 
 } // namespace
 
@@ -57,28 +57,56 @@
     }
     request_chunks(now);
     if (now >= m_next_poll) {
-        send_poll(now);
+        poll_upstream(now);
+    }
+    if (m_hedge_due.has_value() && now >= *m_hedge_due) {
+        m_hedge_due.reset();
+        poll_other_upstreams(now);
     }
     return take_effects();
 }
 
-void propagation_node::send_poll(base::time_point now)
+bool propagation_node::hedges(base::time_point now) const
+{
+    const std::optional<base::duration> age = staleness(now);
+    return age.has_value() && *age > m_options.hedge_above_age;
+}
+
+void propagation_node::poll_upstream(base::time_point now)
 {
-    const std::optional<peer> to = upstream();
-    if (!to.has_value()) {
+    const std::optional<peer> current = upstream();
+    if (!current.has_value()) {
         return;
     }
     m_next_poll = now + m_options.poll_interval;
+    if (!m_answer_due.has_value()) {
+        m_answer_due = now + m_options.answer_timeout;
+    }
+    if (hedges(now) && !m_hedge_due.has_value()) {
+        m_hedge_due = now + m_options.hedge_delay;
+    }
+    m_polled = current->node;
+    send_poll(*current, now);
+}
+
+void propagation_node::poll_other_upstreams(base::time_point now)
+{
+    for (const peer& other : m_upstreams) {
+        if (other.node != m_polled) {
+            send_poll(other, now);
+        }
+    }
+}
+
+void propagation_node::send_poll(const peer& to, base::time_point now)
+{
     m_last_poll = poll_id(m_last_poll.value() + 1);
     m_outstanding_polls[m_last_poll] = now;
     if (m_outstanding_polls.size() > max_outstanding_polls) {
         m_outstanding_polls.erase(m_outstanding_polls.begin());
     }
-    if (!m_answer_due.has_value()) {
-        m_answer_due = now + m_options.answer_timeout;
-    }
-    m_sends.push_back({*to, poll{m_last_poll, m_options.self.address, m_options.domain, m_version,
-                                 m_copy_required}});
+    m_sends.push_back({to, poll{m_last_poll, m_options.self.address, m_options.domain, m_version,
+                                m_copy_required}});
 }
 
 void propagation_node::fail_over()
@@ -90,13 +118,31 @@
     }
 }
 
+void propagation_node::switch_to(const base::node_id& upstream)
+{
+    const auto found =
+        std::find_if(m_upstreams.begin(), m_upstreams.end(),
+                     [&](const peer& candidate) { return candidate.node == upstream; });
+    if (found != m_upstreams.end()) {
+        m_upstream = static_cast<std::size_t>(found - m_upstreams.begin());
+        m_answer_due.reset();
+    }
+}
+
 effects propagation_node::receive(const base::node_id& from, const update& body,
                                   base::time_point now)
 {
-    const std::optional<peer> current = upstream();
-    const bool from_current = current.has_value() && current->node == from;
     const bool fits = apply(body.differences);
     auto open = m_outstanding_polls.find(body.id);
+    const bool stale = !body.fresh.has_value() || body.fresh->age > m_options.max_relay_age;
+    if (open != m_outstanding_polls.end() && !stale) {
+        if (hedges(now)) {
+            switch_to(from);
+        }
+        m_hedge_due.reset();
+    }
+    const std::optional<peer> current = upstream();
+    const bool from_current = current.has_value() && current->node == from;
     if (open != m_outstanding_polls.end()) {
         m_last_answer = now;
         if (body.fresh.has_value() && body.fresh->age >= base::duration::zero()) {
@@ -105,7 +151,6 @@
         m_outstanding_polls.erase(open);
         if (from_current) {
             m_answer_due.reset();
-            const bool stale = !body.fresh.has_value() || body.fresh->age > m_options.max_relay_age;
             if (stale && m_upstreams.size() > 1) {
                 fail_over();
                 m_next_poll = now + m_options.poll_interval;
--- a/src/propagation/propagation_node.hpp
+++ b/src/propagation/propagation_node.hpp
@@ -54,7 +54,14 @@
     void on_change(change_listener listener) { m_listener = std::move(listener); }
 
 private:
-    void send_poll(base::time_point now);
+    void poll_upstream(base::time_point now);
+    /// Polls all upstreams but the one that poll_upstream() polled last.
+    void poll_other_upstreams(base::time_point now);
+    void send_poll(const peer& to, base::time_point now);
+    /// Whether the applied settings are so old that several upstreams are polled.
+    bool hedges(base::time_point now) const;
+    /// Makes the sender of a current answer the upstream.
+    void switch_to(const base::node_id& upstream);
     void fail_over();
     /// False if a difference between the applied version and the next one given is missing.
     bool apply(const std::vector<settings_difference>& differences);
@@ -78,6 +85,9 @@
     base::time_point m_next_poll{};
     /// Deadline of the answer; none if no poll to the current upstream is outstanding.
     std::optional<base::time_point> m_answer_due;
+    /// When the other upstreams are polled too; none if that is not planned.
+    std::optional<base::time_point> m_hedge_due;
+    base::node_id m_polled;
     std::optional<base::time_point> m_last_answer;
     std::optional<copy_transfer> m_copy;
     std::vector<send> m_sends;
--- a/src/propagation/propagation_options.hpp
+++ b/src/propagation/propagation_options.hpp
@@ -22,6 +22,12 @@
     /// current relay two steps from the leader reports up to 1.1 s. Leaving takes two polls, which
     /// must end before the shortest max_staleness in use, 3 s.
     base::duration max_relay_age = std::chrono::milliseconds(1500);
+    /// Above this age of the applied settings, a poll that is not answered within hedge_delay, or
+    /// by a relay that is out of date, is sent to all other upstreams too. A node that polls a
+    /// current relay two steps from the leader reaches an age of 1.6 s between polls.
+    base::duration hedge_above_age = std::chrono::milliseconds(1750);
+    /// Longer than a round trip between regions.
+    base::duration hedge_delay = std::chrono::milliseconds(100);
     /// Changes are pushed to the nodes that polled within this time.
     base::duration push_window = std::chrono::seconds(2);
     /// Nodes that have not polled within this time are left out of reports.
--- a/src/propagation/propagation_test.cpp
+++ b/src/propagation/propagation_test.cpp
@@ -298,6 +298,50 @@
             false}),
     [](const auto& tested) { return tested.param.name; });
 
+struct reconnect_case {
+    std::string name;
+    /// Time for which the node is cut off from all sources.
+    base::duration cut;
+    /// The only source that answers after the cut.
+    std::string answering;
+};
+
+class cut_off_nodes : public testing::TestWithParam<reconnect_case> {};
+
+// Guards against a node that after a cut waits for one unresponsive control replica after the other
+// while another one would answer: settings came into force more than a second after the cut.
+TEST_P(cut_off_nodes, apply_a_change_soon_after_the_cut)
+{
+    // A poll interval, the delay until the other sources are polled, and two ticks.
+    constexpr base::duration limit = 800ms;
+    const std::vector<std::string> sources = {"s0", "s1", "s2"};
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        fake_settings_fleet fleet(seed);
+        for (const std::string& source : sources) {
+            fleet.add_source(source);
+        }
+        fleet.add_node("n", "d1", sources);
+        fleet.accept();
+        fleet.run(5s);
+        for (const std::string& source : sources) {
+            fleet.cut_links.insert({"n", source});
+        }
+        fleet.run(GetParam().cut);
+        fleet.accept();
+        fleet.run(100ms);
+        fleet.cut_links.erase({"n", GetParam().answering});
+        const auto taken = fleet.run_until([&] { return fleet.outdated_nodes() == 0; }, 5s);
+        EXPECT_LE(taken, limit) << "seed " << seed;
+        EXPECT_TRUE(fleet.violations.empty()) << fleet.violations.front() << ", seed " << seed;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(table, cut_off_nodes,
+                         testing::Values(reconnect_case{"first", 5s, "s0"},
+                                         reconnect_case{"second", 5'300ms, "s1"},
+                                         reconnect_case{"third_after_a_short_cut", 2'500ms, "s2"}),
+                         [](const auto& tested) { return tested.param.name; });
+
 // Guards against staleness that ignores clock drift. A change is accepted right after the last
 // answer to any node, and the error of the slowest clocks accumulates to 300 ms.
 TEST(propagation, staleness_allows_for_drift)
