Audit: write records without building JSON values

Cause: applying a document appends an audit record for each changed field, and two thirds of the time went into building and printing a JSON value of each record, twice sorted maps of a dozen strings, only to hash it (perf).

Change: the fields are written in sorted order directly; only a text with quotes, control characters or bytes above 127 goes through the library. The bytes, and so the hashes, stay the same; a table compares them with the library's.

--- a/src/control/audit_line.cpp
+++ b/src/control/audit_line.cpp
@@ -4,7 +4,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cstdint>
+#include <utility>
 
 namespace damaskladder::control {
 
@@ -12,28 +14,80 @@
 
 using json = nlohmann::json;
 
-/// All fields except the hash. The library sorts the keys, so equal records give equal bytes.
-json to_json(const audit_record& record)
+bool is_plain(char character)
 {
-    return json{{"seq", record.sequence.value()},
-                {"who", record.who.value()},
-                {"when", format_timestamp(record.when)},
-                {"path", record.path.text()},
-                {"field", record.field.value()},
-                {"from", record.from},
-                {"to", record.to},
-                {"version", record.version.value()},
-                {"change", record.change.value()},
-                {"proposal", record.proposal.value()},
-                {"verdict", to_string(record.verdict)},
-                {"note", record.note},
-                {"prev", to_hex(record.previous.value())}};
+    constexpr char first_printable = 0x20;
+    constexpr char last_ascii = 0x7f;
+    return character >= first_printable && character <= last_ascii && character != '"' &&
+           character != '\\';
 }
 
-std::string serialize(const json& value)
+void append_quoted(std::string& out, std::string_view text)
 {
+    if (std::all_of(text.begin(), text.end(), is_plain)) {
+        out += '"';
+        out += text;
+        out += '"';
+        return;
+    }
     // A reason typed by an operator may not be valid UTF-8, on which the library would throw.
-    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+    out += json(std::string(text)).dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+/// Writes the fields of a JSON object in the order in which they are added.
+class object_writer {
+public:
+    void add_text(std::string_view key, std::string_view value)
+    {
+        add_key(key);
+        append_quoted(m_text, value);
+    }
+    void add_number(std::string_view key, std::uint64_t value)
+    {
+        add_key(key);
+        m_text += std::to_string(value);
+    }
+    std::string finish()
+    {
+        m_text += '}';
+        return std::move(m_text);
+    }
+
+private:
+    void add_key(std::string_view key)
+    {
+        m_text += m_text.empty() ? '{' : ',';
+        m_text += '"';
+        m_text += key;
+        m_text += "\":";
+    }
+
+    std::string m_text;
+};
+
+/// The hash is left out of the contents that it covers. A large change appends thousands of
+/// records in one step, so they are written without building a JSON value.
+std::string serialize(const audit_record& record, bool with_hash)
+{
+    // The keys are sorted, so equal records give equal bytes.
+    object_writer out;
+    out.add_text("change", record.change.value());
+    out.add_text("field", record.field.value());
+    out.add_text("from", record.from);
+    if (with_hash) {
+        out.add_text("hash", to_hex(record.hash.value()));
+    }
+    out.add_text("note", record.note);
+    out.add_text("path", record.path.text());
+    out.add_text("prev", to_hex(record.previous.value()));
+    out.add_number("proposal", record.proposal.value());
+    out.add_number("seq", record.sequence.value());
+    out.add_text("to", record.to);
+    out.add_text("verdict", to_string(record.verdict));
+    out.add_number("version", record.version.value());
+    out.add_text("when", format_timestamp(record.when));
+    out.add_text("who", record.who.value());
+    return out.finish();
 }
 
 /// Reads the fields of a line. failed() is set by a missing field or one of the wrong type.
@@ -106,9 +160,7 @@
 
 std::string to_line(const audit_record& record)
 {
-    auto contents = to_json(record);
-    contents["hash"] = to_hex(record.hash.value());
-    return serialize(contents);
+    return serialize(record, true);
 }
 
 std::optional<audit_record> parse_audit_line(std::string_view line)
@@ -143,7 +195,7 @@
 
 chain_hash hash_of(const audit_record& record)
 {
-    return chain_hash(digest_of(serialize(to_json(record))));
+    return chain_hash(digest_of(serialize(record, false)));
 }
 
 } // namespace damaskladder::control
--- a/src/control/audit_trail_test.cpp
+++ b/src/control/audit_trail_test.cpp
@@ -4,6 +4,7 @@
 #include "control/timestamp_text.hpp"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 #include <functional>
 #include <string>
@@ -132,6 +133,56 @@
                        {audit_fault_kind::unreadable, audit_sequence(7)}}),
     [](const auto& test) { return test.param.name; });
 
+struct text_case {
+    const char* name;
+    std::string text;
+};
+
+class audit_texts : public testing::TestWithParam<text_case> {};
+
+// Guards against lines, and so hashes, that differ from those of earlier program versions: replicas
+// of both would disagree, and stored trails would count as altered.
+TEST_P(audit_texts, are_written_as_by_the_json_library)
+{
+    audit_record record;
+    record.sequence = audit_sequence(12);
+    record.who = base::operator_id("mara");
+    record.when = base::wall_time(std::chrono::seconds(1'800'000'000));
+    record.path = *settings::setting_path::parse("teams/a/policy");
+    record.field = settings::field_name("revision");
+    record.from = GetParam().text;
+    record.to = "7";
+    record.version = base::settings_version(3);
+    record.change = base::change_id("c-1");
+    record.proposal = proposal_id(4);
+    record.note = GetParam().text;
+    const nlohmann::json expected{{"seq", 12},
+                                  {"who", "mara"},
+                                  {"when", format_timestamp(record.when)},
+                                  {"path", "teams/a/policy"},
+                                  {"field", "revision"},
+                                  {"from", GetParam().text},
+                                  {"to", "7"},
+                                  {"version", 3},
+                                  {"change", "c-1"},
+                                  {"proposal", 4},
+                                  {"verdict", to_string(record.verdict)},
+                                  {"note", GetParam().text},
+                                  {"prev", to_hex(record.previous.value())},
+                                  {"hash", to_hex(record.hash.value())}};
+    EXPECT_EQ(to_line(record),
+              expected.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+INSTANTIATE_TEST_SUITE_P(table, audit_texts,
+                         testing::Values(text_case{"empty", ""}, text_case{"plain", "a b~\x7f"},
+                                         text_case{"quotes", "say \"no\" \\ twice"},
+                                         text_case{"control_characters", "a\nb\tc\x01"},
+                                         text_case{"nul", std::string("a\0b", 3)},
+                                         text_case{"utf8", "\xc8\x99i fiii \xf0\x9f\xaa\xb5"},
+                                         text_case{"invalid_utf8", "a\xff\xc3"}),
+                         [](const auto& tested) { return tested.param.name; });
+
 struct query_case {
     const char* name;
     audit_query query;
