Propagation: compress large differences and copies of the settings

Callers: beside a document with hundreds of new routes, keyed requests were refused as stale, and changes came late: every replica was busy sending.

Cause: a change goes to each node that polls, 232 KB each at 450 routes, and every answer to a node that is still behind carries it again. Class: work of one step that grows with size of the document times number of nodes.

Change: replicas compress what they send (zlib, fastest level), nodes decompress, at most 32 MiB. Bytes of a process of an older version are taken as they are, so nodes are upgraded before replicas. Small changes stay as they were.

--- a/src/daemon/propagation_host.cpp
+++ b/src/daemon/propagation_host.cpp
@@ -6,6 +6,7 @@
 #include "propagation/choose_upstreams.hpp"
 #include "settings/ini_reader.hpp"
 #include "settings/ini_writer.hpp"
+#include "wire/compression.hpp"
 
 namespace damaskladder::daemon {
 
@@ -34,6 +35,11 @@
     return comma_separated(peers, [](const propagation::peer& each) { return each.node.value(); });
 }
 
+propagation::settings_copy copy_of(const settings::setting_tree& tree)
+{
+    return {tree.version(), propagation::settings_bytes(wire::compress(settings::write_ini(tree)))};
+}
+
 /// Whole milliseconds, or "none".
 std::string milliseconds_text(const std::optional<base::duration>& time)
 {
@@ -247,7 +253,8 @@
     const auto found =
         m_replica->replica().state().difference(from, version, settings::setting_path());
     if (found.complete && from != base::settings_version()) {
-        difference = {from, version, propagation::settings_bytes(wire::encode(found.diff))};
+        difference = {from, version,
+                      propagation::settings_bytes(wire::compress(wire::encode(found.diff)))};
     }
     perform_source(m_source->version_applied(version, difference, http::event_loop::now()));
 }
@@ -261,11 +268,7 @@
 {
     return {.apply = [this](const auto& difference) { return apply(difference); },
             .replace = [this](const auto& copy) { return replace(copy); },
-            .copy =
-                [this] {
-                    return propagation::settings_copy{
-                        m_tree.version(), propagation::settings_bytes(settings::write_ini(m_tree))};
-                }};
+            .copy = [this] { return copy_of(m_tree); }};
 }
 
 bool propagation_host::apply(const propagation::settings_difference& difference)
@@ -273,7 +276,8 @@
     const auto started = http::event_loop::now();
     return base::handle_failure(
         [&]() -> base::result<bool> {
-            BOOST_LEAF_AUTO(diff, wire::decode<settings::setting_diff>(difference.bytes.value()));
+            BOOST_LEAF_AUTO(bytes, wire::decompress(difference.bytes.value()));
+            BOOST_LEAF_AUTO(diff, wire::decode<settings::setting_diff>(bytes));
             if (!settings::apply(diff, m_tree)) {
                 return false;
             }
@@ -291,17 +295,25 @@
 bool propagation_host::replace(const propagation::settings_copy& copy)
 {
     const auto started = http::event_loop::now();
-    auto document = settings::read_ini(copy.bytes.value(), "settings");
-    if (!document.problems.empty()) {
-        log(log_level::error, "settings_unreadable",
-            {{"problem", to_string(document.problems.front())}});
-        return false;
-    }
-    m_tree = std::move(document.tree);
-    m_tree.set_version(copy.version);
-    publish_settings();
-    log_applied("copy", copy.bytes, started);
-    return true;
+    return base::handle_failure(
+        [&]() -> base::result<bool> {
+            BOOST_LEAF_AUTO(text, wire::decompress(copy.bytes.value()));
+            auto document = settings::read_ini(text, "settings");
+            if (!document.problems.empty()) {
+                log(log_level::error, "settings_unreadable",
+                    {{"problem", to_string(document.problems.front())}});
+                return false;
+            }
+            m_tree = std::move(document.tree);
+            m_tree.set_version(copy.version);
+            publish_settings();
+            log_applied("copy", copy.bytes, started);
+            return true;
+        },
+        [](const base::failure& error) {
+            log_failure(log_level::error, "settings_unreadable", error);
+            return false;
+        });
 }
 
 void propagation_host::log_applied(std::string_view form, const propagation::settings_bytes& bytes,
@@ -322,8 +334,7 @@
 
 propagation::settings_copy propagation_host::copy_of_replica() const
 {
-    const auto& tree = m_replica->replica().state().tree();
-    return {tree.version(), propagation::settings_bytes(settings::write_ini(tree))};
+    return copy_of(m_replica->replica().state().tree());
 }
 
 } // namespace damaskladder::daemon
