Gatekeeper: keep to the rate that a backend server names, and to its leaving

A server that says in its answers that it leaves (Server-Leaving) was known to leave only from its heartbeat.

Cause: nothing read these fields. Admission follows slots and latency, and a named rate is neither.

Change: the adapter reads both fields from every answer that belongs to its request, also from refusals, but not from 421, which another server sends. The gatekeeper, which sees every request of its server, keeps a token bucket with the named rate and the requests of one second; with the rate r at most 5 r + 1 requests pass in 4 s, while 6 r + 5 are allowed. Less important requests leave a part of the bucket to more important ones. A rate of zero lets a request pass every 4 s, since only an answer tells that the limit has ended. What does not fit is refused as not run (backend-limit) and goes to another server; the load report counts a server with an empty bucket as full, so other nodes go past it. An answer without the field ends the limit; a field that is no decimal number, or comes twice, is logged and changes nothing.

A server that says that it leaves drains like one that says so in a heartbeat: the gatekeeper closes at once and the announcement of that run is marked. A later run at the same port is not affected.

Known limits: a gatekeeper that restarts learns the rate from the first answer. The product's own interface has no such fields yet.

--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -154,6 +154,9 @@
             m_traffic->post([done, verdict](traffic_frontend&, traffic_quota&) { done(verdict); });
         });
     };
+    requests.drain_run = [this](const base::instance_id& run) {
+        m_loop.post([this, run] { m_node->drain_run(run); });
+    };
     requests.send_quota = [this](const quota::quota_send& wanted) {
         m_loop.post([this, wanted] { m_quota->send(wanted); });
     };
--- a/src/daemon/dialect.hpp
+++ b/src/daemon/dialect.hpp
@@ -2,6 +2,7 @@
 
 #include "base/result.hpp"
 #include "daemon/backend_call.hpp"
+#include "daemon/backend_state.hpp"
 #include "daemon/local_call.hpp"
 #include "daemon/operator_call.hpp"
 #include "daemon/parsed_request.hpp"
@@ -11,6 +12,7 @@
 #include "node/refuse.hpp"
 
 #include <functional>
+#include <optional>
 #include <string_view>
 
 namespace damaskladder::daemon {
@@ -29,6 +31,9 @@
     std::function<response_verdict(const http::request_head& request,
                                    const http::response_head& answer)>
         check_response;
+    /// Reads what a backend server says of itself in an answer that check_response() has not found
+    /// mismatched. None if the answer comes from another backend server than the announced one.
+    std::function<std::optional<backend_state>(const http::response_head&)> read_backend_state;
     /// Builds the response head of a refusal.
     std::function<http::response_head(const node::refuse&)> refusal;
     /// Whether a request on the backend server's port is a call of the local API.
--- a/src/daemon/node_host.cpp
+++ b/src/daemon/node_host.cpp
@@ -150,6 +150,14 @@
     return verdict;
 }
 
+void node_host::drain_run(const base::instance_id& run)
+{
+    if (m_announcements.drain_run(run)) {
+        perform(m_membership.set_backends(m_announcements.backends(), http::event_loop::now()));
+        publish();
+    }
+}
+
 std::vector<propagation::peer> node_host::upstream_relays() const
 {
     std::vector<propagation::peer> peers;
--- a/src/daemon/node_host.hpp
+++ b/src/daemon/node_host.hpp
@@ -36,6 +36,8 @@
 
     membership::announce_verdict announce(local_api::action wanted,
                                           const membership::announcement& offer);
+    /// Marks a run of a backend server on this VM as draining.
+    void drain_run(const base::instance_id& run);
     /// Withdraws the announcements and notifies the fleet that this node stops.
     void leave();
 
--- a/src/daemon/outbound_request.hpp
+++ b/src/daemon/outbound_request.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/instance_id.hpp"
+#include "base/service_id.hpp"
 #include "http/response_head.hpp"
 #include "http/transfer.hpp"
 #include "node/exchange_id.hpp"
@@ -19,6 +21,9 @@
     std::shared_ptr<http::transfer> transfer;
     /// Whether it was sent to another node rather than to the local backend server.
     bool to_gatekeeper = false;
+    /// Backend server that it was sent to, if not to another node.
+    base::service_id service;
+    base::instance_id instance;
     /// Offset of the next byte to send of a buffered body.
     std::size_t body_position = 0;
     /// Head of the response; unset until it arrives.
--- a/src/daemon/own_dialect.cpp
+++ b/src/daemon/own_dialect.cpp
@@ -82,6 +82,7 @@
     own.remove_system_fields = [](http::header_list&) {};
     own.address_backend_server = address_backend_server;
     own.check_response = [](const auto&, const auto&) { return response_verdict::matches; };
+    own.read_backend_state = [](const auto&) { return std::nullopt; };
     own.refusal = refusal;
     own.is_local_call = [](const http::request_head& head) {
         return head.target.substr(0, 3) == "/-/";
--- a/src/daemon/traffic_frontend.cpp
+++ b/src/daemon/traffic_frontend.cpp
@@ -73,6 +73,7 @@
 }
 
 // Enough to find the cause of a surge of refusals, at a few kilobytes of log per second.
+constexpr std::int64_t backend_lines_per_second = 1;
 constexpr std::int64_t refusal_lines_per_second = 10;
 
 /// Returns text from a caller truncated, and with all characters replaced that could break the
@@ -146,6 +147,7 @@
       m_logic(std::move(logic)),
       m_hooks(std::move(hooks)),
       m_refusal_log_limiter(refusal_lines_per_second),
+      m_backend_log_limiter(backend_lines_per_second),
       m_client(loop),
       m_callers(loop, limits, [this](const auto& e) { on_request(e, inbound_listener::caller); }),
       m_peers(loop, limits, [this](const auto& e) { on_request(e, inbound_listener::peer); }),
@@ -480,6 +482,8 @@
     const auto out = std::make_shared<outbound_request>();
     out->id = wanted.transfer;
     out->exchange = wanted.exchange;
+    out->service = wanted.service;
+    out->instance = server == nullptr ? base::instance_id() : server->instance;
     m_metrics.run_started();
     send(request, out, std::move(call));
 }
@@ -564,7 +568,11 @@
     if (!request) {
         return true;
     }
-    switch (m_dialect.check_response(request->exchange->head(), *out->head)) {
+    const auto verdict = m_dialect.check_response(request->exchange->head(), *out->head);
+    if (verdict != response_verdict::mismatched) {
+        report_backend_state(*out);
+    }
+    switch (verdict) {
     case response_verdict::matches:
         return true;
     case response_verdict::not_run:
@@ -586,6 +594,32 @@
     return false;
 }
 
+void traffic_frontend::report_backend_state(const outbound_request& out)
+{
+    const auto state = m_dialect.read_backend_state(*out.head);
+    const bool news = state && (state->rate || !state->rate_problem.empty() || state->leaving);
+    if (!state || (!news && !m_rate_reported)) {
+        return;
+    }
+    m_rate_reported = state->rate || (m_rate_reported && !state->rate_problem.empty());
+    if (!state->rate_problem.empty() && m_backend_log_limiter.take(http::event_loop::now())) {
+        log(log_level::warn, "backend_rate_unreadable",
+            {{"service", out.service.value()},
+             {"instance", sanitize_for_log(out.instance.value())},
+             {"expected", state->rate_problem},
+             {"suppressed", std::to_string(m_backend_log_limiter.take_suppressed())}});
+    }
+    if (state->leaving && out.instance != m_leaving_run) {
+        m_leaving_run = out.instance;
+        log(log_level::info, "backend_leaving",
+            {{"service", out.service.value()},
+             {"instance", sanitize_for_log(out.instance.value())}});
+        m_hooks.backend_leaving(out.instance);
+    }
+    deliver(node::backend_state_reported{out.service, out.instance, state->rate,
+                                         state->rate_problem.empty(), state->leaving});
+}
+
 void traffic_frontend::on_gatekeeper_refusal(const outbound_ptr& out)
 {
     const auto& headers = out->head->headers;
--- a/src/daemon/traffic_frontend.hpp
+++ b/src/daemon/traffic_frontend.hpp
@@ -98,6 +98,8 @@
     /// Returns whether the response of the local backend server belongs to its request. If not, has
     /// reported the outcome of the transfer to the traffic state machine.
     bool accept_response(const outbound_ptr& out);
+    /// Passes on what the local backend server says of itself in its answer.
+    void report_backend_state(const outbound_request& out);
     void on_gatekeeper_refusal(const outbound_ptr& out);
     bool on_response_body(const outbound_ptr& out, std::string_view data);
     void on_transfer_end(const outbound_ptr& out, const http::transfer_result& how);
@@ -121,6 +123,11 @@
     std::shared_ptr<const traffic_view> m_view;
     traffic_metrics m_metrics;
     log_rate_limiter m_refusal_log_limiter;
+    log_rate_limiter m_backend_log_limiter;
+    /// Run of the backend server that was last reported as leaving.
+    base::instance_id m_leaving_run;
+    /// The state machine was last told of a rate of the backend server.
+    bool m_rate_reported = false;
 
     std::unordered_map<node::exchange_id, inbound_ptr> m_inbound;
     std::unordered_map<node::transfer_id, outbound_ptr> m_outbound;
--- a/src/daemon/traffic_hooks.hpp
+++ b/src/daemon/traffic_hooks.hpp
@@ -23,6 +23,8 @@
     std::function<void(const node::request_claim&)> acquire_claim;
     std::function<void(const node::release_claim&)> release_claim;
     std::function<void(const node::complete_claim&)> complete_claim;
+    /// A run of the backend server on this VM has said that it leaves.
+    std::function<void(const base::instance_id&)> backend_leaving;
     /// Returns the service of the backend servers on this VM; unset if there are none.
     std::function<base::service_id()> own_service;
     /// Serves a call of the local API (targets that begin with "/-/" on the backend server's port).
--- a/src/daemon/traffic_thread.cpp
+++ b/src/daemon/traffic_thread.cpp
@@ -75,6 +75,7 @@
            .acquire_claim = m_requests.acquire_claim,
            .release_claim = m_requests.release_claim,
            .complete_claim = m_requests.complete_claim,
+           .backend_leaving = m_requests.drain_run,
            .own_service = [service = own_service(settings)] { return service; },
            .local_api = [this](const auto& exchange) { m_local.serve(exchange); }}),
       m_addresses(settings.listen)
--- a/src/daemon/traffic_thread.hpp
+++ b/src/daemon/traffic_thread.hpp
@@ -20,6 +20,8 @@
     std::function<void(const node::complete_claim&)> complete_claim;
     std::function<void(local_api::action, const membership::announcement&, local_api::done)>
         announce;
+    /// A run of the backend server on this VM has said that it leaves.
+    std::function<void(const base::instance_id&)> drain_run;
     std::function<void(const quota::quota_send&)> send_quota;
     std::function<std::string()> control_metrics;
 };
--- a/src/membership/announced_run_test.cpp
+++ b/src/membership/announced_run_test.cpp
@@ -8,7 +8,13 @@
 namespace damaskladder::membership {
 namespace {
 
-enum class step_kind { announce, withdraw };
+enum class step_kind { announce, withdraw, drain };
+
+constexpr auto announce = step_kind::announce;
+constexpr auto withdraw = step_kind::withdraw;
+constexpr auto drain = step_kind::drain;
+constexpr auto accepted = announce_verdict::accepted;
+constexpr auto outdated = announce_verdict::outdated;
 
 /// One message of a run at the test's port, and the expected verdict.
 struct run_step {
@@ -61,6 +67,10 @@
     for (const auto& step : GetParam().steps) {
         now += std::chrono::milliseconds(100);
         const auto offer = offer_of(step);
+        if (step.kind == step_kind::drain) {
+            EXPECT_EQ(leases.drain_run(offer.instance), step.verdict == accepted);
+            continue;
+        }
         const auto verdict = step.kind == step_kind::announce ? leases.announce(offer, now)
                                                               : leases.withdraw(offer, now);
         EXPECT_EQ(verdict, step.verdict) << step.instance << ' ' << step.position.sequence;
@@ -68,14 +78,20 @@
     EXPECT_EQ(announced(leases), GetParam().announced);
 }
 
-constexpr auto announce = step_kind::announce;
-constexpr auto withdraw = step_kind::withdraw;
-constexpr auto accepted = announce_verdict::accepted;
-constexpr auto outdated = announce_verdict::outdated;
-
 INSTANTIATE_TEST_SUITE_P(
     table, announced_runs,
-    testing::Values(run_case{"in_order",
+    testing::Values(run_case{"drain_lasts_for_the_run",
+                             {{announce, "i1", {1, 1}},
+                              {drain, "i1", {}},
+                              {drain, "i1", {}, false, outdated},
+                              {drain, "other", {}, false, outdated},
+                              {announce, "i1", {1, 2}}},
+                             "i1 draining"},
+                    run_case{
+                        "drain_ends_with_the_run",
+                        {{announce, "i1", {1, 1}}, {drain, "i1", {}}, {announce, "i1", {2, 1}}},
+                        "i1"},
+                    run_case{"in_order",
                              {{announce, "i1", {10, 1}, false, accepted},
                               {announce, "i1", {10, 2}, false, accepted}},
                              "i1"},
--- a/src/membership/announcement_registry.cpp
+++ b/src/membership/announcement_registry.cpp
@@ -107,6 +107,18 @@
     return announce_verdict::accepted;
 }
 
+bool announcement_registry::drain_run(const base::instance_id& run)
+{
+    const auto found = std::find_if(m_leases.begin(), m_leases.end(), [&](const lease& held) {
+        return held.backend.instance == run && !held.backend.draining;
+    });
+    if (found == m_leases.end()) {
+        return false;
+    }
+    found->backend.draining = true;
+    return true;
+}
+
 void announcement_registry::drain_all()
 {
     for (lease& held : m_leases) {
--- a/src/membership/announcement_registry.hpp
+++ b/src/membership/announcement_registry.hpp
@@ -35,6 +35,8 @@
                               const credential_text& credential);
     announce_verdict drain(const base::service_id& service, base::port_number port,
                            const credential_text& credential);
+    /// Marks the run as draining. Returns false if it is not announced or drains already.
+    bool drain_run(const base::instance_id& run);
     /// Marks all backend servers as draining, because the node itself stops.
     void drain_all();
 
--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -30,14 +30,16 @@
     using retry::failure_class;
     switch (reason) {
     case refusal_reason::shed:
+    case refusal_reason::backend_limit:
     case refusal_reason::backend_shed:
         if (reported_outcome != outcome::not_run) {
             return failure_class::permanent;
         }
         // A gatekeeper sheds before it contacts its backend server, so the request may be sent to
         // another server without a pause.
-        return reason == refusal_reason::shed && has_untried ? failure_class::not_run_elsewhere
-                                                             : failure_class::not_run_shed;
+        return reason != refusal_reason::backend_shed && has_untried
+                   ? failure_class::not_run_elsewhere
+                   : failure_class::not_run_shed;
     case refusal_reason::draining:
     case refusal_reason::stopping:
     case refusal_reason::unreachable:
@@ -58,6 +60,7 @@
     using routing::attempt_result;
     switch (reason) {
     case refusal_reason::shed:
+    case refusal_reason::backend_limit:
     case refusal_reason::backend_shed:
         return attempt_result::shed;
     case refusal_reason::draining:
--- a/src/node/event.hpp
+++ b/src/node/event.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "node/backend_refused.hpp"
+#include "node/backend_state_reported.hpp"
 #include "node/call_arrived.hpp"
 #include "node/caller_disconnected.hpp"
 #include "node/claim_denied.hpp"
@@ -24,10 +25,10 @@
 namespace damaskladder::node {
 
 /// The inputs of a traffic machine.
-using event =
-    std::variant<request_arrived, onward_call_arrived, call_arrived, token_granted, token_refused,
-                 gatekeeper_refused, transfer_connected, connect_failed, transfer_failed,
-                 backend_refused, response_started, response_finished, caller_disconnected,
-                 claim_granted, claim_denied, drain_requested, stop_requested, tick>;
+using event = std::variant<request_arrived, onward_call_arrived, call_arrived, token_granted,
+                           token_refused, gatekeeper_refused, transfer_connected, connect_failed,
+                           transfer_failed, backend_refused, response_started, response_finished,
+                           caller_disconnected, claim_granted, claim_denied, drain_requested,
+                           backend_state_reported, stop_requested, tick>;
 
 } // namespace damaskladder::node
--- a/src/node/gatekeeper_machine.cpp
+++ b/src/node/gatekeeper_machine.cpp
@@ -49,6 +49,12 @@
     return admission::call_outcome::cancelled;
 }
 
+/// Whether the run that requested the drain has been replaced.
+bool is_later_run(const gatekeeper_service& service, const local_backend_server& server)
+{
+    return service.drained_run != base::instance_id() && server.instance != service.drained_run;
+}
+
 refuse refusal_of(exchange_id exchange, outcome reported_outcome, refusal_reason reason)
 {
     refuse refusal;
@@ -71,6 +77,7 @@
     if (const auto reason = refusal_at_arrival(received, server, ctx)) {
         refuse refusal = refusal_of(received.exchange, outcome::not_run, *reason);
         refusal.allowance_left = received.context.allowance;
+        refusal.load = load_of(received.service, ctx);
         ctx.out.emplace_back(refusal);
         return;
     }
@@ -194,7 +201,7 @@
     relay.transfer = call->transfer;
     relay.allowance_left = m_shared.ledger.close(call->context.call);
     relay.shed = shed_level(call->service, ctx);
-    relay.load = load_of(call->service);
+    relay.load = load_of(call->service, ctx);
     ctx.out.emplace_back(relay);
 }
 
@@ -234,10 +241,33 @@
 
 void gatekeeper_machine::on(const drain_requested& received, event_context& ctx)
 {
+    drain(received.service, {}, ctx);
+}
+
+void gatekeeper_machine::on(const backend_state_reported& received, event_context& ctx)
+{
+    const local_backend_server* server = ctx.view.find_local(received.service);
+    const bool earlier_run = server != nullptr && server->instance != received.instance;
+    if (earlier_run) {
+        return;
+    }
     gatekeeper_service& service = service_of(received.service);
+    if (received.rate_valid) {
+        service.rate.set(received.rate, ctx.now);
+    }
+    if (received.leaving && !service.drain_requested) {
+        drain(received.service, received.instance, ctx);
+    }
+}
+
+void gatekeeper_machine::drain(const base::service_id& id, const base::instance_id& run,
+                               event_context& ctx)
+{
+    gatekeeper_service& service = service_of(id);
     service.drain_requested = true;
     service.drain_seen = false;
-    update_from_view(service, ctx.view.find_local(received.service), ctx);
+    service.drained_run = run;
+    update_from_view(service, ctx.view.find_local(id), ctx);
 }
 
 void gatekeeper_machine::on(const tick& /*seen*/, event_context& ctx)
@@ -324,6 +354,9 @@
     if (service.closed) {
         return refusal_reason::draining;
     }
+    if (!service.rate.allows(received.context.importance, ctx.now)) {
+        return refusal_reason::backend_limit;
+    }
     return std::nullopt;
 }
 
@@ -352,7 +385,7 @@
     if (!announced) {
         service.drain_seen = true;
     }
-    else if (service.drain_seen) {
+    else if (service.drain_seen || is_later_run(service, *server)) {
         service.drain_requested = false;
     }
     std::vector<admission::verdict> verdicts;
@@ -415,10 +448,16 @@
 
 void gatekeeper_machine::dispatch(gatekeeper_call& call, event_context& ctx)
 {
+    admission::rate_limit& rate = service_of(call.service).rate;
+    if (!rate.allows(call.context.importance, ctx.now)) {
+        return refuse_call(call, outcome::not_run, refusal_reason::backend_limit,
+                           admission::call_outcome::cancelled, ctx);
+    }
     if (!m_shared.calls.add(call.context, call.deadline)) {
         return refuse_call(call, outcome::not_run, refusal_reason::bad_request,
                            admission::call_outcome::cancelled, ctx);
     }
+    rate.take(ctx.now);
     m_shared.ledger.open(call.context.call, call.context.allowance);
     call.phase = gatekeeper_phase::connecting;
     call.transfer = m_shared.next_transfer();
@@ -440,7 +479,7 @@
     refusal.allowance_left =
         dispatched ? m_shared.ledger.close(call.context.call) : call.context.allowance;
     refusal.shed = shed_level(call.service, ctx);
-    refusal.load = load_of(call.service);
+    refusal.load = load_of(call.service, ctx);
     refusal.service = call.service;
     ctx.out.emplace_back(refusal);
     end_call(call, ended, ctx);
@@ -506,15 +545,20 @@
     }
 }
 
-std::optional<routing::load_report>
-gatekeeper_machine::load_of(const base::service_id& service) const
+std::optional<routing::load_report> gatekeeper_machine::load_of(const base::service_id& service,
+                                                                event_context& ctx) const
 {
-    const admission::controller* control = control_of(service);
-    if (control == nullptr || control->limit() <= base::slot_count(0)) {
+    const auto found = m_services.find(service);
+    if (found == m_services.end() || found->second.control.limit() <= base::slot_count(0)) {
         return std::nullopt;
     }
-    const base::slot_count waiting(control->queued());
-    return routing::load_report{control->running() + waiting, control->limit()};
+    const admission::controller& control = found->second.control;
+    const base::slot_count busy = control.running() + base::slot_count(control.queued());
+    // A server that has used up its rate counts as full, whatever runs on it.
+    const auto limit = static_cast<double>(control.limit().value());
+    const base::slot_count by_rate(
+        static_cast<std::int64_t>(limit * found->second.rate.used_share(ctx.now)));
+    return routing::load_report{std::max(busy, by_rate), control.limit()};
 }
 
 std::optional<base::importance> gatekeeper_machine::shed_level(const base::service_id& service,
--- a/src/node/gatekeeper_machine.hpp
+++ b/src/node/gatekeeper_machine.hpp
@@ -45,6 +45,7 @@
     void on(const response_finished& received, event_context& ctx);
     void on(const caller_disconnected& received, event_context& ctx);
     void on(const drain_requested& received, event_context& ctx);
+    void on(const backend_state_reported& received, event_context& ctx);
     void on(const tick& received, event_context& ctx);
 
     bool has(exchange_id exchange) const { return m_calls.count(exchange) != 0; }
@@ -76,7 +77,10 @@
     void end_call(gatekeeper_call& call, std::optional<admission::call_outcome> ended,
                   event_context& ctx);
     void handle_deadline(gatekeeper_call& call, event_context& ctx);
-    std::optional<routing::load_report> load_of(const base::service_id& service) const;
+    std::optional<routing::load_report> load_of(const base::service_id& service,
+                                                event_context& ctx) const;
+    /// Refuses new calls to a run of a backend server; to any run if it is not known which.
+    void drain(const base::service_id& id, const base::instance_id& run, event_context& ctx);
     std::optional<base::importance> shed_level(const base::service_id& service,
                                                event_context& ctx) const;
 
--- a/src/node/gatekeeper_machine_test.cpp
+++ b/src/node/gatekeeper_machine_test.cpp
@@ -313,6 +313,118 @@
                      },
                      "refuse e1 400 not-run bad-request left 2\n"}));
 
+/// What the backend server says in an answer at 1,000 ms, after it has named 4 requests a second in
+/// an answer at 0 ms and got them. The calls that follow at 1,000 ms are counted.
+struct reported_case {
+    const char* name;
+    backend_state_reported reported;
+    int started;
+    const char* refusal;
+};
+
+void PrintTo(const reported_case& row, std::ostream* out)
+{
+    *out << row.name;
+}
+
+class backend_reports : public testing::TestWithParam<reported_case> {};
+
+backend_state_reported reported_rate(std::optional<double> rate)
+{
+    backend_state_reported state;
+    state.service = base::service_id("s");
+    if (rate) {
+        state.rate = admission::requests_per_second{*rate};
+    }
+    return state;
+}
+
+backend_state_reported unreadable_rate()
+{
+    auto state = reported_rate(std::nullopt);
+    state.rate_valid = false;
+    return state;
+}
+
+backend_state_reported leaving()
+{
+    auto state = reported_rate(std::nullopt);
+    state.leaving = true;
+    return state;
+}
+
+backend_state_reported of_an_earlier_run()
+{
+    auto state = leaving();
+    state.instance = base::instance_id("earlier");
+    return state;
+}
+
+/// Calls of one level that are started at a time, out of 40, and the refusal of the last one.
+std::pair<int, std::string> offer_calls(call_driver& path, std::int64_t ms)
+{
+    int started = 0;
+    std::string refusal;
+    for (std::uint64_t number = 0; number < 40; ++number) {
+        const exchange_id exchange(static_cast<std::uint64_t>(ms) * 1'000 + number + 10);
+        auto call = call_of(exchange, true);
+        call.context.importance = base::importance::critical;
+        call.context.call = base::call_id(exchange.value());
+        const auto effects = path.fixture.handle(call, ms);
+        const bool starts = effects.substr(0, 5) == "start";
+        started += starts ? 1 : 0;
+        if (starts) {
+            path.fixture.handle(caller_disconnected{exchange}, ms);
+        }
+        else {
+            refusal = effects.substr(effects.find(' ', effects.find(' ') + 1) + 1);
+        }
+    }
+    return {started, refusal};
+}
+
+// Guards against a backend server that gets more requests than it has named, or any after it has
+// said that it leaves, as its gatekeeper sends what its slots would hold.
+TEST_P(backend_reports, decide_how_many_calls_it_gets)
+{
+    call_driver path(true);
+    path.handle(reported_rate(4), 0);
+    EXPECT_EQ(offer_calls(path, 0).first, 4);
+    path.handle(GetParam().reported, 1'000);
+    const auto [started, refusal] = offer_calls(path, 1'000);
+    EXPECT_EQ(started, GetParam().started);
+    EXPECT_EQ(refusal, GetParam().refusal);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, backend_reports,
+    testing::Values(
+        reported_case{"same rate", reported_rate(4), 4, "503 not-run backend-limit left 2\n"},
+        reported_case{"higher rate", reported_rate(8), 4, "503 not-run backend-limit left 2\n"},
+        reported_case{"lower rate", reported_rate(2), 2, "503 not-run backend-limit left 2\n"},
+        reported_case{"rate of zero", reported_rate(0), 1, "503 not-run backend-limit left 2\n"},
+        reported_case{"no rate any more", reported_rate(std::nullopt), 40, ""},
+        reported_case{"unreadable rate", unreadable_rate(), 4,
+                      "503 not-run backend-limit left 2\n"},
+        reported_case{"leaving", leaving(), 0, "503 not-run draining left 2\n"},
+        reported_case{"answer of an earlier run", of_an_earlier_run(), 4,
+                      "503 not-run backend-limit left 2\n"}));
+
+// Guards against a later run at the same port that gets no requests because the run before it has
+// said that it leaves.
+TEST(gatekeeper, a_later_run_gets_calls_after_the_earlier_one_has_left)
+{
+    call_driver path(true);
+    auto& server = path.fixture.view.local.front();
+    server.instance = base::instance_id("i1");
+    auto state = leaving();
+    state.instance = server.instance;
+    path.handle(state, 0);
+    EXPECT_EQ(offer_calls(path, 0).first, 0);
+    server.instance = base::instance_id("i2");
+    EXPECT_GT(offer_calls(path, 100).first, 0);
+}
+
 // Guards against starting a call whose key was withdrawn while the call was queued.
 TEST(gatekeeper, key_withdrawn_in_the_queue_never_starts)
 {
--- a/src/node/gatekeeper_service.hpp
+++ b/src/node/gatekeeper_service.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "admission/controller.hpp"
+#include "admission/rate_limit.hpp"
+#include "base/instance_id.hpp"
 #include "base/service_id.hpp"
 
 namespace damaskladder::node {
@@ -14,7 +16,11 @@
     bool drain_requested = false;
     /// The view has shown the drain, so an announcement without it is newer than the request.
     bool drain_seen = false;
+    /// Run that requested the drain; empty if it is not known.
+    base::instance_id drained_run;
     bool closed = false;
+    /// Rate that the backend server has named in its latest answer.
+    admission::rate_limit rate;
 };
 
 } // namespace damaskladder::node
--- a/src/node/refusal_reason.cpp
+++ b/src/node/refusal_reason.cpp
@@ -11,7 +11,7 @@
     std::uint16_t status;
 };
 
-constexpr std::array<reason_row, 26> reason_rows{{
+constexpr std::array<reason_row, 27> reason_rows{{
     {refusal_reason::bad_request, "bad-request", 400},
     {refusal_reason::request_id_required, "request-id-required", 400},
     {refusal_reason::too_deep, "too-deep", 400},
@@ -30,6 +30,7 @@
     {refusal_reason::answer_lost, "answer-lost", 502},
     {refusal_reason::shed, "shed", 503},
     {refusal_reason::backend_shed, "backend-shed", 503},
+    {refusal_reason::backend_limit, "backend-limit", 503},
     {refusal_reason::no_backend_server, "no-backend-server", 503},
     {refusal_reason::unreachable, "unreachable", 503},
     {refusal_reason::draining, "draining", 503},
--- a/src/node/refusal_reason.hpp
+++ b/src/node/refusal_reason.hpp
@@ -46,6 +46,8 @@
     shed,
     /// The backend server itself refused to run the request.
     backend_shed,
+    /// The backend server has named a rate, and the request would exceed it.
+    backend_limit,
     /// No backend server of the service is announced.
     no_backend_server,
     /// No connection could be established.
--- a/src/node/traffic_machine.cpp
+++ b/src/node/traffic_machine.cpp
@@ -27,6 +27,10 @@
     {
         gatekeeper.on(received, gatekeeper_context);
     }
+    void operator()(const backend_state_reported& received)
+    {
+        gatekeeper.on(received, gatekeeper_context);
+    }
     void operator()(const stop_requested& /*seen*/) { stopping = true; }
     void operator()(const backend_refused& received)
     {
