Traffic: a key in Authorization beside Damaskladder-Key is not passed on

Callers: a request with a key in both Damaskladder-Key and Authorization ran, and its backend server was shown the key.

Cause: Authorization was removed only if the request's key had been taken from it.

Change: a bearer token that is the key of the request, or any key known to the node, is removed; other tokens, which belong to the backend server, pass as before. The new case key_in_both failed before.

--- a/src/daemon/request_parser.cpp
+++ b/src/daemon/request_parser.cpp
@@ -43,15 +43,12 @@
 
 base::result<void> parse_key(const http::request_head& head, parsed_request& into)
 {
-    if (const auto* value = head.headers.find(http::header_names::key)) {
-        into.key = *value;
-    }
-    else if (const auto* authorization = head.headers.find(http::header_names::authorization)) {
-        if (std::string_view(*authorization).substr(0, bearer_prefix.size()) == bearer_prefix) {
-            into.key = std::string_view(*authorization).substr(bearer_prefix.size());
-            into.key_in_authorization = true;
-        }
+    const auto* authorization = head.headers.find(http::header_names::authorization);
+    if (authorization != nullptr && authorization->starts_with(bearer_prefix)) {
+        into.bearer_token = std::string_view(*authorization).substr(bearer_prefix.size());
     }
+    const auto* key = head.headers.find(http::header_names::key);
+    into.key = key != nullptr ? std::optional<std::string_view>(*key) : into.bearer_token;
     if (into.key && (into.key->empty() || into.key->size() > max_key_size)) {
         return invalid(http::header_names::key, "expected a key of 1 to 512 bytes");
     }
--- a/src/daemon/traffic_frontend.cpp
+++ b/src/daemon/traffic_frontend.cpp
@@ -289,7 +289,7 @@
     base::handle_failure(
         [&]() -> base::result<void> {
             BOOST_LEAF_AUTO(parsed, m_dialect.read_request(head));
-            if (parsed.key_in_authorization) {
+            if (holds_key(parsed)) {
                 request->forwarded.remove(http::header_names::authorization);
             }
             if (parsed.request && parsed.retries_share_id) {
@@ -319,6 +319,15 @@
         [&](const base::failure& error) { refuse_malformed(request, error); });
 }
 
+bool traffic_frontend::holds_key(const parsed_request& parsed) const
+{
+    if (!parsed.bearer_token) {
+        return false;
+    }
+    return parsed.bearer_token == parsed.key ||
+           m_view->node->find_key(m_keys.hash(*parsed.bearer_token)) != nullptr;
+}
+
 void traffic_frontend::submit_onward(const inbound_ptr& request, const parsed_request& parsed)
 {
     base::handle_failure(
--- a/src/daemon/traffic_frontend.hpp
+++ b/src/daemon/traffic_frontend.hpp
@@ -95,6 +95,8 @@
     std::size_t read_body(inbound_request& request, outbound_request& out, char* data,
                           std::size_t size) const;
     void on_response_head(const outbound_ptr& out, http::response_head head);
+    /// Whether Authorization holds the key of the request or any other key.
+    bool holds_key(const parsed_request& parsed) const;
     /// Returns whether the response of the local backend server belongs to its request. If not, has
     /// reported the outcome of the transfer to the traffic state machine.
     bool accept_response(const outbound_ptr& out);
--- a/src/daemon/traffic_frontend_test.cpp
+++ b/src/daemon/traffic_frontend_test.cpp
@@ -175,6 +175,47 @@
 
 const http::header_list with_key = {{"Damaskladder-Key", key}, {"Cookie", "c=1"}};
 
+struct authorization_case {
+    std::string name;
+    http::header_list headers;
+    /// Value of Authorization that reaches the backend server.
+    std::string forwarded;
+};
+
+class authorizations : public testing::TestWithParam<authorization_case> {};
+
+// Guards against a key that reaches a backend server in Authorization because the request also has
+// Damaskladder-Key.
+TEST_P(authorizations, reach_the_backend_server_without_a_key)
+{
+    std::optional<std::string> seen;
+    frontend_fixture node([&](const std::shared_ptr<http::exchange>& request) {
+        const auto* value = request->head().headers.find("Authorization");
+        seen = value == nullptr ? "" : *value;
+        request->respond({}, "done");
+    });
+    const auto answer =
+        node.call(node.frontend().callers_port(), request_for("/files", GetParam().headers));
+    EXPECT_EQ(answer.head.status, 200);
+    EXPECT_EQ(seen, GetParam().forwarded);
+}
+
+const std::string bearer_key = std::string("Bearer ") + key;
+
+INSTANTIATE_TEST_SUITE_P(
+    table, authorizations,
+    testing::Values(authorization_case{"key_there_only", {{"Authorization", bearer_key}}, ""},
+                    authorization_case{"key_in_both",
+                                       {{"Damaskladder-Key", key}, {"Authorization", bearer_key}},
+                                       ""},
+                    authorization_case{"token_of_the_backend_server",
+                                       {{"Damaskladder-Key", key}, {"Authorization", "Bearer x"}},
+                                       "Bearer x"},
+                    authorization_case{"other_scheme",
+                                       {{"Damaskladder-Key", key}, {"Authorization", "Basic eA=="}},
+                                       "Basic eA=="}),
+    [](const auto& tested) { return tested.param.name; });
+
 class relayed_sizes : public testing::TestWithParam<std::size_t> {};
 
 // Guards against truncated or interchanged responses, and against keys that reach a backend server.
