Tests: answers that are cut in the middle of their head

Another operator's report: a worker stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

It does not happen here: seven places in the head, on a new and on a kept connection, all end as broken, which becomes 502 with the outcome unknown.

--- a/src/http/raw_socket_fake.hpp
+++ b/src/http/raw_socket_fake.hpp
@@ -18,7 +18,7 @@
 namespace damaskladder::http {
 
 /// Test server that sends the given bytes as responses, one for each request, then reads one more
-/// request and closes.
+/// request and closes. Closes at once after a response whose head does not end.
 class raw_socket_fake {
 public:
     explicit raw_socket_fake(std::vector<std::string> responses)
@@ -51,7 +51,8 @@
                 const auto& response = m_responses[next++];
                 [[maybe_unused]] const auto sent =
                     send(connection, response.data(), response.size(), MSG_NOSIGNAL);
-                if (response.find("Connection: close") != std::string::npos) {
+                const bool head_is_cut = response.find("\r\n\r\n") == std::string::npos;
+                if (head_is_cut || response.find("Connection: close") != std::string::npos) {
                     break;
                 }
             }
--- a/src/http/transfer_test.cpp
+++ b/src/http/transfer_test.cpp
@@ -146,6 +146,52 @@
                     2}),
     [](const auto& tested) { return "case_" + std::to_string(tested.index); });
 
+struct cut_head_case {
+    std::string name;
+    /// What the server sends before it closes.
+    std::string sent;
+};
+
+class cut_heads : public testing::TestWithParam<cut_head_case> {};
+
+// Guards against a 200 with an empty or short body, framed as whole, for a response whose head was
+// cut off.
+TEST_P(cut_heads, end_as_broken)
+{
+    for (const bool reused_connection : {false, true}) {
+        std::vector<std::string> responses = {GetParam().sent};
+        if (reused_connection) {
+            responses.insert(responses.begin(), complete_response);
+        }
+        raw_socket_fake fake(responses);
+        event_loop loop;
+        client out(loop);
+        for (std::size_t left = responses.size(); left > 0; --left) {
+            received response;
+            client_request request;
+            request.to = {"127.0.0.1", fake.port()};
+            out.send(request, collect(response));
+            run_until(loop, [&] { return response.end.has_value(); });
+            ASSERT_TRUE(response.end);
+            const auto expected =
+                left > 1 ? transfer_result::kind::complete : transfer_result::kind::broken;
+            EXPECT_EQ(response.end->completion, expected) << "reused: " << reused_connection;
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, cut_heads,
+    testing::Values(cut_head_case{"in_the_status_line", "HTTP/1.1 200"},
+                    cut_head_case{"after_the_status_line", "HTTP/1.1 200 OK\r\n"},
+                    cut_head_case{"in_a_field", "HTTP/1.1 200 OK\r\nContent-Le"},
+                    cut_head_case{"after_the_length", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"},
+                    cut_head_case{"in_the_blank_line",
+                                  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r"},
+                    cut_head_case{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"},
+                    cut_head_case{"of_an_interim_response", "HTTP/1.1 100 Continue\r\n"}),
+    [](const auto& tested) { return tested.param.name; });
+
 // Guards against an unknown result for a request that was certainly not sent.
 TEST(transfer, refused_connection_is_not_sent)
 {
