Entry: an onward call is not refused for good by settings older than its parent's

Callers: in the product's own interface, a call that a backend server makes got 404 or 403 for a route, workspace or key that had just been added, if the node of the backend server had not received that version. The parent request, admitted by the newer version at its entry node, then failed.

A request of a caller whose workspace a route does not admit is also reported as stale while the settings may lack a recent change, as unknown keys and routes are already.

Change: the refusal is stale-settings (not run) while the parent's version is newer than the node's. The two new cases fail without it.

--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -239,7 +239,9 @@
         static_cast<std::int64_t>(received.path.size()) <= m_shared.options.max_path.value();
     const route_entry* route = path_fits ? ctx.view.match_route(received.path, {}) : nullptr;
     if (route == nullptr) {
-        return refuse_with(path_fits ? refusal_reason::no_route : refusal_reason::bad_request);
+        return refuse_with(path_fits
+                               ? final_or_stale(refusal_reason::no_route, parent->context, ctx)
+                               : refusal_reason::bad_request);
     }
     if (received.body_size && *received.body_size > route->max_body) {
         return refuse_with(refusal_reason::too_large);
@@ -251,7 +253,7 @@
     request.context = parent->context;
     apply_route(request, *route, received.constraints.non_idempotent);
     if (!route->open && !admits(*route, request.context.workspace)) {
-        return refuse_with(refusal_reason::key_not_allowed);
+        return refuse_with(final_or_stale(refusal_reason::key_not_allowed, parent->context, ctx));
     }
     if (!request.context.idempotent && (!is_usable(received.request) || !received.content)) {
         return refuse_with(refusal_reason::request_id_required);
@@ -523,7 +525,7 @@
         return refusal_reason::key_withdrawn;
     }
     if (!admits(route, key->workspace)) {
-        return refusal_reason::key_not_allowed;
+        return unknown_or_stale(refusal_reason::key_not_allowed, ctx);
     }
     return std::nullopt;
 }
@@ -538,6 +540,13 @@
     return is_stale(max_staleness_for_unknown, ctx) ? refusal_reason::stale_settings : unknown;
 }
 
+refusal_reason entry_machine::final_or_stale(refusal_reason refusal, const call_context& admitted,
+                                             event_context& ctx)
+{
+    const bool behind = ctx.view.settings_version < admitted.settings;
+    return behind ? refusal_reason::stale_settings : refusal;
+}
+
 base::importance entry_machine::importance_of(const route_entry& route, const key_entry* key,
                                               event_context& ctx)
 {
@@ -643,7 +652,7 @@
         return refusal_reason::stale_settings;
     }
     if (!ctx.view.key_active(request.context.key)) {
-        return refusal_reason::key_withdrawn;
+        return final_or_stale(refusal_reason::key_withdrawn, request.context, ctx);
     }
     return std::nullopt;
 }
--- a/src/node/entry_machine_test.cpp
+++ b/src/node/entry_machine_test.cpp
@@ -401,6 +401,17 @@
         onward.body_can_be_resent = true;
     }
 
+    /// Replaces the parent call by one that was admitted by settings newer than those of this node.
+    void call_from_newer_settings()
+    {
+        call.exchange = exchange_id(77);
+        call.context.call = base::call_id(501);
+        call.context.settings = base::settings_version(view.settings_version.value() + 1);
+        view.local.front().slots = base::slot_count(2);
+        handle(call, 1);
+        onward.parent = call.context;
+    }
+
     call_arrived call;
     onward_call_arrived onward;
 };
@@ -444,6 +455,20 @@
         onward_case{"no time left",
                     [](auto& f) { f.onward.constraints.timeout = std::chrono::milliseconds(1); },
                     "refuse e2 504 not-run deadline\n"},
+        // Guards against refusing for good what the settings of the parent call's entry node allow,
+        // when they have not arrived here: routes and keys that were just added got 403 and 404.
+        onward_case{"route of a version that has not arrived here",
+                    [](auto& f) {
+                        f.onward.path = "/new";
+                        f.call_from_newer_settings();
+                    },
+                    "refuse e2 503 not-run stale-settings\n"},
+        onward_case{"workspace admitted in a version that has not arrived here",
+                    [](auto& f) {
+                        f.keyed.workspaces = {base::workspace_id("other")};
+                        f.call_from_newer_settings();
+                    },
+                    "refuse e2 503 not-run stale-settings\n"},
         onward_case{"key withdrawn after the parent call started",
                     [](auto& f) { f.key.active = false; }, "refuse e2 403 not-run key-withdrawn\n"},
         onward_case{"other workspace",
