Traffic: pass on that a backend server without instance ids leaves

The new test of the way from an answer to the gatekeeper and to the control thread (rate, leaving) found that the notice of a server without an instance id was taken for a repeated one, so only the gatekeeper knew. On the users' platform servers have ids. The case failed before.

--- a/src/daemon/traffic_frontend.hpp
+++ b/src/daemon/traffic_frontend.hpp
@@ -17,6 +17,7 @@
 #include "wire/key_hasher.hpp"
 
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -127,7 +128,7 @@
     log_rate_limiter m_refusal_log_limiter;
     log_rate_limiter m_backend_log_limiter;
     /// Run of the backend server that was last reported as leaving.
-    base::instance_id m_leaving_run;
+    std::optional<base::instance_id> m_leaving_run;
     /// The state machine was last told of a rate of the backend server.
     bool m_rate_reported = false;
 
--- a/src/daemon/traffic_frontend_test.cpp
+++ b/src/daemon/traffic_frontend_test.cpp
@@ -24,7 +24,7 @@
           m_backend(m_loop, {}, std::move(serve)),
           m_client(m_loop),
           m_machine(make_options()),
-          m_frontend(m_loop, m_secret, base::incarnation(1), {}, own_dialect(), make_logic(),
+          m_frontend(m_loop, m_secret, base::incarnation(1), {}, make_dialect(), make_logic(),
                      make_hooks())
     {
         EXPECT_TRUE(m_backend.listen({"127.0.0.1", 0}));
@@ -33,6 +33,8 @@
     }
 
     http::event_loop& loop() { return m_loop; }
+    /// Runs of the backend server that were reported as leaving.
+    const std::vector<base::instance_id>& leaving() const { return m_leaving; }
     traffic_frontend& frontend() { return m_frontend; }
 
     struct answer {
@@ -92,6 +94,21 @@
         return options;
     }
 
+    /// The product's own interface, with a rate and a notice of leaving in header fields.
+    static dialect make_dialect()
+    {
+        dialect made = own_dialect();
+        made.read_backend_state = [](const http::response_head& answer) {
+            backend_state state;
+            if (const auto* rate = answer.headers.find("Test-Rate")) {
+                state.rate = admission::requests_per_second{std::stod(*rate)};
+            }
+            state.leaving = answer.headers.find("Test-Leaving") != nullptr;
+            return std::optional(state);
+        };
+        return made;
+    }
+
     traffic_logic make_logic()
     {
         return {.handle = [this](const auto& event, const auto& view, auto now,
@@ -113,6 +130,7 @@
         hooks.release_claim = [](const auto&) {};
         hooks.complete_claim = [](const auto&) {};
         hooks.local_api = [](const auto&) {};
+        hooks.backend_leaving = [this](const base::instance_id& run) { m_leaving.push_back(run); };
         return hooks;
     }
 
@@ -158,6 +176,7 @@
     node::route_entry m_route;
     node::route_entry m_once;
     node::key_entry m_key;
+    std::vector<base::instance_id> m_leaving;
     http::server m_backend;
     http::client m_client;
     node::traffic_machine m_machine;
@@ -175,6 +194,43 @@
 
 const http::header_list with_key = {{"Damaskladder-Key", key}, {"Cookie", "c=1"}};
 
+struct state_case {
+    std::string name;
+    /// Field of the first answer.
+    http::header_list fields;
+    /// Number of requests that get an answer of the backend server, out of 8 one after the other.
+    int answered;
+    std::size_t leaving;
+};
+
+class answered_states : public testing::TestWithParam<state_case> {};
+
+// Guards against what a backend server says of itself in an answer and that reaches neither its
+// gatekeeper nor the other nodes.
+TEST_P(answered_states, reach_the_gatekeeper)
+{
+    int answered = 0;
+    frontend_fixture node([&](const std::shared_ptr<http::exchange>& request) {
+        http::response_head head;
+        head.headers = GetParam().fields;
+        ++answered;
+        request->respond(std::move(head), "done");
+    });
+    for (int request = 0; request < 8; ++request) {
+        node.call(node.frontend().callers_port(),
+                  request_for("/files", {{"Damaskladder-Key", key}}));
+    }
+    EXPECT_EQ(answered, GetParam().answered);
+    EXPECT_EQ(node.leaving().size(), GetParam().leaving);
+}
+
+INSTANTIATE_TEST_SUITE_P(table, answered_states,
+                         testing::Values(state_case{"none", {}, 8, 0},
+                                         // The bucket holds one request.
+                                         state_case{"rate", {{"Test-Rate", "0.01"}}, 2, 0},
+                                         state_case{"leaving", {{"Test-Leaving", "1"}}, 1, 1}),
+                         [](const auto& tested) { return tested.param.name; });
+
 struct authorization_case {
     std::string name;
     http::header_list headers;
