Read-through: one rule for refusals by older settings, less state

- The rule that a refusal is stale-settings while the call was admitted by newer settings stood twice, in the entry half and in the gatekeeper half; final_or_stale() serves both.
- node_view::settings_known was a second copy of "the version is not 0" next to the new settings_version; it is derived now, and fixtures that left the version at 0 name one.
- Two unused members of rate_limit and an unused include are gone; the two observers of the control thread share one log function; three transfer tests share the sending of a request, with their checks unchanged.

--- a/src/admission/rate_limit.hpp
+++ b/src/admission/rate_limit.hpp
@@ -19,9 +19,6 @@
     /// a changed rate keeps the tokens, up to the new size of the bucket.
     void set(std::optional<requests_per_second> rate, base::time_point now);
 
-    bool active() const { return m_rate.has_value(); }
-    const std::optional<requests_per_second>& rate() const { return m_rate; }
-
     /// Whether a request may be sent now.
     bool allows(base::importance level, base::time_point now) const;
     /// Counts a request that is sent.
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -20,10 +20,18 @@
 // short, since every request that was read must finish before the exit.
 constexpr base::duration accept_time_after_leave = std::chrono::milliseconds(300);
 constexpr base::duration stop_check_interval = std::chrono::milliseconds(20);
-// An iteration of the control thread's loop that takes longer is logged. Half of the time after
-// which a silent leader is replaced.
+// An iteration of the control thread's loop that takes longer, or a timer that is later, is logged.
+// Half of the time after which a silent leader is replaced.
 constexpr base::duration max_control_round = std::chrono::milliseconds(200);
 
+void warn_if_long(std::string_view event, base::duration time)
+{
+    if (time > max_control_round) {
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+        log(log_level::warn, event, {{"ms", std::to_string(ms)}});
+    }
+}
+
 } // namespace
 
 control_thread::control_thread(const process_settings& settings, const wire::cluster_secret& secret,
@@ -185,17 +193,9 @@
         return now + stop_check_interval;
     });
     m_loop.observe_waits([](base::duration busy, base::duration, base::time_point) {
-        if (busy > max_control_round) {
-            const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(busy).count();
-            log(log_level::warn, "control_thread_stalled", {{"ms", std::to_string(ms)}});
-        }
-    });
-    m_loop.observe_timers([](base::duration late) {
-        if (late > max_control_round) {
-            const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(late).count();
-            log(log_level::warn, "control_thread_late", {{"ms", std::to_string(ms)}});
-        }
+        warn_if_long("control_thread_stalled", busy);
     });
+    m_loop.observe_timers([](base::duration late) { warn_if_long("control_thread_late", late); });
     log(log_level::info, "started", {{"messages", to_string(m_settings.messages)}});
     m_loop.run();
     if (m_traffic) {
--- a/src/daemon/traffic_frontend.hpp
+++ b/src/daemon/traffic_frontend.hpp
@@ -62,7 +62,7 @@
     void stop();
     bool stopped() const { return m_stopping && m_inbound.empty(); }
     /// Whether settings have arrived, which are required to decide on requests.
-    bool settings_known() const { return m_view && m_view->node->settings_known; }
+    bool settings_known() const { return m_view && m_view->node->settings_known(); }
     std::size_t running() const { return m_inbound.size(); }
 
     traffic_metrics& metrics() { return m_metrics; }
--- a/src/daemon/traffic_frontend_test.cpp
+++ b/src/daemon/traffic_frontend_test.cpp
@@ -140,6 +140,7 @@
         const base::service_id service("files");
         view->self = base::node_id("n1");
         view->own_domain = base::failure_domain_id("west");
+        view->settings_version = base::settings_version(1);
         view->settings_confirmed_at = http::event_loop::now();
         m_route.service = service;
         m_route.timeout = std::chrono::seconds(10);
--- a/src/daemon/view_builder.cpp
+++ b/src/daemon/view_builder.cpp
@@ -184,7 +184,6 @@
     view->own_domain = from.domain;
     view->settings_confirmed_at = from.settings_confirmed_at;
     view->settings_version = from.settings->settings->version();
-    view->settings_known = view->settings_version != base::settings_version();
     set_hooks(*view, from.settings);
     add_services(from, *out, *view);
     add_local(from, *out, *view);
--- a/src/http/transfer_test.cpp
+++ b/src/http/transfer_test.cpp
@@ -76,6 +76,17 @@
 
 INSTANTIATE_TEST_SUITE_P(table, echo_sizes, testing::Values(0, 1, 4096, 60000, 1000000));
 
+/// Sends a request to a port of this VM and returns how its transfer ended.
+std::optional<transfer_result> request_from(std::uint16_t port, client& out, event_loop& loop)
+{
+    received response;
+    client_request request;
+    request.to = {"127.0.0.1", port};
+    out.send(request, collect(response));
+    run_until(loop, [&] { return response.end.has_value(); });
+    return response.end;
+}
+
 struct broken_case {
     std::string name;
     /// Responses of the fake server on one connection, one for each request. After the last one it
@@ -98,12 +109,7 @@
     client out(loop);
     std::optional<transfer_result> last;
     for (std::size_t i = 0; i < expected.requests; ++i) {
-        received response;
-        client_request request;
-        request.to = {"127.0.0.1", fake.port()};
-        out.send(request, collect(response));
-        run_until(loop, [&] { return response.end.has_value(); });
-        last = response.end;
+        last = request_from(fake.port(), out, loop);
     }
     ASSERT_TRUE(last);
     EXPECT_EQ(last->completion, expected.expected_result) << last->text;
@@ -167,15 +173,11 @@
         event_loop loop;
         client out(loop);
         for (std::size_t left = responses.size(); left > 0; --left) {
-            received response;
-            client_request request;
-            request.to = {"127.0.0.1", fake.port()};
-            out.send(request, collect(response));
-            run_until(loop, [&] { return response.end.has_value(); });
-            ASSERT_TRUE(response.end);
+            const auto end = request_from(fake.port(), out, loop);
+            ASSERT_TRUE(end);
             const auto expected =
                 left > 1 ? transfer_result::kind::complete : transfer_result::kind::broken;
-            EXPECT_EQ(response.end->completion, expected) << "reused: " << reused_connection;
+            EXPECT_EQ(end->completion, expected) << "reused: " << reused_connection;
         }
     }
 }
@@ -202,13 +204,9 @@
     }
     event_loop loop;
     client out(loop);
-    received response;
-    client_request request;
-    request.to = {"127.0.0.1", unused_port};
-    out.send(request, collect(response));
-    run_until(loop, [&] { return response.end.has_value(); });
-    ASSERT_TRUE(response.end);
-    EXPECT_EQ(response.end->completion, transfer_result::kind::not_sent);
+    const auto end = request_from(unused_port, out, loop);
+    ASSERT_TRUE(end);
+    EXPECT_EQ(end->completion, transfer_result::kind::not_sent);
 }
 
 class aborted_responses : public testing::TestWithParam<bool> {};
--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -1,5 +1,7 @@
 #include "node/entry_machine.hpp"
 
+#include "node/final_or_stale.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -171,7 +173,7 @@
     if (static_cast<std::int64_t>(received.path.size()) > m_shared.options.max_path.value()) {
         return refuse_with(refusal_reason::bad_request);
     }
-    if (!ctx.view.settings_known) {
+    if (!ctx.view.settings_known()) {
         return refuse_with(refusal_reason::stale_settings);
     }
     const route_entry* route = ctx.view.match_route(received.path, received.host);
@@ -240,7 +242,7 @@
     const route_entry* route = path_fits ? ctx.view.match_route(received.path, {}) : nullptr;
     if (route == nullptr) {
         return refuse_with(path_fits
-                               ? final_or_stale(refusal_reason::no_route, parent->context, ctx)
+                               ? final_or_stale(refusal_reason::no_route, parent->context, ctx.view)
                                : refusal_reason::bad_request);
     }
     if (received.body_size && *received.body_size > route->max_body) {
@@ -253,7 +255,8 @@
     request.context = parent->context;
     apply_route(request, *route, received.constraints.non_idempotent);
     if (!route->open && !admits(*route, request.context.workspace)) {
-        return refuse_with(final_or_stale(refusal_reason::key_not_allowed, parent->context, ctx));
+        return refuse_with(
+            final_or_stale(refusal_reason::key_not_allowed, parent->context, ctx.view));
     }
     if (!request.context.idempotent && (!is_usable(received.request) || !received.content)) {
         return refuse_with(refusal_reason::request_id_required);
@@ -540,13 +543,6 @@
     return is_stale(max_staleness_for_unknown, ctx) ? refusal_reason::stale_settings : unknown;
 }
 
-refusal_reason entry_machine::final_or_stale(refusal_reason refusal, const call_context& admitted,
-                                             event_context& ctx)
-{
-    const bool behind = ctx.view.settings_version < admitted.settings;
-    return behind ? refusal_reason::stale_settings : refusal;
-}
-
 base::importance entry_machine::importance_of(const route_entry& route, const key_entry* key,
                                               event_context& ctx)
 {
@@ -652,7 +648,7 @@
         return refusal_reason::stale_settings;
     }
     if (!ctx.view.key_active(request.context.key)) {
-        return final_or_stale(refusal_reason::key_withdrawn, request.context, ctx);
+        return final_or_stale(refusal_reason::key_withdrawn, request.context, ctx.view);
     }
     return std::nullopt;
 }
--- a/src/node/entry_machine.hpp
+++ b/src/node/entry_machine.hpp
@@ -70,10 +70,6 @@
     /// Returns `unknown`, or stale_settings if the settings may be too old to contain a recently
     /// added key or route.
     static refusal_reason unknown_or_stale(refusal_reason unknown, event_context& ctx);
-    /// Returns `refusal`, or stale_settings if the call was admitted by newer settings than those
-    /// of this node, which may lack what they added.
-    static refusal_reason final_or_stale(refusal_reason refusal, const call_context& admitted,
-                                         event_context& ctx);
     static base::importance importance_of(const route_entry& route, const key_entry* key,
                                           event_context& ctx);
     void admit(entry_request&& request, const std::optional<base::content_hash>& content,
--- a/src/node/gatekeeper_machine.cpp
+++ b/src/node/gatekeeper_machine.cpp
@@ -1,5 +1,7 @@
 #include "node/gatekeeper_machine.hpp"
 
+#include "node/final_or_stale.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -371,9 +373,7 @@
         return refusal_reason::stale_settings;
     }
     if (!ctx.view.key_active(call.context.key)) {
-        // The issuer may know a key that was added after this node's version.
-        const bool behind = ctx.view.settings_version < call.context.settings;
-        return behind ? refusal_reason::stale_settings : refusal_reason::key_withdrawn;
+        return final_or_stale(refusal_reason::key_withdrawn, call.context, ctx.view);
     }
     return std::nullopt;
 }
--- a/src/node/node_view.hpp
+++ b/src/node/node_view.hpp
@@ -29,8 +29,6 @@
     base::settings_version settings_version;
     /// The settings include everything that was accepted up to this time of the local clock.
     base::time_point settings_confirmed_at;
-    /// False until the first settings have arrived. Requests cannot be checked without settings.
-    bool settings_known = true;
     /// Route with the longest path prefix that matches for a host; null if there is none.
     std::function<const route_entry*(std::string_view path, std::string_view host)> match_route;
     /// Also finds withdrawn keys; null if there is no such key.
@@ -45,6 +43,9 @@
     /// Backend servers on this VM; usually one.
     std::vector<local_backend_server> local;
 
+    /// Whether any settings have arrived. Requests cannot be checked without settings.
+    bool settings_known() const { return settings_version != base::settings_version(); }
+
     /// Returns null if no backend server of the service is known.
     const service_entry* find_service(const base::service_id& service) const;
 
--- a/src/node/traffic_machine_bench.cpp
+++ b/src/node/traffic_machine_bench.cpp
@@ -19,6 +19,7 @@
         m_key = {base::key_id("key"), base::workspace_id("workspace"), true};
         m_view.self = base::node_id("node-1");
         m_view.own_domain = base::failure_domain_id("domain-1");
+        m_view.settings_version = base::settings_version(1);
         m_view.settings_confirmed_at = base::time_point(std::chrono::hours(1'000));
         m_view.match_route = [this](std::string_view, std::string_view) { return &m_route; };
         m_view.find_key = [this](const base::key_hash&) { return &m_key; };
--- a/src/node/traffic_model.hpp
+++ b/src/node/traffic_model.hpp
@@ -134,6 +134,7 @@
             slots, [this, index](std::uint64_t id) { start_job(index, id); });
         node.view.self = base::node_id(std::to_string(number));
         node.view.own_domain = base::failure_domain_id("d");
+        node.view.settings_version = base::settings_version(1);
         node.view.settings_confirmed_at = end_of_model();
         node.view.match_route = [this](std::string_view path, std::string_view) {
             return path == "/deep" ? &m_deep : &m_front;
--- a/src/wire/compression.hpp
+++ b/src/wire/compression.hpp
@@ -4,7 +4,6 @@
 
 #include <cstddef>
 #include <string>
-#include <string_view>
 
 namespace damaskladder::wire {
 
