Control replicas: admit and remove with ten VMs and more

Cause: the policy returned the first join request that is no member at every tick, before any removal; with ten VMs that request was refused for ever (max_members 9). At nine or fewer any join that is refused for a lasting reason did the same. Change: removals come first; a refused change is put off for 1 s and logged once for each reason; up to 31 members and 15 voters, the rest learners; a learner is promoted in place of a voter that has been silent for 2 s (found by the test: with three voters of which one is dead, neither its removal nor the promotion was allowed). A voter is removed only while 2 f + 1 live ones remain, f being the new setting tolerated_losses.

--- a/src/consensus/membership_policy.cpp
+++ b/src/consensus/membership_policy.cpp
@@ -13,6 +13,21 @@
     return found == status.contacts.end() ? std::nullopt : std::optional(found->last_heard);
 }
 
+/// The identity to be added, or the id to be removed with no nonce.
+replica_identity subject_of(const membership_change& change)
+{
+    if (const auto* added = std::get_if<add_replica>(&change)) {
+        return added->identity;
+    }
+    return {std::get<remove_replica>(change).id, unknown_nonce};
+}
+
+/// Whether the reason passes by itself within a few ticks.
+bool is_passing(refusal_reason reason)
+{
+    return reason == refusal_reason::change_in_progress || reason == refusal_reason::transferring;
+}
+
 } // namespace
 
 void membership_policy::on_join_request(const replica_identity& identity, base::time_point now)
@@ -25,31 +40,60 @@
     m_leaving[identity] = now;
 }
 
+bool membership_policy::on_refused(const membership_change& change, refusal_reason reason,
+                                   base::time_point now)
+{
+    const auto [found, is_new] = m_refused.try_emplace(subject_of(change), refusal{reason, now});
+    const bool differs = is_new || found->second.reason != reason;
+    found->second = {reason, now};
+    return differs;
+}
+
 std::optional<membership_change> membership_policy::next_change(const replica_status& status,
                                                                 base::time_point now)
 {
-    const auto is_expired = [&](const auto& item) {
-        return now - item.second > m_options.request_lifetime;
-    };
-    std::erase_if(m_joining, is_expired);
-    std::erase_if(m_leaving, is_expired);
+    drop_expired(now);
     if (status.role != replica_role::leader) {
         return std::nullopt;
     }
-    for (const auto& [identity, requested_at] : m_joining) {
-        const auto* present = status.members.find(identity.id);
-        if ((present == nullptr || present->identity != identity) && !is_leaving(identity)) {
-            return add_replica{identity};
+    for (const auto& candidate : status.members.members) {
+        const remove_replica change{candidate.identity.id};
+        if (candidate.identity != status.identity && !is_deferred(change, now) &&
+            can_remove(status, candidate, now)) {
+            return change;
         }
     }
-    for (const auto& candidate : status.members.members) {
-        if (candidate.identity != status.identity && can_remove(status, candidate, now)) {
-            return remove_replica{candidate.identity.id};
+    for (const auto& [identity, requested_at] : m_joining) {
+        const add_replica change{identity};
+        const auto* present = status.members.find(identity.id);
+        const bool is_member = present != nullptr && present->identity == identity;
+        if (!is_member && !is_leaving(identity) && !is_deferred(change, now)) {
+            return change;
         }
     }
     return std::nullopt;
 }
 
+void membership_policy::drop_expired(base::time_point now)
+{
+    const auto is_expired = [&](const auto& item) {
+        return now - item.second > m_options.request_lifetime;
+    };
+    std::erase_if(m_joining, is_expired);
+    std::erase_if(m_leaving, is_expired);
+    // Kept beyond the backoff, so that on_refused recognizes a repeated refusal.
+    std::erase_if(m_refused, [&](const auto& item) {
+        return now - item.second.at > m_options.refusal_backoff + m_options.request_lifetime;
+    });
+}
+
+bool membership_policy::is_deferred(const membership_change& change, base::time_point now) const
+{
+    const auto found = m_refused.find(subject_of(change));
+    return found != m_refused.end() && !is_passing(found->second.reason) &&
+           now - found->second.at < m_options.refusal_backoff;
+}
+
 bool membership_policy::is_leaving(const replica_identity& identity) const
 {
     return m_leaving.count(identity) != 0;
--- a/src/consensus/membership_policy.hpp
+++ b/src/consensus/membership_policy.hpp
@@ -2,6 +2,7 @@
 
 #include "consensus/membership_change.hpp"
 #include "consensus/membership_policy_options.hpp"
+#include "consensus/refusal_reason.hpp"
 #include "consensus/replica_identity.hpp"
 #include "consensus/replica_status.hpp"
 
@@ -25,12 +26,25 @@
     /// A member announces that it is about to stop.
     void on_leave_request(const replica_identity& identity, base::time_point now);
 
+    /// The leader refused the change that next_change returned. Returns true if it did not refuse
+    /// the same change for the same reason before, so that the caller logs each refusal once.
+    bool on_refused(const membership_change& change, refusal_reason reason, base::time_point now);
+
     /// Returns the next change to request, or nullopt if none is due or this replica is not the
-    /// leader.
+    /// leader. Removals come before additions, and a change that was refused comes again only after
+    /// options.refusal_backoff, so that it holds up no other.
     std::optional<membership_change> next_change(const replica_status& status,
                                                  base::time_point now);
 
 private:
+    struct refusal {
+        refusal_reason reason;
+        base::time_point at;
+    };
+
+    void drop_expired(base::time_point now);
+    /// Whether the change was refused lately for a reason that does not pass by itself.
+    bool is_deferred(const membership_change& change, base::time_point now) const;
     bool is_leaving(const replica_identity& identity) const;
     bool can_remove(const replica_status& status, const member& candidate,
                     base::time_point now) const;
@@ -38,6 +52,8 @@
     membership_policy_options m_options;
     std::map<replica_identity, base::time_point> m_joining;
     std::map<replica_identity, base::time_point> m_leaving;
+    /// By the identity to be added, or by the id to be removed without a nonce.
+    std::map<replica_identity, refusal> m_refused;
 };
 
 } // namespace damaskladder::consensus
--- a/src/consensus/membership_policy_test.cpp
+++ b/src/consensus/membership_policy_test.cpp
@@ -111,6 +111,37 @@
                     [](auto& u) { u.on_leave_request(identity("b"), at(100)); }, "remove b"},
         policy_case{"leaving_beside_a_silent_one", silent_one({"b", "c", "d"}, "c"),
                     [](auto& u) { u.on_leave_request(identity("b"), at(100)); }, "none"},
+        policy_case{"silent_and_another_asks", silent_one({"b", "c", "d"}, "c"),
+                    [](auto& u) { u.on_join_request(identity("e"), at(99)); }, "remove c"},
+        policy_case{"two_ask_and_the_first_was_refused", leader_of({"b", "c"}),
+                    [](auto& u) {
+                        u.on_join_request(identity("d"), at(100));
+                        u.on_join_request(identity("e"), at(100));
+                        u.on_refused(add_replica{identity("d")}, refusal_reason::too_many_members,
+                                     at(100));
+                    },
+                    "add e/1"},
+        policy_case{"refused_while_another_change_was_in_progress", leader_of({"b", "c"}),
+                    [](auto& u) {
+                        u.on_join_request(identity("d"), at(100));
+                        u.on_refused(add_replica{identity("d")}, refusal_reason::change_in_progress,
+                                     at(100));
+                    },
+                    "add d/1"},
+        policy_case{"refused_longer_ago_than_the_backoff", leader_of({"b", "c"}),
+                    [](auto& u) {
+                        u.on_join_request(identity("d"), at(99));
+                        u.on_refused(add_replica{identity("d")}, refusal_reason::too_many_members,
+                                     at(98));
+                    },
+                    "add d/1"},
+        policy_case{"a_refused_removal_and_a_join", silent_one({"b", "c", "d"}, "c"),
+                    [](auto& u) {
+                        u.on_join_request(identity("e"), at(99));
+                        u.on_refused(remove_replica{replica_id("c")},
+                                     refusal_reason::would_lose_quorum, at(100));
+                    },
+                    "add e/1"},
         policy_case{"leaving_and_asking", leader_of({"b", "c"}),
                     [](auto& u) {
                         u.on_join_request(identity("d"), at(100));
@@ -119,5 +150,18 @@
                     "none"}),
     [](const auto& test) { return test.param.name; });
 
+// Guards against a log line for each repetition of a refused request, and against a new reason that
+// is not logged.
+TEST(membership_policy, reports_a_refusal_once_for_each_reason)
+{
+    membership_policy decisions;
+    const add_replica change{identity("d")};
+    EXPECT_TRUE(decisions.on_refused(change, refusal_reason::too_many_members, at(1)));
+    EXPECT_FALSE(decisions.on_refused(change, refusal_reason::too_many_members, at(2)));
+    EXPECT_TRUE(decisions.on_refused(change, refusal_reason::would_lose_quorum, at(3)));
+    EXPECT_TRUE(decisions.on_refused(remove_replica{replica_id("d")},
+                                     refusal_reason::would_lose_quorum, at(3)));
+}
+
 } // namespace
 } // namespace damaskladder::consensus
--- a/src/consensus/replica_core.hpp
+++ b/src/consensus/replica_core.hpp
@@ -122,6 +122,8 @@
     void append_configuration(configuration changed);
     void refresh_followers();
     void promote_learner_if_due();
+    /// Voters that were heard within voter_replaced_after.
+    std::size_t reachable_voter_count() const;
     void step_down_if_removed();
 
     // Snapshot transfer.
--- a/src/consensus/replica_membership.cpp
+++ b/src/consensus/replica_membership.cpp
@@ -120,7 +120,7 @@
 {
     const bool may_change = m_leader_state && current_term_committed() &&
                             !m_leader_state->transfer_target && m_log.members_index() <= m_commit;
-    if (!may_change) {
+    if (!may_change || reachable_voter_count() >= m_options.max_voters) {
         return;
     }
     for (const auto& [id, follower] : m_leader_state->followers) {
@@ -142,6 +142,16 @@
     }
 }
 
+std::size_t replica_core::reachable_voter_count() const
+{
+    std::size_t count = m_log.members().is_voter(m_self) ? 1 : 0;
+    for (const auto& [id, follower] : m_leader_state->followers) {
+        const bool reachable = m_now - follower.last_heard < m_options.voter_replaced_after;
+        count += reachable && m_log.members().is_voter(follower.identity) ? 1 : 0;
+    }
+    return count;
+}
+
 void replica_core::step_down_if_removed()
 {
     const bool removed = m_leader_state && !m_log.members().is_voter(m_self);
--- a/src/consensus/replica_options.hpp
+++ b/src/consensus/replica_options.hpp
@@ -36,7 +36,14 @@
     /// Limit on the size of uncommitted entries; proposals above it are refused as overloaded.
     base::byte_count max_uncommitted{32 << 20};
     std::size_t max_pending_reads = 100'000;
-    std::size_t max_members = 9;
+    /// Further replicas are refused admission.
+    std::size_t max_members = 31;
+    /// Learners are promoted up to this number of voters. The others stay learners, which follow
+    /// the log without a vote, until a voter is removed or silent.
+    std::size_t max_voters = 15;
+    /// A voter that is silent for longer does not count towards max_voters, so that a learner can
+    /// take its place before it is removed: its removal may have to wait for that.
+    base::duration voter_replaced_after = std::chrono::seconds(2);
 
     /// A snapshot is requested once this many entries have been applied since the last one.
     std::uint64_t snapshot_after_entries = 10'000;
--- a/src/consensus/test_cluster.hpp
+++ b/src/consensus/test_cluster.hpp
@@ -20,6 +20,7 @@
 /// model; the text of the first violation is kept.
 class test_cluster {
 public:
+    /// All replicas form the cluster unless options.initial_replicas names those that do.
     test_cluster(std::size_t count, std::uint64_t seed, const replica_options& options = {});
 
     static replica_id id_of(std::size_t number);
@@ -28,7 +29,7 @@
     void tick(std::size_t number);
     std::uint64_t propose(std::size_t number);
     void read(std::size_t number);
-    void change(std::size_t number, membership_change change);
+    std::uint64_t change(std::size_t number, membership_change change);
     void transfer(std::size_t number);
     void flush(std::size_t number);
     void deliver(std::size_t position);
@@ -36,6 +37,7 @@
     void deliver_copy(std::size_t position);
     void drop(std::size_t position);
     void pass_time(base::duration amount) { m_now += amount; }
+    base::time_point now() const { return m_now; }
 
     // Faults.
     void crash(std::size_t number, unsynced_data unsynced);
--- a/src/consensus/test_cluster_test.cpp
+++ b/src/consensus/test_cluster_test.cpp
@@ -22,7 +22,8 @@
 test_cluster::test_cluster(std::size_t count, std::uint64_t seed, const replica_options& options)
     : m_options(options), m_random(seed), m_replicas(count)
 {
-    for (std::size_t i = 0; i < count; ++i) {
+    const bool all_form = m_options.initial_replicas.empty();
+    for (std::size_t i = 0; all_form && i < count; ++i) {
         m_options.initial_replicas.push_back(id_of(i));
     }
     for (std::size_t i = 0; i < count; ++i) {
@@ -55,9 +56,11 @@
     step(number, read_requested{request});
 }
 
-void test_cluster::change(std::size_t number, membership_change change)
+std::uint64_t test_cluster::change(std::size_t number, membership_change change)
 {
-    step(number, membership_change_requested{proposal_id(m_next_request++), std::move(change)});
+    const std::uint64_t request = m_next_request++;
+    step(number, membership_change_requested{proposal_id(request), std::move(change)});
+    return request;
 }
 
 void test_cluster::transfer(std::size_t number)
--- a/src/daemon/process_settings.cpp
+++ b/src/daemon/process_settings.cpp
@@ -77,11 +77,11 @@
     };
 }
 
-value_reader count_into(unsigned& into, unsigned highest)
+value_reader count_into(unsigned& into, unsigned highest, unsigned lowest = 1)
 {
-    return [&into, highest](const std::string& value) {
+    return [&into, highest, lowest](const std::string& value) {
         const auto count = settings::parse_count(value);
-        if (!count || *count < 1 || *count > highest) {
+        if (!count || *count < lowest || *count > highest) {
             return false;
         }
         into = static_cast<unsigned>(*count);
@@ -233,6 +233,8 @@
         if (!m_reader.has("control")) {
             return;
         }
+        // With the largest number of voters, see consensus::replica_options.
+        constexpr unsigned max_tolerated_losses = 7;
         auto& control = m_settings.replica.emplace();
         m_reader.read("control",
                       {{"operators", "IP:PORT", true, address_into(control.operators)},
@@ -243,6 +245,8 @@
                         })},
                        {"key_withdrawal", "a duration such as 5s", false,
                         duration_into(control.key_withdrawal)},
+                       {"tolerated_losses", "a number from 0 to 7", false,
+                        count_into(control.tolerated_losses, max_tolerated_losses, 0)},
                        {"admin_token_hash", "64 hexadecimal digits, see damaskladder hash-token",
                         false, [&control](const std::string& value) {
                             const auto hash = settings::parse_key_hash(value);
--- a/src/daemon/replica_membership_host.cpp
+++ b/src/daemon/replica_membership_host.cpp
@@ -3,6 +3,8 @@
 #include "consensus/requests_admission.hpp"
 #include "daemon/log.hpp"
 
+#include <algorithm>
+
 namespace damaskladder::daemon {
 
 namespace {
@@ -10,6 +12,14 @@
 // Several intervals fit into the lifetime of a request.
 constexpr base::duration tick_interval = std::chrono::milliseconds(300);
 
+consensus::membership_policy_options policy_options(const process_settings& settings)
+{
+    consensus::membership_policy_options options;
+    options.min_remaining_voters = std::max(
+        options.min_remaining_voters, std::size_t{2} * settings.replica->tolerated_losses + 1);
+    return options;
+}
+
 } // namespace
 
 replica_membership_host::replica_membership_host(http::event_loop& loop, messenger& messages,
@@ -20,7 +30,8 @@
       m_messages(messages),
       m_settings(settings),
       m_directory(directory),
-      m_replica(replica)
+      m_replica(replica),
+      m_policy(policy_options(settings))
 {
     m_messages.on_message<wire::replica_request>(
         wire::message_kind::replica_requests,
@@ -42,18 +53,30 @@
         send_to_known_replicas({status.identity, false, false});
     }
     if (const auto change = m_policy.next_change(status, now)) {
-        const bool adds = std::holds_alternative<consensus::add_replica>(*change);
-        const auto name = adds ? std::get<consensus::add_replica>(*change).identity.id
-                               : std::get<consensus::remove_replica>(*change).id;
-        m_replica.change_members(*change, [adds, name](const auto& result) {
-            const bool done = std::holds_alternative<control::reply>(result);
-            log(log_level::info, adds ? "replica_added" : "replica_removed",
-                {{"replica", name.value()}, {"accepted", done ? "yes" : "no"}});
-        });
+        request_change(*change);
     }
     m_loop.call_at(now + tick_interval, [this] { tick(); });
 }
 
+void replica_membership_host::request_change(const consensus::membership_change& change)
+{
+    m_replica.change_members(change, [this, change](const auto& result) {
+        const bool adds = std::holds_alternative<consensus::add_replica>(change);
+        const auto& name = adds ? std::get<consensus::add_replica>(change).identity.id
+                                : std::get<consensus::remove_replica>(change).id;
+        const auto* refused = std::get_if<control::submission_refused>(&result);
+        if (refused == nullptr) {
+            log(log_level::info, adds ? "replica_added" : "replica_removed",
+                {{"replica", name.value()}});
+        }
+        else if (m_policy.on_refused(change, refused->reason, http::event_loop::now())) {
+            log(log_level::warn, adds ? "replica_not_added" : "replica_not_removed",
+                {{"replica", name.value()},
+                 {"reason", std::string(consensus::to_string(refused->reason))}});
+        }
+    });
+}
+
 void replica_membership_host::leave()
 {
     m_leaving = true;
--- a/src/daemon/replica_membership_host.hpp
+++ b/src/daemon/replica_membership_host.hpp
@@ -25,6 +25,7 @@
 
 private:
     void tick();
+    void request_change(const consensus::membership_change& change);
     void request_removal();
     void receive(const wire::replica_request& request);
     void send_to_known_replicas(const wire::replica_request& request);
--- a/src/daemon/replica_settings.hpp
+++ b/src/daemon/replica_settings.hpp
@@ -21,6 +21,9 @@
     /// Maximum time until a withdrawn key is refused everywhere; 0 leaves the limit on the age of
     /// settings to the settings themselves.
     base::duration key_withdrawal{};
+    /// Number of control replicas that may be lost at once without loss of an accepted change. A
+    /// voter is removed only while enough others remain to bear this.
+    unsigned tolerated_losses = 1;
 };
 
 } // namespace damaskladder::daemon
