Storage: repeat writes that a full disk refused

What callers saw (report of other operators): the disks of the control VMs were full for a few seconds each, one after another; long after the last had room again, changes were refused or unanswered while all processes ran. Cause: any failed write halted the replica until its process was restarted, so each full disk cost a replica for good, and the second one the quorum. Evidence: disks_full_in_turn (3 and 5 replicas) ends without a leader before the change. It can happen here. Ruled out: repeating a failed sync: the kernel may have dropped the pages, so it still halts the replica (full_disk_of_leader and stops_at_the_first_failure are unchanged). Nothing is acknowledged meanwhile; a leader with a full disk goes on with the acknowledgements of the others.

--- a/src/base/failure_kind.cpp
+++ b/src/base/failure_kind.cpp
@@ -25,6 +25,8 @@
         return "corrupt";
     case failure_kind::io:
         return "io";
+    case failure_kind::no_space:
+        return "no_space";
     case failure_kind::cancelled:
         return "cancelled";
     case failure_kind::internal:
--- a/src/base/failure_kind.hpp
+++ b/src/base/failure_kind.hpp
@@ -16,6 +16,8 @@
     too_large,
     corrupt,
     io,
+    /// The disk is full. The operation may succeed once there is room.
+    no_space,
     cancelled,
     internal,
 };
--- a/src/consensus/cluster_test.cpp
+++ b/src/consensus/cluster_test.cpp
@@ -272,6 +272,23 @@
     EXPECT_TRUE(cluster.converges(10s));
 }
 
+void disks_full_in_turn(test_cluster& cluster)
+{
+    wait_for_leader(cluster);
+    for (std::size_t i = 0; i < cluster.size(); ++i) {
+        cluster.disk(i).fill_up_at(cluster.disk(i).operations() + 1);
+        propose_many(cluster, 5);
+        cluster.run(3s);
+        EXPECT_TRUE(cluster.leader());
+        cluster.disk(i).make_room();
+        cluster.run(1s);
+    }
+    EXPECT_TRUE(cluster.converges(leader_target)) << cluster.describe();
+    for (std::size_t i = 0; i < cluster.size(); ++i) {
+        EXPECT_NE(cluster.status(i).role, replica_role::halted);
+    }
+}
+
 void full_disk_of_follower(test_cluster& cluster)
 {
     const std::size_t leader = wait_for_leader(cluster);
@@ -359,6 +376,8 @@
                     scenario{"restart_after_hundreds", 3, restart_after_hundreds},
                     scenario{"far_behind", 3, far_behind}, scenario{"hand_over", 3, hand_over},
                     scenario{"removed_leader", 3, removed_leader},
+                    scenario{"disks_full_in_turn", 3, disks_full_in_turn},
+                    scenario{"disks_of_five_full_in_turn", 5, disks_full_in_turn},
                     scenario{"full_disk_of_leader", 3, full_disk_of_leader},
                     scenario{"full_disk_of_follower", 3, full_disk_of_follower},
                     scenario{"unsynced_is_not_acknowledged", 3, unsynced_is_not_acknowledged}),
--- a/src/consensus/consensus_bench.cpp
+++ b/src/consensus/consensus_bench.cpp
@@ -158,12 +158,13 @@
         }
         std::vector<std::future<event>> others;
         for (std::size_t i = 1; i < waiting.size(); ++i) {
-            others.push_back(std::async(std::launch::async,
-                                        [owner = waiting[i]] { return owner->queue->flush(); }));
+            others.push_back(std::async(std::launch::async, [owner = waiting[i]] {
+                return owner->queue->flush().value();
+            }));
         }
         // Runs the first sync on this thread, so that a single sync does not include the cost of
         // starting a thread.
-        handle(*waiting[0], waiting[0]->queue->flush());
+        handle(*waiting[0], waiting[0]->queue->flush().value());
         for (std::size_t i = 1; i < waiting.size(); ++i) {
             handle(*waiting[i], others[i - 1].get());
         }
--- a/src/consensus/fake_disk.cpp
+++ b/src/consensus/fake_disk.cpp
@@ -117,9 +117,19 @@
     return {};
 }
 
+base::result<void> fake_disk::grow(std::string_view step)
+{
+    BOOST_LEAF_CHECK(change(step));
+    if (m_full_from && m_operations >= *m_full_from) {
+        return base::fail(base::failure_kind::no_space, std::string(step), "fake disk",
+                          "No space left on device");
+    }
+    return {};
+}
+
 base::result<file_handle> fake_disk::open(const file_name& name)
 {
-    BOOST_LEAF_CHECK(change("open"));
+    BOOST_LEAF_CHECK(m_names.count(name) == 0 ? grow("open") : change("open"));
     auto& file = m_names[name];
     if (!file) {
         file = std::make_shared<fake_file>();
@@ -132,7 +142,7 @@
 base::result<void> fake_disk::append(file_handle handle, std::string_view bytes)
 {
     std::string& content = m_open.at(handle)->content;
-    base::result<void> allowed = change("append");
+    base::result<void> allowed = grow("append");
     content += allowed ? bytes : bytes.substr(0, bytes.size() / 2);
     return allowed ? base::result<void>() : allowed.error();
 }
--- a/src/consensus/fake_disk.hpp
+++ b/src/consensus/fake_disk.hpp
@@ -24,6 +24,10 @@
     /// Makes the operation with this number fail, and with `stop` all later ones too. A failed
     /// append writes half of its bytes.
     void fail_at(std::uint64_t operation, bool stop);
+    /// The disk is full from the operation with this number on, until make_room: creating a file
+    /// and appending fail with no_space, and an append writes half of its bytes.
+    void fill_up_at(std::uint64_t operation) { m_full_from = operation; }
+    void make_room() { m_full_from.reset(); }
     /// Simulates a crash: clears the failure set by fail_at and applies `unsynced` to data that was
     /// not synced.
     void crash(unsynced_data unsynced);
@@ -42,6 +46,8 @@
 
     bool next_fails();
     base::result<void> change(std::string_view step);
+    /// Like change, for an operation that needs room.
+    base::result<void> grow(std::string_view step);
     base::result<file_handle> open(const file_name& name);
     base::result<void> append(file_handle handle, std::string_view bytes);
     base::result<void> rename(const file_name& from, const file_name& to);
@@ -53,6 +59,7 @@
     std::uint64_t m_operations = 0;
     std::optional<std::uint64_t> m_fail_at;
     bool m_stop = false;
+    std::optional<std::uint64_t> m_full_from;
 };
 
 } // namespace damaskladder::consensus
--- a/src/consensus/file_storage.cpp
+++ b/src/consensus/file_storage.cpp
@@ -49,27 +49,25 @@
 
 base::result<void> file_storage::write_vote(const persist_vote& write)
 {
-    BOOST_LEAF_CHECK(check_usable());
-    return record_outcome(write_atomically(
-        m_files, vote_file(), encode_checksummed(vote_magic, encode_hard_state(write.state))));
+    return attempt([&] {
+        return write_atomically(m_files, vote_file(),
+                                encode_checksummed(vote_magic, encode_hard_state(write.state)));
+    });
 }
 
 base::result<void> file_storage::write_entries(const persist_entries& write)
 {
-    BOOST_LEAF_CHECK(check_usable());
-    return record_outcome(append_entries(write));
+    return attempt([&] { return append_entries(write); });
 }
 
 base::result<void> file_storage::write_snapshot(const persist_snapshot& write)
 {
-    BOOST_LEAF_CHECK(check_usable());
-    return record_outcome(store_snapshot(write));
+    return attempt([&] { return store_snapshot(write); });
 }
 
 base::result<void> file_storage::sync()
 {
-    BOOST_LEAF_CHECK(check_usable());
-    return record_outcome(sync_segment());
+    return attempt([&] { return sync_segment(); });
 }
 
 log_storage file_storage::hooks()
@@ -84,20 +82,19 @@
     return storage;
 }
 
-base::result<void> file_storage::check_usable() const
+base::result<void> file_storage::attempt(const std::function<base::result<void>()>& write)
 {
     if (m_failed) {
         return base::fail(base::failure_kind::unavailable, "use data folder",
                           m_files.path(identity_file()),
                           "an earlier write failed; restart the process once the cause is removed");
     }
-    return {};
-}
-
-base::result<void> file_storage::record_outcome(base::result<void> outcome)
-{
-    m_failed = m_failed || !outcome;
-    return outcome;
+    return boost::leaf::try_handle_some(write,
+                                        [this](const boost::leaf::error_info& failed,
+                                               const base::failure& cause) -> base::result<void> {
+                                            m_failed = cause.kind != base::failure_kind::no_space;
+                                            return failed.error();
+                                        });
 }
 
 base::result<void> file_storage::append_entries(const persist_entries& write)
@@ -132,10 +129,11 @@
 {
     if (m_writer) {
         BOOST_LEAF_CHECK(m_writer->finish());
-        m_writer->close();
-        m_writer.reset();
     }
     BOOST_LEAF_AUTO(writer, segment_writer::open(m_files, number, base::byte_count(0)));
+    if (m_writer) {
+        m_writer->close();
+    }
     m_writer.emplace(std::move(writer));
     m_folder.segments.push_back({number, log_index()});
     return {};
--- a/src/consensus/file_storage.hpp
+++ b/src/consensus/file_storage.hpp
@@ -8,6 +8,7 @@
 #include "consensus/recovered_folder.hpp"
 #include "consensus/segment_writer.hpp"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -19,7 +20,9 @@
 ///   vote                term and vote, replaced atomically
 ///   segment-NUMBER      entries as checksummed frames
 ///   snapshot-INDEX      newest snapshot, replaced atomically
-/// Not thread-safe. After a failure every further call fails.
+/// Not thread-safe. A call that fails with no_space may be repeated and then continues where it
+/// stopped: write_entries need not be repeated, since it writes nothing before sync. After any
+/// other failure every further call fails.
 class file_storage {
 public:
     /// Locks the folder, which must exist, and reads it. Fails with kind corrupt if synced data is
@@ -52,8 +55,8 @@
 private:
     file_storage(file_storage_options options, file_layer files);
 
-    base::result<void> check_usable() const;
-    base::result<void> record_outcome(base::result<void> outcome);
+    /// Carries out a write, and refuses all later ones if it fails for good.
+    base::result<void> attempt(const std::function<base::result<void>()>& write);
     base::result<void> append_entries(const persist_entries& write);
     base::result<void> sync_segment();
     base::result<void> begin_segment(segment_number number);
--- a/src/consensus/file_storage_test.cpp
+++ b/src/consensus/file_storage_test.cpp
@@ -68,7 +68,7 @@
     for (effect& each : effects) {
         EXPECT_TRUE(queue.add(each));
     }
-    return queue.flush();
+    return queue.flush().value();
 }
 
 bool synced(const event& outcome)
@@ -363,6 +363,55 @@
     }
 }
 
+// Guards against a replica that is lost for good because its disk was full for a while, and against
+// entries that are lost or written twice when the write is repeated.
+TEST(file_storage, continues_where_a_full_disk_stopped_it)
+{
+    file_storage_options options{replica_id("a")};
+    options.segment_size = base::byte_count(300);
+    const hard_state votes{term_number(2), std::nullopt};
+    bool stopped = true;
+    for (std::uint64_t point = 1; stopped; ++point) {
+        fake_disk disk;
+        fill(disk);
+        auto opened = open_files(disk.layer(), options);
+        persistence_queue queue(opened.storage->hooks());
+        std::vector<effect> effects = {
+            persist_vote{persist_token(6), votes}, entries_effect(6, 8),
+            persist_snapshot{persist_token(9), snapshot_at(6), log_disposition::keep_suffix},
+            entries_effect(9, 10)};
+        for (effect& each : effects) {
+            ASSERT_TRUE(queue.add(each));
+        }
+        disk.fill_up_at(disk.operations() + point);
+        auto outcome = queue.flush();
+        stopped = !outcome.has_value();
+        if (stopped) {
+            EXPECT_FALSE(queue.empty());
+            EXPECT_EQ(queue.full_cause()->kind, base::failure_kind::no_space);
+            EXPECT_FALSE(queue.flush().has_value()) << "point " << point;
+            disk.make_room();
+            outcome = queue.flush();
+        }
+        ASSERT_TRUE(outcome.has_value()) << base::to_string(*queue.full_cause());
+        ASSERT_TRUE(synced(*outcome)) << base::to_string(std::get<storage_failed>(*outcome).cause);
+        EXPECT_EQ(std::get<sync_completed>(*outcome).token, persist_token(9));
+        EXPECT_TRUE(queue.empty());
+        opened.storage.reset();
+        disk.make_room();
+        disk.crash(unsynced_data::lost);
+        auto again = open_files(disk.layer(), options);
+        ASSERT_TRUE(again.storage) << base::to_string(again.error);
+        const recovered_state state = again.storage->take_recovered_state();
+        EXPECT_EQ(state.election_state, votes);
+        ASSERT_TRUE(state.newest_snapshot);
+        EXPECT_EQ(*state.newest_snapshot, *snapshot_at(6));
+        const std::vector<entry> expected = {command_entry(7), command_entry(8), command_entry(9),
+                                             command_entry(10)};
+        EXPECT_EQ(state.entries, expected) << "point " << point;
+    }
+}
+
 struct snapshot_case {
     log_disposition log;
     std::vector<std::uint64_t> kept;
--- a/src/consensus/log_storage.hpp
+++ b/src/consensus/log_storage.hpp
@@ -10,7 +10,8 @@
 namespace damaskladder::consensus {
 
 /// Hooks that write the persist effects of a replica. They are called from one thread, in the order
-/// of the effects. After a failed call no further call may be made.
+/// of the effects. A call that fails with no_space may be repeated before any other call; after any
+/// other failure no further call may be made.
 struct log_storage {
     std::function<base::result<void>(const persist_vote&)> write_vote;
     std::function<base::result<void>(const persist_entries&)> write_entries;
--- a/src/consensus/persistence_queue.hpp
+++ b/src/consensus/persistence_queue.hpp
@@ -4,8 +4,9 @@
 #include "consensus/event.hpp"
 #include "consensus/log_storage.hpp"
 
+#include <deque>
+#include <optional>
 #include <variant>
-#include <vector>
 
 namespace damaskladder::consensus {
 
@@ -17,10 +18,14 @@
     /// Moves the effect into the queue if it is a persist effect; otherwise leaves it unchanged and
     /// returns false.
     bool add(effect& next);
-    bool empty() const { return m_pending.empty(); }
+    bool empty() const { return m_pending.empty() && !m_unsynced; }
     /// Writes and syncs all queued effects; returns sync_completed or storage_failed for the
+    /// replica, or nullopt if the disk is full. In that case the effects stay queued, and flush is
+    /// called again after a while: a disk that has room again must not have cost the cluster a
     /// replica. Must not be called when empty.
-    event flush();
+    std::optional<event> flush();
+    /// Why the last flush returned nullopt; nullopt if it did not.
+    const std::optional<base::failure>& full_cause() const { return m_full_cause; }
 
 private:
     using write = std::variant<persist_vote, persist_entries, persist_snapshot>;
@@ -28,7 +33,10 @@
     base::result<persist_token> write_all();
 
     log_storage m_storage;
-    std::vector<write> m_pending;
+    std::deque<write> m_pending;
+    /// Token of the last effect that was written but not synced yet.
+    std::optional<persist_token> m_unsynced;
+    std::optional<base::failure> m_full_cause;
 };
 
 } // namespace damaskladder::consensus
--- a/src/consensus/posix_folder.cpp
+++ b/src/consensus/posix_folder.cpp
@@ -22,8 +22,9 @@
 boost::leaf::error_id fail_with_errno(std::string step, std::string path)
 {
     const int code = errno;
-    return base::fail(base::failure_kind::io, std::move(step), std::move(path),
-                      std::generic_category().message(code));
+    const bool is_full = code == ENOSPC || code == EDQUOT;
+    return base::fail(is_full ? base::failure_kind::no_space : base::failure_kind::io,
+                      std::move(step), std::move(path), std::generic_category().message(code));
 }
 
 } // namespace
@@ -148,10 +149,11 @@
 base::result<void> posix_folder::sync(file_handle handle)
 {
     BOOST_LEAF_AUTO(file, find(handle));
-    // A failed sync is never retried: the kernel may have dropped the dirty pages, and the next
-    // call would then report success without having written them.
+    // A failed sync is never retried, not even on a full disk: the kernel may have dropped the
+    // dirty pages, and the next call would then report success without having written them.
     if (::fdatasync(file->descriptor.get()) != 0) {
-        return fail_with_errno("sync file", file->path);
+        return base::fail(base::failure_kind::io, "sync file", file->path,
+                          std::generic_category().message(errno));
     }
     return {};
 }
--- a/src/consensus/segment_writer.cpp
+++ b/src/consensus/segment_writer.cpp
@@ -51,7 +51,12 @@
 
 base::result<void> segment_writer::write_buffered()
 {
+    if (m_is_torn) {
+        BOOST_LEAF_CHECK(m_files->truncate(m_handle, m_written));
+    }
+    m_is_torn = true;
     BOOST_LEAF_CHECK(m_files->append(m_handle, m_buffered));
+    m_is_torn = false;
     m_written = size();
     m_buffered.clear();
     return {};
--- a/src/consensus/segment_writer.hpp
+++ b/src/consensus/segment_writer.hpp
@@ -20,7 +20,7 @@
 
     /// Buffers a record; the next sync writes it to the file.
     void append(std::string_view payload);
-    /// Writes and syncs all buffered records.
+    /// Writes and syncs all buffered records. May be called again after it failed with no_space.
     base::result<void> sync();
     /// Also syncs the record of the last synced offset, so that a segment that is followed by
     /// another one is valid up to its end.
@@ -42,6 +42,8 @@
     base::byte_count m_written;
     base::byte_count m_synced;
     std::string m_buffered;
+    /// The file may end with a part of m_buffered, which a full disk cut off.
+    bool m_is_torn = false;
 };
 
 } // namespace damaskladder::consensus
--- a/src/consensus/test_cluster_test.cpp
+++ b/src/consensus/test_cluster_test.cpp
@@ -71,7 +71,9 @@
 void test_cluster::flush(std::size_t number)
 {
     if (is_up(number) && !m_replicas[number].queue->empty()) {
-        step(number, m_replicas[number].queue->flush());
+        if (auto done = m_replicas[number].queue->flush()) {
+            step(number, std::move(*done));
+        }
     }
 }
 
