Propagation: poll the control replicas of the own failure domain

Cause: with one membership group for the fleet, "the two alive nodes of lowest rank" are the two lowest of the fleet, and above 100 nodes only they are polled. One failure domain carries the settings of all others, and its two VMs may be frozen, squeezed, replaced or scaled in. Ruled out: relays per failure domain alone, since up to 64 nodes for each replica need no relay and a relay adds a step. Change: a node polls the replicas of its own failure domain, with those of the others in reserve: after a failure, and beside its own while its settings are old; it returns after 5 s. Relays, of the VM's failure domain, are used above 64 nodes for each replica, with two replicas in reserve.

--- a/src/daemon/control_fleet_fixture.hpp
+++ b/src/daemon/control_fleet_fixture.hpp
@@ -179,7 +179,7 @@
                 propagation_host::hooks{
                     .changed = [this](const auto& compiled) { version = compiled->version(); },
                     .confirmed = [this](base::time_point when) { confirmed_at = when; },
-                    .relays = [] { return std::vector<propagation::peer>(); }});
+                    .add_nearby = [](propagation::upstream_candidates&) {}});
             propagation->start();
             claims = std::make_unique<claims_host>(
                 loop, messages, settings, directory, replica.get(),
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -92,7 +92,7 @@
                         m_node->confirm_settings(when);
                     }
                 },
-            .relays = [this] { return m_node->upstream_relays(); }});
+            .add_nearby = [this](auto& candidates) { m_node->add_nearby(candidates); }});
     m_claims = std::make_unique<claims_host>(
         m_loop, m_messages, m_settings, m_directory, m_replica.get(),
         claims_host::hooks{.deliver = [this](const node::event& event) {
--- a/src/daemon/node_host.cpp
+++ b/src/daemon/node_host.cpp
@@ -3,17 +3,18 @@
 #include "daemon/log.hpp"
 #include "daemon/secure_random.hpp"
 #include "daemon/view_builder.hpp"
+#include "membership/nearby_relays.hpp"
 
 #include <sodium.h>
 
+#include <algorithm>
+
 namespace damaskladder::daemon {
 
 namespace {
 
-/// In groups of up to this size each node polls the control replicas directly: relays would save
-/// the replicas little load, and the loss of relays would delay updates to the other nodes until
-/// new relays are found.
-constexpr std::size_t max_members_without_relays = 100;
+/// One may fail without a gap in the settings of its failure domain.
+constexpr std::size_t relays_per_failure_domain = 2;
 
 membership::node_identity identity_of(const process_settings& settings,
                                       base::incarnation incarnation)
@@ -158,16 +159,37 @@
     }
 }
 
-std::vector<propagation::peer> node_host::upstream_relays() const
+void node_host::add_nearby(propagation::upstream_candidates& candidates)
 {
-    std::vector<propagation::peer> peers;
-    const bool few = m_membership.members().alive().size() <= max_members_without_relays;
-    if (!few && !m_membership.is_relay()) {
-        for (const auto& relay : m_membership.relays()) {
-            peers.push_back({relay.node, relay.address});
+    update_nearby_relays();
+    const auto& members = m_membership.members();
+    candidates.fleet_size = members.alive_count();
+    for (const auto& replica : candidates.replicas) {
+        const auto* record = members.find_alive(replica.node);
+        if (record != nullptr && record->location() == m_settings.domain) {
+            candidates.near_replicas.push_back(replica.node);
         }
     }
-    return peers;
+    const bool is_relay =
+        std::any_of(m_nearby_relays.begin(), m_nearby_relays.end(),
+                    [&](const auto& relay) { return relay.node == m_settings.name; });
+    if (!is_relay) {
+        candidates.relays = m_nearby_relays;
+    }
+}
+
+void node_host::update_nearby_relays()
+{
+    const auto& members = m_membership.members();
+    if (members.digest() == m_nearby_digest) {
+        return;
+    }
+    m_nearby_digest = members.digest();
+    m_nearby_relays.clear();
+    for (const auto& relay :
+         membership::nearby_relays(members, m_settings.domain, relays_per_failure_domain)) {
+        m_nearby_relays.push_back({relay.node, relay.address});
+    }
 }
 
 void node_host::leave()
--- a/src/daemon/node_host.hpp
+++ b/src/daemon/node_host.hpp
@@ -8,6 +8,7 @@
 #include "membership/announcement_registry.hpp"
 #include "membership/membership_node.hpp"
 #include "propagation/peer.hpp"
+#include "propagation/upstream_candidates.hpp"
 #include "settings/compiled_settings.hpp"
 
 #include <functional>
@@ -44,9 +45,9 @@
     /// Builds a view from the current state.
     std::shared_ptr<const traffic_view> view() const;
 
-    /// Relays that this node polls for settings; empty if this node is itself a relay or knows
-    /// none.
-    std::vector<propagation::peer> upstream_relays() const;
+    /// Adds the size of the fleet, the replicas that run in this failure domain, and its relays
+    /// unless this node is one.
+    void add_nearby(propagation::upstream_candidates& candidates);
 
     const membership::membership_node& members() const { return m_membership; }
     std::shared_ptr<const settings::compiled_settings> settings() const { return m_compiled; }
@@ -55,6 +56,7 @@
     void tick();
     void perform(const membership::effects& effects);
     void publish();
+    void update_nearby_relays();
     /// Logs the numbers of known backend servers if they have changed.
     void log_backend_servers();
 
@@ -70,6 +72,9 @@
     bool m_view_stale = true;
     /// Numbers in the last line written by log_backend_servers().
     std::vector<std::size_t> m_logged_servers;
+    /// Relays of this failure domain, chosen from the members of this digest.
+    std::vector<propagation::peer> m_nearby_relays;
+    membership::table_digest m_nearby_digest;
 };
 
 } // namespace damaskladder::daemon
--- a/src/daemon/propagation_host.cpp
+++ b/src/daemon/propagation_host.cpp
@@ -131,8 +131,8 @@
 {
     propagation::upstream_candidates known;
     known.leader = leader ? peer_of(*leader) : std::nullopt;
-    known.relays = m_hooks.relays();
     known.replicas = m_directory.others();
+    m_hooks.add_nearby(known);
     m_relay.node().set_upstreams(propagation::choose_upstreams(known));
 }
 
--- a/src/daemon/propagation_host.hpp
+++ b/src/daemon/propagation_host.hpp
@@ -8,6 +8,7 @@
 #include "propagation/confirmation_monitor.hpp"
 #include "propagation/propagation_relay.hpp"
 #include "propagation/propagation_source.hpp"
+#include "propagation/upstream_candidates.hpp"
 #include "settings/compiled_settings.hpp"
 #include "settings/setting_tree.hpp"
 
@@ -27,9 +28,9 @@
         std::function<void(std::shared_ptr<const settings::compiled_settings>)> changed;
         /// The settings were known to be the newest at this local time.
         std::function<void(base::time_point)> confirmed;
-        /// Relays of the failure domain, which a node that is not a relay polls. Empty for a relay
-        /// and if none is known; the control replicas are polled then.
-        std::function<std::vector<propagation::peer>()> relays;
+        /// Adds what the membership knows: the relays and replicas of the own failure domain and
+        /// the size of the fleet.
+        std::function<void(propagation::upstream_candidates&)> add_nearby;
     };
 
     /// The directory is updated with the members that the replica or another process reports.
--- a/src/propagation/propagation_node.cpp
+++ b/src/propagation/propagation_node.cpp
@@ -23,11 +23,14 @@
 {
 }
 
-void propagation_node::set_upstreams(std::vector<peer> upstreams)
+void propagation_node::set_upstreams(upstream_list upstreams)
 {
     const std::optional<peer> current = upstream();
-    std::erase(upstreams, m_options.self);
-    m_upstreams = std::move(upstreams);
+    std::erase(upstreams.preferred, m_options.self);
+    std::erase(upstreams.others, m_options.self);
+    m_upstreams = std::move(upstreams.preferred);
+    m_preferred = m_upstreams.size();
+    m_upstreams.insert(m_upstreams.end(), upstreams.others.begin(), upstreams.others.end());
     if (m_upstreams.empty()) {
         return;
     }
@@ -36,7 +39,7 @@
         m_upstream = static_cast<std::size_t>(found - m_upstreams.begin());
         return;
     }
-    m_upstream = m_random() % m_upstreams.size();
+    m_upstream = m_random() % (m_preferred == 0 ? m_upstreams.size() : m_preferred);
     m_answer_due.reset();
     m_next_poll = {};
 }
@@ -56,6 +59,7 @@
         fail_over();
     }
     request_chunks(now);
+    return_to_preferred(now);
     if (now >= m_next_poll) {
         poll_upstream(now);
     }
@@ -118,6 +122,21 @@
     }
 }
 
+void propagation_node::return_to_preferred(base::time_point now)
+{
+    if (m_upstream < m_preferred || m_preferred == 0 || hedges(now)) {
+        m_return_at.reset();
+        return;
+    }
+    if (!m_return_at) {
+        m_return_at = now + m_options.preferred_retry_after;
+    }
+    if (now >= *m_return_at && !m_answer_due) {
+        m_return_at.reset();
+        m_upstream = m_random() % m_preferred;
+    }
+}
+
 void propagation_node::switch_to(const base::node_id& upstream)
 {
     const auto found =
--- a/src/propagation/propagation_node.hpp
+++ b/src/propagation/propagation_node.hpp
@@ -9,6 +9,7 @@
 #include "propagation/poll_id.hpp"
 #include "propagation/propagation_options.hpp"
 #include "propagation/settings_hooks.hpp"
+#include "propagation/upstream_list.hpp"
 
 #include <cstddef>
 #include <functional>
@@ -26,9 +27,10 @@
 public:
     propagation_node(propagation_options options, settings_hooks hooks, base::random_source random);
 
-    /// Replaces the list of interchangeable upstreams. The current one is kept if the new list
-    /// contains it; otherwise one is chosen at random.
-    void set_upstreams(std::vector<peer> upstreams);
+    /// Replaces the upstreams. The current one is kept if the new list contains it; otherwise one
+    /// of the preferred is chosen at random. After a failure the others are polled too, for a time
+    /// of options.preferred_retry_after, after which a preferred one is tried again.
+    void set_upstreams(upstream_list upstreams);
 
     effects tick(base::time_point now);
     effects receive(const base::node_id& from, const update& body, base::time_point now);
@@ -45,6 +47,7 @@
 
     /// The upstream that is polled; none if the list is empty.
     std::optional<peer> upstream() const;
+    /// The preferred upstreams, followed by the others.
     const std::vector<peer>& upstreams() const { return m_upstreams; }
     /// Time of the latest answer to a poll, whether or not it said how fresh the settings are.
     const std::optional<base::time_point>& last_answer() const { return m_last_answer; }
@@ -63,6 +66,8 @@
     /// Makes the sender of a current answer the upstream.
     void switch_to(const base::node_id& upstream);
     void fail_over();
+    /// Moves back to a preferred upstream if that is due.
+    void return_to_preferred(base::time_point now);
     /// False if a difference between the applied version and the next one given is missing.
     bool apply(const std::vector<settings_difference>& differences);
     void version_applied(base::settings_version version,
@@ -78,7 +83,11 @@
     base::settings_version m_version;
     freshness_tracker m_freshness;
     std::vector<peer> m_upstreams;
+    /// The first m_preferred of m_upstreams are preferred.
+    std::size_t m_preferred = 0;
     std::size_t m_upstream = 0;
+    /// When a preferred upstream is polled again; none while the current one is preferred.
+    std::optional<base::time_point> m_return_at;
     poll_id m_last_poll;
     /// The newest unanswered polls, with the times at which they were sent.
     std::map<poll_id, base::time_point> m_outstanding_polls;
--- a/src/propagation/propagation_options.hpp
+++ b/src/propagation/propagation_options.hpp
@@ -26,6 +26,8 @@
     /// by a relay that is out of date, is sent to all other upstreams too. A node that polls a
     /// current relay two steps from the leader reaches an age of 1.6 s between polls.
     base::duration hedge_above_age = std::chrono::milliseconds(1750);
+    /// Time after which a node that polls another upstream tries a preferred one again.
+    base::duration preferred_retry_after = std::chrono::seconds(5);
     /// Longer than a round trip between regions.
     base::duration hedge_delay = std::chrono::milliseconds(100);
     /// Changes are pushed to the nodes that polled within this time.
@@ -55,7 +57,8 @@
     std::size_t max_pollers = 4'096;
     std::size_t max_domains = 64;
     std::size_t max_reporters = 256;
-    std::size_t max_replicas = 16;
+    /// As many as consensus::replica_options::max_members.
+    std::size_t max_replicas = 31;
 };
 
 } // namespace damaskladder::propagation
--- a/src/propagation/upstream_candidates.hpp
+++ b/src/propagation/upstream_candidates.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "base/node_id.hpp"
 #include "propagation/peer.hpp"
 
+#include <cstddef>
 #include <optional>
 #include <vector>
 
@@ -16,6 +18,10 @@
     std::vector<peer> relays;
     /// Control replicas, whether or not they lead.
     std::vector<peer> replicas;
+    /// Those of the replicas that run in the own failure domain and are alive.
+    std::vector<base::node_id> near_replicas = {};
+    /// Alive nodes of the fleet.
+    std::size_t fleet_size = 0;
 };
 
 } // namespace damaskladder::propagation
