Stop: pass on late requests only if they are answered before the exit

Cause: it can happen here. The entry half never refused during a stop: a connection that was busy when idle ones were closed may carry a request at any time up to the exit, which was passed on with its whole deadline. Ruled out: the gatekeeper half, which refuses calls of other nodes from the time at which the node leaves the fleet. Change: when the node stops accepting connections, it fixes the time of its last answer. A request that arrives later and may outlast it is refused unrun if it is not idempotent; an idempotent one gets that time as its deadline, so that its backend server answers by then, or is refused if less than 300 ms are left.

--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -19,6 +19,8 @@
 // Time for which callers' connections are still accepted after the node has left the fleet. Kept
 // short, since every request that was read must finish before the exit.
 constexpr base::duration accept_time_after_leave = std::chrono::milliseconds(300);
+// Time for the last answers to reach their callers before the exit.
+constexpr base::duration last_answer_margin = std::chrono::milliseconds(100);
 constexpr base::duration stop_check_interval = std::chrono::milliseconds(20);
 // An iteration of the control thread's loop that takes longer, or a timer that is later, is logged.
 // Half of the time after which a silent leader is replaced.
@@ -266,7 +268,7 @@
     }
     if (m_node && !m_accepting_stopped && now >= m_leave_at + accept_time_after_leave) {
         m_accepting_stopped = true;
-        m_traffic->stop_accepting();
+        m_traffic->stop_accepting(m_stop_by - last_answer_margin);
     }
     if (m_fleet_left && !m_traffic_stopping && now >= m_stop_at) {
         stop_traffic();
--- a/src/daemon/traffic_frontend.hpp
+++ b/src/daemon/traffic_frontend.hpp
@@ -51,9 +51,11 @@
     /// Stops accepting calls from other nodes; callers are still served.
     void leave() { deliver(node::stop_requested{}); }
 
-    /// Stops accepting connections from callers and closes idle ones.
-    void stop_accepting()
+    /// Stops accepting connections from callers and closes idle ones. Requests that still arrive on
+    /// open connections are passed on only if they are answered by the given time.
+    void stop_accepting(base::time_point end)
     {
+        deliver(node::stop_scheduled{end});
         m_callers.drain();
         m_callers.close_idle_connections();
     }
--- a/src/daemon/traffic_thread.cpp
+++ b/src/daemon/traffic_thread.cpp
@@ -126,9 +126,9 @@
     m_loop.post([this] { m_frontend.leave(); });
 }
 
-void traffic_thread::stop_accepting()
+void traffic_thread::stop_accepting(base::time_point end)
 {
-    m_loop.post([this] { m_frontend.stop_accepting(); });
+    m_loop.post([this, end] { m_frontend.stop_accepting(end); });
 }
 
 void traffic_thread::stop(std::function<void()> done)
--- a/src/daemon/traffic_thread.hpp
+++ b/src/daemon/traffic_thread.hpp
@@ -51,8 +51,9 @@
     /// Stops accepting calls from other nodes.
     void leave();
 
-    /// Stops accepting connections from callers; requests that have been read are served.
-    void stop_accepting();
+    /// Stops accepting connections from callers; requests that have been read are served. Those
+    /// read later are passed on only if they are answered by the given time.
+    void stop_accepting(base::time_point end);
 
     /// Starts a graceful stop; done is called on the traffic thread when no request is running.
     void stop(std::function<void()> done);
--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -26,6 +26,10 @@
 /// refusal reports stale settings instead. Longer than two polls for newer settings.
 constexpr base::duration max_staleness_for_unknown = std::chrono::milliseconds(1500);
 
+/// An idempotent request is not passed on if the node ends sooner. Most calls are answered within
+/// this time.
+constexpr base::duration min_serving_time = std::chrono::milliseconds(300);
+
 /// \param has_untried whether the request can be sent to a server that has not been tried yet.
 retry::failure_class class_of(outcome reported_outcome, refusal_reason reason, bool has_untried)
 {
@@ -199,6 +203,9 @@
         return refuse_with(refusal_reason::request_id_required);
     }
     request.deadline = ctx.now + shorter_of(route->timeout, received.constraints.timeout);
+    if (!fit_into_serving_time(request, ctx)) {
+        return refuse_with(refusal_reason::stopping);
+    }
     request.context.importance =
         lower_of(importance_of(*route, key, ctx), received.constraints.importance);
     if (key != nullptr && sheds_at_entry(request.context.importance)) {
@@ -269,6 +276,9 @@
     }
     const auto limit = shorter_of(route->timeout, received.constraints.timeout);
     request.deadline = std::min(ctx.now + limit, parent->deadline - m_shared.options.return_margin);
+    if (!fit_into_serving_time(request, ctx)) {
+        return refuse_with(refusal_reason::stopping);
+    }
     request.context.importance =
         lower_of(parent->context.importance, received.constraints.importance);
     request.context.depth = parent->context.depth + base::call_depth(1);
@@ -632,6 +642,16 @@
     forward(request, *gatekeeper, ctx);
 }
 
+bool entry_machine::fit_into_serving_time(entry_request& request, const event_context& ctx) const
+{
+    const auto& end = m_shared.serving_end;
+    if (!end || request.deadline <= *end) {
+        return true;
+    }
+    request.deadline = *end;
+    return request.context.idempotent && *end - ctx.now >= min_serving_time;
+}
+
 std::optional<refusal_reason> entry_machine::start_problem(const entry_request& request,
                                                            event_context& ctx) const
 {
--- a/src/node/entry_machine.hpp
+++ b/src/node/entry_machine.hpp
@@ -76,6 +76,9 @@
                event_context& ctx);
     void forward_or_request_token(entry_request& request, event_context& ctx);
     void try_forward(entry_request& request, event_context& ctx);
+    /// After stop_scheduled, makes sure that the request is answered before the node ends. Returns
+    /// false if it has to be refused.
+    bool fit_into_serving_time(entry_request& request, const event_context& ctx) const;
     std::optional<refusal_reason> start_problem(const entry_request& request,
                                                 event_context& ctx) const;
     std::optional<base::node_id> choose(entry_request& request, const service_entry& service,
--- a/src/node/event.hpp
+++ b/src/node/event.hpp
@@ -14,6 +14,7 @@
 #include "node/response_finished.hpp"
 #include "node/response_started.hpp"
 #include "node/stop_requested.hpp"
+#include "node/stop_scheduled.hpp"
 #include "node/tick.hpp"
 #include "node/token_granted.hpp"
 #include "node/token_refused.hpp"
@@ -29,6 +30,6 @@
                            token_refused, gatekeeper_refused, transfer_connected, connect_failed,
                            transfer_failed, backend_refused, response_started, response_finished,
                            caller_disconnected, claim_granted, claim_denied, drain_requested,
-                           backend_state_reported, stop_requested, tick>;
+                           backend_state_reported, stop_requested, stop_scheduled, tick>;
 
 } // namespace damaskladder::node
--- a/src/node/traffic_machine.cpp
+++ b/src/node/traffic_machine.cpp
@@ -13,7 +13,7 @@
     gatekeeper_machine& gatekeeper;
     entry_machine::event_context& entry_context;
     gatekeeper_machine::event_context& gatekeeper_context;
-    bool& stopping;
+    traffic_state& shared;
 
     void operator()(const request_arrived& received) { entry.on(received, entry_context); }
     void operator()(const onward_call_arrived& received) { entry.on(received, entry_context); }
@@ -31,7 +31,8 @@
     {
         gatekeeper.on(received, gatekeeper_context);
     }
-    void operator()(const stop_requested& /*seen*/) { stopping = true; }
+    void operator()(const stop_requested& /*seen*/) { shared.stopping = true; }
+    void operator()(const stop_scheduled& seen) { shared.serving_end = seen.end; }
     void operator()(const backend_refused& received)
     {
         gatekeeper.on(received, gatekeeper_context);
@@ -85,9 +86,8 @@
         m_entry.cancel_for_parent(onward, entry_context);
     };
     gatekeeper_machine::event_context gatekeeper_context{view, now, out, cancel};
-    std::visit(
-        dispatcher{m_entry, m_gatekeeper, entry_context, gatekeeper_context, m_shared.stopping},
-        input);
+    std::visit(dispatcher{m_entry, m_gatekeeper, entry_context, gatekeeper_context, m_shared},
+               input);
 }
 
 std::optional<base::time_point> traffic_machine::next_deadline() const
--- a/src/node/traffic_state.hpp
+++ b/src/node/traffic_state.hpp
@@ -6,6 +6,8 @@
 #include "node/transfer_id.hpp"
 #include "retry/allowance_ledger.hpp"
 
+#include <optional>
+
 namespace damaskladder::node {
 
 /// State shared by the entry half and the gatekeeper half of a traffic machine. Onward calls arrive
@@ -16,6 +18,8 @@
     running_calls calls;
     transfer_id last_transfer;
     bool stopping = false;
+    /// Time by which every request that arrives must be answered; none before stop_scheduled.
+    std::optional<base::time_point> serving_end = {};
     /// Observes the thread that serves the requests. It sheds only with
     /// traffic_options::guard_processor.
     admission::cpu_load_shedder processor{admission::cpu_load_shedder_options()};
