Membership: collect updates that come shortly after one another

Cause: each node passes on each record that it learns in a message of its own to each of its five observers. When 200 nodes start within 0.3 s, that is 986 messages a node in the first second, each sealed, sent and opened. Change: an update that comes alone is passed on at once, as before; those that come within 100 ms of the last ones are sent together, and an older record of the same node is replaced. The latency targets of the membership tests hold unchanged. Remaining: the bytes of a start, about five copies of each record.

--- a/src/membership/membership_node.cpp
+++ b/src/membership/membership_node.cpp
@@ -56,6 +56,8 @@
       m_pending_tombstones(m_options.refutation_timeout),
       m_refutation(m_options.max_refutation_delay),
       m_domains({m_self.node, m_self.messages}, m_self.domain, m_options.domains, m_random),
+      m_urgent(m_options.urgent_interval),
+      m_source(m_self.node),
       m_view(std::make_shared<const service_view>())
 {
 }
@@ -102,7 +104,7 @@
         return finish_event();
     }
     if (from != m_self.node && !m_left) {
-        m_urgent_source = from;
+        m_source = from;
         m_last_received = m_active_clock.elapsed();
         std::visit([&](const auto& content) { handle(from, content); }, body);
     }
@@ -155,7 +157,8 @@
         m_left = true;
         m_leave_repeats_left = leave_repeat_count;
         m_self = tombstone_of(m_self, member_status::left);
-        m_urgent.push_back(m_self);
+        m_urgent.add(m_self, m_self.node);
+        send_urgent();
         m_next_heartbeat = now + m_options.tick_interval;
     }
     return finish_event();
@@ -182,7 +185,12 @@
 
 effects membership_node::finish_event()
 {
-    flush_urgent();
+    m_source = m_self.node;
+    // Uses the rings from before the change: a node that was removed must still hear of it, and a
+    // new node receives all records in answer to its join.
+    if (m_urgent.is_due(m_now)) {
+        send_urgent();
+    }
     for (send& item : m_domains.take_pending_sends()) {
         m_sends.push_back(std::move(item));
     }
@@ -356,7 +364,7 @@
         return;
     }
     if (!m_suppress_forwarding) {
-        m_urgent.push_back(record);
+        m_urgent.add(record, m_source);
     }
     if (verdict == merge_verdict::added) {
         m_detector.on_incarnation(record.node, record.incarnation, m_active_clock.elapsed());
@@ -432,7 +440,7 @@
 {
     m_self.incarnation = incarnation;
     m_self.version = record_version(m_self.version.value() + 1);
-    m_urgent_source = m_self.node;
+    m_source = m_self.node;
     merge_record(m_self.node, m_self);
 }
 
@@ -550,7 +558,8 @@
         m_next_heartbeat = m_now + m_options.tick_interval;
         if (m_leave_repeats_left > 0) {
             --m_leave_repeats_left;
-            m_urgent.push_back(m_self);
+            m_urgent.add(m_self, m_self.node);
+            send_urgent();
         }
         return;
     }
@@ -600,25 +609,23 @@
     }
 }
 
-void membership_node::flush_urgent()
+void membership_node::send_urgent()
 {
-    // Uses the rings from before the change: a leaving node must still have its observers, and a
-    // new node receives all records in answer to its join.
-    const std::vector<member_record> records = std::exchange(m_urgent, {});
-    const base::node_id source = std::exchange(m_urgent_source, {});
-    if (records.empty()) {
-        return;
-    }
+    const auto updates = m_urgent.take(m_now);
     const std::size_t batch_size = m_options.limits.records_per_message;
     for (const base::node_id& observer : m_rings.observers_of(m_self.node)) {
-        if (observer == source) {
-            continue;
+        member_update body;
+        for (const auto& next : updates) {
+            if (next.source == observer) {
+                continue;
+            }
+            body.records.push_back(next.record);
+            if (body.records.size() == batch_size) {
+                send_to_member(observer, std::exchange(body, {}));
+            }
         }
-        for (std::size_t first = 0; first < records.size(); first += batch_size) {
-            const std::size_t last = std::min(first + batch_size, records.size());
-            send_to_member(observer,
-                           member_update{{records.begin() + static_cast<std::ptrdiff_t>(first),
-                                          records.begin() + static_cast<std::ptrdiff_t>(last)}});
+        if (!body.records.empty()) {
+            send_to_member(observer, std::move(body));
         }
     }
 }
@@ -643,8 +650,8 @@
         m_active_clock.elapsed());
     if (!had_observers && !m_rings.observers_of(m_self.node).empty()) {
         // Sends the own record, which was published before there were observers to send it to.
-        m_urgent.push_back(m_self);
-        flush_urgent();
+        m_urgent.add(m_self, m_self.node);
+        send_urgent();
     }
 }
 
--- a/src/membership/membership_node.hpp
+++ b/src/membership/membership_node.hpp
@@ -17,6 +17,7 @@
 #include "membership/repair_monitor.hpp"
 #include "membership/service_view.hpp"
 #include "membership/update_queue.hpp"
+#include "membership/urgent_updates.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -106,7 +107,8 @@
     void send_to(const base::node_id& to, const base::message_address& address, message body);
     void send_to_member(const base::node_id& node, message body);
     void send_records(const endpoint& to, const std::vector<member_record>& records);
-    void flush_urgent();
+    /// Passes the collected urgent updates on to the observers.
+    void send_urgent();
     void request_sync(const base::node_id& from, const base::message_address& address);
     void refresh_rings();
     void refresh_view();
@@ -141,10 +143,9 @@
     base::time_point m_next_suspicion_refutation{};
     std::size_t m_leave_repeats_left = 0;
 
-    /// Changes caused by the current event, to be sent immediately, and the node that reported
-    /// them.
-    std::vector<member_record> m_urgent;
-    base::node_id m_urgent_source;
+    urgent_updates m_urgent;
+    /// Sender of the message that is being handled; this node outside of receive().
+    base::node_id m_source;
     std::vector<send> m_sends;
     /// True while merged records must not be forwarded.
     bool m_suppress_forwarding = false;
--- a/src/membership/membership_options.hpp
+++ b/src/membership/membership_options.hpp
@@ -22,6 +22,8 @@
     /// time.
     base::duration tick_interval = std::chrono::milliseconds(100);
     base::duration heartbeat_interval = std::chrono::seconds(1);
+    /// Updates that come within this time of the last ones are sent together.
+    base::duration urgent_interval = std::chrono::milliseconds(100);
     /// Observers per node, which is also the number of connections that a node opens.
     std::size_t observer_count = 5;
     detector_options detector;
