Idle processes: wake up when something is due

Cause: every process woke about 230 times a second at rest: claims and rates each ticked every 10 ms, also at nodes that have neither, the settings every 50 ms and the membership every 100 ms, all out of step. With ten control VMs each candidate for the lease of the rates asked ten voters several times a second although it heard the holder. Change: claims are handled when one is due; rates tick each 10 ms at the holder, 20 ms at a candidate and 100 ms elsewhere; the settings each 100 ms where there is no replica; periodic calls fall on common multiples, so that they share a wake-up, with a phase of each process's own. A candidate keeps quiet for 650 ms after a notice of the holder. The lease of a lost holder (0.9 s, renewed each 225 ms) ends later than that, so nobody takes over later than before.

--- a/src/daemon/claims_host.cpp
+++ b/src/daemon/claims_host.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr base::duration tick_interval = std::chrono::milliseconds(10);
+// Minimum time between two rounds that handle due claims.
+constexpr base::duration min_timer_interval = std::chrono::milliseconds(10);
 // A replica that has not replied within this time is replaced by the next one. Shorter than the
 // first resend interval of claim_client, so that the resend goes to another replica.
 constexpr base::duration replica_answer_timeout = std::chrono::milliseconds(80);
@@ -129,13 +130,17 @@
                                                 });
 }
 
-void claims_host::tick()
+void claims_host::start()
 {
-    const auto now = http::event_loop::now();
-    if (now >= m_client.next_time()) {
-        perform(m_client.on_time(now));
-    }
-    m_loop.call_at(now + tick_interval, [this] { tick(); });
+    m_loop.each_round([this](base::time_point now) -> std::optional<base::time_point> {
+        if (m_client.size() == 0) {
+            return std::nullopt;
+        }
+        if (now >= m_client.next_time()) {
+            perform(m_client.on_time(now));
+        }
+        return std::max(m_client.next_time(), now + min_timer_interval);
+    });
 }
 
 void claims_host::acquire(const node::request_claim& wanted)
--- a/src/daemon/claims_host.hpp
+++ b/src/daemon/claims_host.hpp
@@ -33,7 +33,7 @@
     claims_host(http::event_loop& loop, messenger& messages, const process_settings& settings,
                 const replica_directory& directory, replica_host* replica, hooks callbacks);
 
-    void start() { tick(); }
+    void start();
     void acquire(const node::request_claim& wanted);
     void release(const node::release_claim& wanted);
     void complete(const node::complete_claim& wanted);
@@ -41,7 +41,6 @@
 private:
     using submission = decltype(wire::claim_command::submission);
 
-    void tick();
     void perform(const claims::claim_effects& effects);
     void report(const claims::claim_outcome& outcome);
     void submit(const submission& wanted);
--- a/src/daemon/node_host.cpp
+++ b/src/daemon/node_host.cpp
@@ -103,7 +103,8 @@
     if (m_view_stale) {
         publish();
     }
-    m_loop.call_at(now + membership::membership_options().tick_interval, [this] { tick(); });
+    m_loop.call_at(m_loop.next_multiple(membership::membership_options().tick_interval, now),
+                   [this] { tick(); });
 }
 
 void node_host::perform(const membership::effects& effects)
--- a/src/daemon/propagation_host.cpp
+++ b/src/daemon/propagation_host.cpp
@@ -12,7 +12,9 @@
 
 namespace {
 
-constexpr base::duration tick_interval = std::chrono::milliseconds(50);
+// A process with a replica serves other processes.
+constexpr base::duration replica_tick_interval = std::chrono::milliseconds(50);
+constexpr base::duration node_tick_interval = std::chrono::milliseconds(100);
 // Minimum advance of the confirmation time before a new view is published. Smaller steps cost
 // processor time; larger ones bring a slow node closer to max_staleness.
 constexpr base::duration min_confirmation_advance = std::chrono::milliseconds(200);
@@ -94,7 +96,8 @@
     if (m_source) {
         perform_source(m_source->tick(now));
     }
-    m_loop.call_at(now + tick_interval, [this] { tick(); });
+    const auto interval = m_replica == nullptr ? node_tick_interval : replica_tick_interval;
+    m_loop.call_at(m_loop.next_multiple(interval, now), [this] { tick(); });
 }
 
 void propagation_host::update_replicas(const consensus::configuration& members)
--- a/src/daemon/quota_host.cpp
+++ b/src/daemon/quota_host.cpp
@@ -10,8 +10,17 @@
 
 namespace {
 
-constexpr base::duration tick_interval = std::chrono::milliseconds(10);
+// Interval of a holder, whose tokens accrue and are lent at this pace.
+constexpr base::duration holder_interval = std::chrono::milliseconds(10);
+// Interval of a candidate for the lease.
+constexpr base::duration candidate_interval = std::chrono::milliseconds(20);
+// Interval of any other node, which only forgets a holder that is silent.
+constexpr base::duration node_interval = std::chrono::milliseconds(100);
 constexpr base::duration notice_interval = std::chrono::milliseconds(500);
+// A candidate does not ask for the lease for this time after a notice of its holder: longer than
+// the interval of notices, and shorter than a pooled lease, so that it asks again before the lease
+// of a lost holder ends. Without it each of N candidates asks N voters several times a second.
+constexpr base::duration quiet_after_notice = std::chrono::milliseconds(650);
 // A holder that has sent no notice for this time has lost its lease.
 constexpr base::duration notice_lifetime = std::chrono::seconds(3);
 constexpr std::int64_t interval_points = 1'000'000;
@@ -159,7 +168,7 @@
     if (m_pooled && !m_stopping) {
         set_voters(m_hooks.control_voters(), now);
     }
-    if (m_candidate && now >= m_candidate->next_timer()) {
+    if (m_candidate && now >= m_candidate->next_timer() && !hears_other_holder(now)) {
         perform(m_candidate->on_timer(now));
     }
     update_holder(now);
@@ -177,7 +186,21 @@
         m_holder.reset();
         perform(m_candidate->release(now));
     }
-    m_loop.call_at(now + tick_interval, [this] { tick(); });
+    m_loop.call_at(m_loop.next_multiple(interval(), now), [this] { tick(); });
+}
+
+base::duration quota_host::interval() const
+{
+    if (m_holder) {
+        return holder_interval;
+    }
+    return m_candidate || m_voter ? candidate_interval : node_interval;
+}
+
+bool quota_host::hears_other_holder(base::time_point now) const
+{
+    return m_pooled && m_known_holder && m_known_holder->node != m_settings.name &&
+           now < m_known_until - notice_lifetime + quiet_after_notice;
 }
 
 void quota_host::update_holder(base::time_point now)
--- a/src/daemon/replica_host.cpp
+++ b/src/daemon/replica_host.cpp
@@ -81,7 +81,7 @@
     step(consensus::tick{});
     advance_log_time();
     log_cluster_changes();
-    m_loop.call_at(now + tick_interval, [this] { tick(); });
+    m_loop.call_at(m_loop.next_multiple(tick_interval, now), [this] { tick(); });
 }
 
 void replica_host::advance_log_time()
--- a/src/daemon/replica_membership_host.cpp
+++ b/src/daemon/replica_membership_host.cpp
@@ -55,7 +55,7 @@
     if (const auto change = m_policy.next_change(status, now)) {
         request_change(*change);
     }
-    m_loop.call_at(now + tick_interval, [this] { tick(); });
+    m_loop.call_at(m_loop.next_multiple(tick_interval, now), [this] { tick(); });
 }
 
 void replica_membership_host::request_change(const consensus::membership_change& change)
--- a/src/http/event_loop.cpp
+++ b/src/http/event_loop.cpp
@@ -87,6 +87,12 @@
     m_timers.emplace(when, std::move(call));
 }
 
+base::time_point event_loop::next_multiple(base::duration interval, base::time_point now) const
+{
+    const auto passed = (now - m_made_at) / interval;
+    return m_made_at + (passed + 1) * interval;
+}
+
 void event_loop::post(std::function<void()> call)
 {
     if (on_own_thread()) {
--- a/src/http/event_loop.hpp
+++ b/src/http/event_loop.hpp
@@ -60,6 +60,11 @@
     /// Runs a call once, at the given time or later.
     void call_at(base::time_point when, std::function<void()> call);
 
+    /// The first time after `now` that is a multiple of the interval since this loop was made.
+    /// Periodic calls at such times share wake-ups if their intervals are multiples of each other,
+    /// while the loops of several processes stay out of step.
+    base::time_point next_multiple(base::duration interval, base::time_point now) const;
+
     /// Runs a call on the loop's thread, after the current handler and before the loop waits. May
     /// be called from any thread; on the loop's own thread it needs no system call.
     void post(std::function<void()> call);
@@ -100,7 +105,8 @@
     bool m_round_requested = false;
     wait_observer m_wait_observer;
     timer_observer m_timer_observer;
-    base::time_point m_woken_at = now();
+    base::time_point m_made_at = now();
+    base::time_point m_woken_at = m_made_at;
     std::unordered_map<int, std::shared_ptr<watched>> m_watched;
     std::vector<round_handler> m_rounds;
     std::multimap<base::time_point, std::function<void()>> m_timers;
--- a/src/http/event_loop_test.cpp
+++ b/src/http/event_loop_test.cpp
@@ -47,5 +47,36 @@
                          testing::Values(round_case{"none", false, 1}, round_case{"one", true, 2}),
                          [](const auto& tested) { return tested.param.name; });
 
+struct multiple_case {
+    std::string name;
+    /// Since an earlier multiple of 100 ms, the period of the call.
+    base::duration passed;
+    base::duration wait;
+};
+
+class periodic_calls : public testing::TestWithParam<multiple_case> {};
+
+// Guards against an idle process that wakes once for each of its periodic calls.
+TEST_P(periodic_calls, share_their_wake_ups)
+{
+    constexpr base::duration period = std::chrono::milliseconds(100);
+    constexpr base::duration longer_period = std::chrono::milliseconds(300);
+    const event_loop loop;
+    const auto start = loop.next_multiple(longer_period, event_loop::now());
+    const auto now = start + GetParam().passed;
+    EXPECT_EQ(loop.next_multiple(period, now) - now, GetParam().wait);
+    EXPECT_EQ((loop.next_multiple(longer_period, now) - loop.next_multiple(period, now)) % period,
+              base::duration::zero());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, periodic_calls,
+    testing::Values(
+        multiple_case{"at_a_multiple", std::chrono::milliseconds(0),
+                      std::chrono::milliseconds(100)},
+        multiple_case{"between", std::chrono::milliseconds(130), std::chrono::milliseconds(70)},
+        multiple_case{"just_before", std::chrono::milliseconds(199), std::chrono::milliseconds(1)}),
+    [](const auto& tested) { return tested.param.name; });
+
 } // namespace
 } // namespace damaskladder::http
