Messages: count what a process sends, by kind

An idle fleet of 200 VMs moved 0.078 GB between failure domains in 40 s, and no counter said what for.

--- a/src/control/state_machine_bench.cpp
+++ b/src/control/state_machine_bench.cpp
@@ -63,6 +63,17 @@
 
     void advance_clock(base::wall_clock::duration time) { m_now += time; }
 
+    /// Replaces the subtree; the change must be accepted.
+    void replace(const std::string& root, const settings::setting_tree& tree)
+    {
+        const auto path = path_of(root);
+        change_settings change{header(), path, machine.version_of(path), tree.subtree(path)};
+        auto answer = std::get<change_reply>(apply(change));
+        if (answer.verdict != change_verdict::accepted) {
+            std::abort();
+        }
+    }
+
     state_machine machine;
 
 private:
@@ -72,14 +83,6 @@
         return {base::change_id("change-" + std::to_string(m_id)), base::operator_id("mara"),
                 m_now};
     }
-    void replace(const std::string& root, const settings::setting_tree& tree)
-    {
-        change_settings change{header(), path_of(root), {}, tree.subtree(path_of(root))};
-        auto answer = std::get<change_reply>(apply(change));
-        if (answer.verdict != change_verdict::accepted) {
-            std::abort();
-        }
-    }
 
     int m_teams;
     std::uint64_t m_position = 0;
@@ -105,6 +108,30 @@
 }
 BENCHMARK(BM_apply_change)->Arg(10)->Arg(190)->Unit(benchmark::kMicrosecond);
 
+/// Adds many routes in one change, as a large document does, and removes them again. Each iteration
+/// is two changes.
+void BM_apply_many_routes(benchmark::State& state)
+{
+    constexpr int teams = 10;
+    fleet_driver driver(teams);
+    const auto root = path_of("teams/t0");
+    const auto few = driver.machine.tree().subtree(root);
+    auto many = few;
+    for (int i = 0; i < state.range(0); ++i) {
+        const auto path = path_of("teams/t0/routes/many" + std::to_string(i));
+        many.set(path, settings::field_name("prefix"),
+                 settings::field_value("/many" + std::to_string(i)));
+        many.set(path, settings::field_name("service"), settings::field_value("s0"));
+        many.set(path, settings::field_name("idempotent"), settings::field_value("yes"));
+        many.set(path, settings::field_name("open"), settings::field_value("yes"));
+    }
+    for (auto _ : state) {
+        driver.replace("teams/t0", many);
+        driver.replace("teams/t0", few);
+    }
+}
+BENCHMARK(BM_apply_many_routes)->Arg(50)->Arg(400)->Arg(1'500)->Unit(benchmark::kMillisecond);
+
 void BM_pre_check_change(benchmark::State& state)
 {
     fleet_driver driver(static_cast<int>(state.range(0)));
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -170,7 +170,7 @@
     requests.send_quota = [this](const quota::quota_send& wanted) {
         m_loop.post([this, wanted] { m_quota->send(wanted); });
     };
-    requests.control_metrics = [] { return std::string(); };
+    requests.control_metrics = [this] { return m_messages.sent().metrics(); };
     return requests;
 }
 
@@ -206,7 +206,7 @@
             log(log_level::warn, "requests_cut_off", {{"count", std::to_string(cut)}});
         }
     }
-    log(log_level::info, "stopped");
+    log(log_level::info, "stopped", {{"messages_sent", m_messages.sent().summary()}});
 }
 
 void control_thread::on_signal(int number)
--- a/src/daemon/messenger.cpp
+++ b/src/daemon/messenger.cpp
@@ -33,7 +33,7 @@
                              wire::message_kind kind, std::string body)
 {
     const auto sealed = m_codec.seal(receiver, kind, std::move(body));
-    m_bytes_sent += sealed.size();
+    m_sent.count(kind, sealed.size());
     m_bus.send(endpoint, sealed);
 }
 
--- a/src/daemon/messenger.hpp
+++ b/src/daemon/messenger.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bus/message_bus.hpp"
+#include "daemon/message_counters.hpp"
 #include "http/event_loop.hpp"
 #include "wire/envelope_codec.hpp"
 #include "wire/message_codec.hpp"
@@ -39,7 +40,7 @@
         send_encoded(receiver, endpoint, kind, wire::encode(message));
     }
 
-    std::uint64_t bytes_sent() const { return m_bytes_sent; }
+    const message_counters& sent() const { return m_sent; }
     std::uint64_t bytes_received() const { return m_bytes_received; }
     std::uint64_t refused() const { return m_refused; }
 
@@ -51,7 +52,7 @@
 
     wire::envelope_codec m_codec;
     std::map<wire::message_kind, handler> m_handlers;
-    std::uint64_t m_bytes_sent = 0;
+    message_counters m_sent;
     std::uint64_t m_bytes_received = 0;
     std::uint64_t m_refused = 0;
     base::time_point m_next_warning;
