--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -22,6 +22,7 @@
 // Time for the last answers to reach their callers before the exit.
 constexpr base::duration last_answer_margin = std::chrono::milliseconds(100);
 constexpr base::duration stop_check_interval = std::chrono::milliseconds(20);
+constexpr base::duration messages_log_interval = std::chrono::seconds(15);
 // An iteration of the control thread's loop that takes longer, or a timer that is later, is logged.
 // Half of the time after which a silent leader is replaced.
 constexpr base::duration max_control_round = std::chrono::milliseconds(200);
@@ -199,6 +200,7 @@
     });
     m_loop.observe_timers([](base::duration late) { warn_if_long("control_thread_late", late); });
     log(log_level::info, "started", {{"messages", to_string(m_settings.messages)}});
+    log_messages_sent();
     m_loop.run();
     if (m_traffic) {
         const auto cut = m_traffic->end();
@@ -206,7 +208,15 @@
             log(log_level::warn, "requests_cut_off", {{"count", std::to_string(cut)}});
         }
     }
-    log(log_level::info, "stopped", {{"messages_sent", m_messages.sent().summary()}});
+    log(log_level::info, "stopped");
+}
+
+void control_thread::log_messages_sent()
+{
+    log(log_level::info, "messages_sent", {{"total", m_messages.sent().summary()}});
+    const auto now = http::event_loop::now();
+    m_loop.call_at(m_loop.next_multiple(messages_log_interval, now),
+                   [this] { log_messages_sent(); });
 }
 
 void control_thread::on_signal(int number)
--- a/src/daemon/control_thread.hpp
+++ b/src/daemon/control_thread.hpp
@@ -38,6 +38,7 @@
     control_requests make_requests();
     void on_settings_changed(std::shared_ptr<const settings::compiled_settings> compiled);
     void on_signal(int number);
+    void log_messages_sent();
     void begin_stop();
     /// Leaves the fleet, so that other nodes send no more calls to this one.
     void leave_fleet();
