--- a/src/daemon/messenger.cpp
+++ b/src/daemon/messenger.cpp
@@ -1,6 +1,7 @@
 #include "daemon/messenger.hpp"
 
 #include "daemon/log.hpp"
+#include "wire/compression.hpp"
 
 namespace damaskladder::daemon {
 
@@ -12,6 +13,13 @@
 // Size that sealing adds to a body of maximum length.
 constexpr std::size_t sealing_overhead = 64;
 
+/// Whether messages of this kind are compressed. Membership messages hold many similar records when
+/// a fleet starts. Settings are compressed where they are made, once for all receivers.
+bool is_compressed(wire::message_kind kind)
+{
+    return kind == wire::message_kind::membership;
+}
+
 bus::bus_limits make_limits()
 {
     bus::bus_limits limits;
@@ -32,6 +40,9 @@
 void messenger::send_encoded(const base::node_id& receiver, const std::string& endpoint,
                              wire::message_kind kind, std::string body)
 {
+    if (is_compressed(kind)) {
+        body = wire::compress(std::move(body));
+    }
     const auto sealed = m_codec.seal(receiver, kind, std::move(body));
     m_sent.count(kind, sealed.size());
     m_bus.send(endpoint, sealed);
--- a/src/daemon/messenger.hpp
+++ b/src/daemon/messenger.hpp
@@ -3,6 +3,7 @@
 #include "bus/message_bus.hpp"
 #include "daemon/message_counters.hpp"
 #include "http/event_loop.hpp"
+#include "wire/compression.hpp"
 #include "wire/envelope_codec.hpp"
 #include "wire/message_codec.hpp"
 
@@ -67,7 +68,8 @@
        [this, receive = std::move(receive)](const base::node_id& sender, const std::string& body) {
            base::handle_failure(
                [&]() -> base::result<void> {
-                   BOOST_LEAF_AUTO(message, wire::decode<Message>(body));
+                   BOOST_LEAF_AUTO(plain, wire::decompress(body));
+                   BOOST_LEAF_AUTO(message, wire::decode<Message>(plain));
                    receive(sender, message);
                    return {};
                },
--- a/src/wire/compression.hpp
+++ b/src/wire/compression.hpp
@@ -10,7 +10,7 @@
 /// Maximum size of decompressed bytes.
 constexpr std::size_t max_decompressed_size = std::size_t{32} * 1024 * 1024;
 
-/// Compresses settings that are sent to many processes; entries of one kind repeat their names.
+/// Compresses settings and lists of members; entries of one kind repeat their names.
 /// Bytes that would not become smaller are returned as they are.
 std::string compress(std::string bytes);
 
