--- a/src/consensus/posix_folder.cpp
+++ b/src/consensus/posix_folder.cpp
@@ -183,8 +183,10 @@
 {
     const base::file_descriptor folder(
         ::open(m_folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+    // As above, a failed sync is not repeated.
     if (!folder.is_open() || ::fsync(folder.get()) != 0) {
-        return fail_with_errno("sync data folder", m_folder);
+        return base::fail(base::failure_kind::io, "sync data folder", m_folder,
+                          std::generic_category().message(errno));
     }
     return {};
 }
