--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,6 +6,7 @@
 cd "$(dirname "$0")/.."
 build=${1:-build}
 if [ "${DEMO_SKIP_BUILD:-}" != yes ]; then
+  scripts/install_packages.sh
   cmake -S . -B "$build" -G Ninja >/dev/null
   cmake --build "$build" --target damaskladder
 fi
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,6 +3,7 @@
 # printed. Takes the build folder as an optional argument.
 set -eu
 cd "$(dirname "$0")/.."
+scripts/install_packages.sh
 build=${1:-build}
 cmake -S . -B "$build" -G Ninja ${CMAKE_ARGS:-} >/dev/null
 cmake --build "$build"
