Server: serve what has arrived before idle connections are closed

When a node stops accepting, it closed its listener with the connections that waited there, and every connection without a request, also one on which a request had arrived that the loop had not read yet. The caller of a non-idempotent request cannot tell whether it ran. Ruled out: requests that had been read; they are served to their end. Change: waiting connections are accepted first, and what has arrived on idle ones is read; a request that has begun is answered with "Connection: close". Rows of reused_connections show that a second copy of an answer is not taken for the next answer; no change was needed.

--- a/src/http/acceptor.cpp
+++ b/src/http/acceptor.cpp
@@ -56,6 +56,12 @@
     m_listener.reset();
 }
 
+void acceptor::drain()
+{
+    accept_pending();
+    stop();
+}
+
 void acceptor::update_watch()
 {
     const bool wanted = m_listener && !m_paused && !m_exhausted;
--- a/src/http/acceptor.hpp
+++ b/src/http/acceptor.hpp
@@ -34,6 +34,9 @@
     void pause();
     void resume();
 
+    /// Accepts the connections that are waiting, up to the number for one round, and closes the
+    /// listener.
+    void drain();
     /// Closes the listener.
     void stop();
 
--- a/src/http/raw_socket_fake.hpp
+++ b/src/http/raw_socket_fake.hpp
@@ -95,13 +95,17 @@
         if (connect(m_socket, reinterpret_cast<sockaddr*>(&peer), sizeof peer) != 0) {
             throw std::runtime_error("cannot connect to the server");
         }
-        [[maybe_unused]] const auto sent = send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        write(bytes);
         fcntl(m_socket, F_SETFL, O_NONBLOCK);
     }
     ~raw_socket_caller() { close(m_socket); }
     raw_socket_caller(const raw_socket_caller&) = delete;
     raw_socket_caller& operator=(const raw_socket_caller&) = delete;
 
+    void write(const std::string& bytes) const
+    {
+        [[maybe_unused]] const auto sent = send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
     void shut_down_sending() const { shutdown(m_socket, SHUT_WR); }
 
     /// Reads the available bytes. Returns true when the server has closed the connection.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -82,7 +82,7 @@
 void server::drain()
 {
     m_draining = true;
-    m_acceptor.stop();
+    m_acceptor.drain();
 }
 
 void server::close_idle_connections()
@@ -94,7 +94,10 @@
         }
     }
     for (const auto& connection : idle) {
-        connection->close();
+        connection->read_pending_input();
+        if (connection->is_idle()) {
+            connection->close();
+        }
     }
 }
 
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -33,11 +33,12 @@
     /// each.
     void disable_keep_alive() { m_draining = true; }
 
-    /// Stops accepting connections, and sends "Connection: close" with the next response on
-    /// existing ones.
+    /// Accepts the connections that are waiting and then no more, and sends "Connection: close"
+    /// with the next response on existing ones.
     void drain();
 
-    /// Closes connections without a request in progress.
+    /// Closes connections without a request in progress. A request that has arrived but was not
+    /// read yet is served.
     void close_idle_connections();
 
     /// The bound port.
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -3,6 +3,8 @@
 #include "http/body_rules.hpp"
 #include "http/server.hpp"
 
+#include <sys/epoll.h>
+
 #include <utility>
 
 namespace damaskladder::http {
@@ -108,6 +110,13 @@
     }
 }
 
+void server_connection::read_pending_input()
+{
+    const auto keep = shared_from_this();
+    m_socket.update_readiness(EPOLLIN);
+    read_input();
+}
+
 void server_connection::parse_input(std::string_view data)
 {
     while (!data.empty() && wants_input()) {
--- a/src/http/transfer_test.cpp
+++ b/src/http/transfer_test.cpp
@@ -434,6 +434,50 @@
     EXPECT_EQ(caller.received().substr(0, 12), "HTTP/1.1 200");
 }
 
+struct drain_case {
+    std::string name;
+    /// Sent before the loop runs for the first time.
+    std::string early;
+    /// The loop runs before the rest is sent, so that the connection is accepted.
+    bool is_accepted;
+    std::string late;
+};
+
+class draining_servers : public testing::TestWithParam<drain_case> {};
+
+// Guards against a planned stop that closes a connection on which a request has just arrived: the
+// caller cannot tell whether it ran.
+TEST_P(draining_servers, answer_what_has_arrived)
+{
+    event_loop loop;
+    server in(loop, {}, [](const std::shared_ptr<exchange>& request) {
+        request->respond({200, {}, {}}, "ok");
+    });
+    ASSERT_TRUE(in.listen({"127.0.0.1", 0}));
+    raw_socket_caller caller(in.port(), GetParam().early);
+    if (GetParam().is_accepted) {
+        loop.call_at(event_loop::now() + std::chrono::milliseconds(20), [&] { loop.stop(); });
+        loop.run();
+    }
+    caller.write(GetParam().late);
+    in.drain();
+    in.close_idle_connections();
+    run_until(loop, [&] { return caller.try_read_all(); });
+    EXPECT_EQ(caller.received(),
+              "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok");
+}
+
+const std::string whole_request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(table, draining_servers,
+                         testing::Values(drain_case{"on_an_open_connection", "", true,
+                                                    whole_request},
+                                         drain_case{"on_a_connection_that_is_not_accepted_yet",
+                                                    whole_request, false, ""},
+                                         drain_case{"in_two_parts", whole_request.substr(0, 9),
+                                                    true, whole_request.substr(9)}),
+                         [](const auto& tested) { return tested.param.name; });
+
 struct reuse_case {
     std::string name;
     std::string first_response;
@@ -444,7 +488,8 @@
 class reused_connections : public testing::TestWithParam<reuse_case> {};
 
 // Guards against a request on a connection that the server may be closing, which leaves it unknown
-// whether the request was processed, and against a new connection for each request.
+// whether the request was processed, against a new connection for each request, and against a
+// second copy of an answer that is taken for the answer to the next request.
 TEST_P(reused_connections, are_used_until_the_server_may_close_them)
 {
     raw_socket_fake fake({GetParam().first_response, complete_response});
@@ -474,6 +519,10 @@
         reuse_case{"near_the_limit",
                    "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok",
                    std::chrono::milliseconds(800), 2},
+        reuse_case{"second_copy_of_the_answer", complete_response + complete_response,
+                   std::chrono::milliseconds(1), 2},
+        reuse_case{"second_copy_cut_short", complete_response + "HTTP/1.1 200 OK\r\nConte",
+                   std::chrono::milliseconds(1), 2},
         reuse_case{"asked_to_close",
                    "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
                    std::chrono::milliseconds(1), 2}),
