http: a connection reads a limited amount in a row

Cause: client_connection::read_response and server_connection::read_input read until a read comes back short. A peer that keeps the socket buffer filled never lets that happen, and for that long neither timers nor other connections of the traffic thread run. The old test shows it only while the peer is always ahead.

Evidence: the test now measures what is read between two rounds of the loop.

Ruled out: a slow machine (the time of the test, 108 ms, is what 256 MiB take); the cancellation itself (the timer did not run). Slow reading in the test was tried as a way to provoke it: it passes without the change, since the window of the loopback then opens in large steps.

Change: reading_turn ends a turn after 64 KiB; the rest is read in a later round of the loop.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "http/body_rules.hpp"
 #include "http/client.hpp"
+#include "http/reading_turn.hpp"
 #include "http/transfer.hpp"
 
 #include <algorithm>
@@ -199,11 +200,17 @@
 
 void client_connection::read_response()
 {
+    reading_turn turn;
     while (m_transfer != nullptr && m_socket->readable() && !m_transfer->paused()) {
+        if (turn.ended()) {
+            schedule_reading();
+            return;
+        }
         auto& buffer = m_owner.read_buffer();
         const auto got = m_socket->read(buffer.data(), buffer.size());
         switch (got.what) {
         case stream_socket::io_result::status::transferred:
+            turn.add(got.size);
             parse_input({buffer.data(), got.size});
             break;
         case stream_socket::io_result::status::blocked:
@@ -218,6 +225,20 @@
     }
 }
 
+void client_connection::schedule_reading()
+{
+    if (m_reading_scheduled) {
+        return;
+    }
+    m_reading_scheduled = true;
+    m_owner.loop().post([self = shared_from_this()] {
+        self->m_reading_scheduled = false;
+        if (!self->m_closed) {
+            self->read_response();
+        }
+    });
+}
+
 void client_connection::parse_input(std::string_view data)
 {
     while (!data.empty() && m_transfer != nullptr) {
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -54,7 +54,10 @@
     /// Copies available bytes of the request body to the output buffer.
     void fill_from_body();
     void flush();
+    /// Reads until nothing is left or the turn has ended.
     void read_response();
+    /// Continues reading in a later round of the loop.
+    void schedule_reading();
     void parse_input(std::string_view data);
     void head_received();
     void response_received(bool more_follows);
@@ -76,6 +79,8 @@
     /// Whether any byte of the current request has been sent.
     bool m_bytes_sent = false;
 
+    bool m_reading_scheduled = false;
+
     bool m_connected = false;
     bool m_interim = false;
     int m_interim_responses = 0;
--- a/src/http/endless_response_test.cpp
+++ b/src/http/endless_response_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <chrono>
 #include <string>
 
 namespace damaskladder::http {
@@ -12,6 +14,8 @@
 /// What a client may read before it gives up: several times the limit of a head and the buffers of
 /// the sockets between.
 constexpr std::size_t max_bytes_read = std::size_t{16} * 1024 * 1024;
+/// One turn for an event and one posted by the turn before; each ends with a whole read.
+constexpr std::size_t max_bytes_read_in_round = std::size_t{2} * (64 + 16) * 1024;
 
 struct endless_case {
     std::string name;
@@ -27,7 +31,11 @@
         client_request request;
         request.to = {"127.0.0.1", m_fake.port()};
         transfer::hooks hooks;
-        hooks.on_body = [](std::string_view) { return true; };
+        hooks.on_body = [this](std::string_view data) {
+            m_read_in_round += data.size();
+            m_most_read_in_round = std::max(m_most_read_in_round, m_read_in_round);
+            return true;
+        };
         hooks.on_end = [this](const transfer_result& result) { m_end = result; };
         return m_out.send(request, hooks);
     }
@@ -41,6 +49,8 @@
     event_loop m_loop;
     client m_out{m_loop};
     std::optional<transfer_result> m_end;
+    std::size_t m_read_in_round = 0;
+    std::size_t m_most_read_in_round = 0;
 };
 
 class endless_heads : public endless_responses {};
@@ -77,11 +87,16 @@
 TEST_P(endless_bodies, leave_time_for_timers_and_end_when_cancelled)
 {
     const auto started = send_request();
+    m_loop.each_round([this](base::time_point) {
+        m_read_in_round = 0;
+        return std::nullopt;
+    });
     m_loop.call_at(event_loop::now() + std::chrono::milliseconds(20), [&] { started->cancel(); });
     run_until_ended();
     ASSERT_TRUE(m_end);
     EXPECT_EQ(m_end->completion, transfer_result::kind::cancelled) << m_end->text;
     EXPECT_LT(m_fake.bytes_sent(), endless_server_fake::limit);
+    EXPECT_LE(m_most_read_in_round, max_bytes_read_in_round);
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -1,6 +1,7 @@
 #include "http/server_connection.hpp"
 
 #include "http/body_rules.hpp"
+#include "http/reading_turn.hpp"
 #include "http/server.hpp"
 
 #include <sys/epoll.h>
@@ -84,6 +85,7 @@
 
 void server_connection::read_input()
 {
+    reading_turn turn;
     while (wants_input()) {
         if (!m_unparsed.empty()) {
             const auto saved = std::exchange(m_unparsed, {});
@@ -93,10 +95,15 @@
         if (!m_socket.readable()) {
             return;
         }
+        if (turn.ended()) {
+            continue_reading();
+            return;
+        }
         auto& buffer = m_owner.read_buffer();
         const auto got = m_socket.read(buffer.data(), buffer.size());
         switch (got.what) {
         case stream_socket::io_result::status::transferred:
+            turn.add(got.size);
             m_last_active = m_owner.loop().woken_at();
             parse_input({buffer.data(), got.size});
             break;
@@ -225,10 +232,14 @@
 
 void server_connection::continue_reading()
 {
-    if (m_closed) {
+    if (m_closed || m_reading_scheduled) {
         return;
     }
-    m_owner.loop().post([self = shared_from_this()] { self->read_input(); });
+    m_reading_scheduled = true;
+    m_owner.loop().post([self = shared_from_this()] {
+        self->m_reading_scheduled = false;
+        self->read_input();
+    });
 }
 
 void server_connection::begin_response(const response_head& head)
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -52,6 +52,7 @@
     friend class exchange;
 
     // Called by the exchange in progress.
+    /// Reads in a later round of the loop.
     void continue_reading();
     void begin_response(const response_head& head);
     void write_response(std::string_view data);
@@ -62,6 +63,7 @@
     /// The caller has closed its sending side before the response was complete.
     bool caller_disconnected() const;
     bool wants_input() const;
+    /// Reads until nothing is left or wanted, or the turn has ended.
     void read_input();
     void parse_input(std::string_view data);
     void head_received();
@@ -81,6 +83,7 @@
     /// Received bytes that are not parsed yet.
     std::string m_unparsed;
     std::shared_ptr<exchange> m_exchange;
+    bool m_reading_scheduled = false;
     bool m_request_received = false;
     /// Body bytes discarded because the response is already complete.
     std::size_t m_discarded = 0;
