Announcements: order and draining of a run outlive its lease

Report of other operators: after a restart of a process a server that had left was in use again. It could happen here in two ways, on the node beside the server: a deregistration that found no lease (node restarted, or lease expired while the node was frozen) was answered 404 and forgotten, and a heartbeat sent before it that came later announced the server again; and a run that drains lost order and draining with its lease, so that a late `ready` or the next heartbeat of a run that had said so in its answers put it into use again.

Cause: the registry compared messages with the lease only, and kept nothing for a run without one.

Ruled out: keeping the order by port after the lease ended: a server that restarts after its clock was set back would be refused for two minutes. Only messages of the same run are compared.

Change: the registry remembers up to 256 runs for two minutes; a deregistration of a run whose position is known is confirmed, also when it is sent again. Not covered: a `ready` that comes late at a restarted node before anything newer of that run.

--- a/src/membership/announced_run_test.cpp
+++ b/src/membership/announced_run_test.cpp
@@ -15,6 +15,8 @@
 constexpr auto drain = step_kind::drain;
 constexpr auto accepted = announce_verdict::accepted;
 constexpr auto outdated = announce_verdict::outdated;
+/// Longer than a lease.
+constexpr base::duration lease_ended = std::chrono::seconds(5);
 
 /// One message of a run at the test's port, and the expected verdict.
 struct run_step {
@@ -23,6 +25,8 @@
     run_position position;
     bool draining = false;
     announce_verdict verdict = announce_verdict::accepted;
+    /// Time since the step before.
+    base::duration after = std::chrono::milliseconds(100);
 };
 
 struct run_case {
@@ -65,7 +69,7 @@
     announcement_registry leases(options);
     base::time_point now;
     for (const auto& step : GetParam().steps) {
-        now += std::chrono::milliseconds(100);
+        now += step.after;
         const auto offer = offer_of(step);
         if (step.kind == step_kind::drain) {
             EXPECT_EQ(leases.drain_run(offer.instance), step.verdict == accepted);
@@ -128,6 +132,43 @@
                     run_case{"withdrawal_of_an_unknown_run",
                              {{withdraw, "i1", {}, false, announce_verdict::unknown}},
                              ""},
+                    run_case{"late_ready_after_the_lease_of_a_draining_run",
+                             {{announce, "i1", {10, 3}, true, accepted},
+                              {announce, "i1", {10, 2}, false, outdated, lease_ended}},
+                             ""},
+                    run_case{"drain_lasts_longer_than_the_lease",
+                             {{announce, "i1", {10, 1}, false, accepted},
+                              {drain, "i1", {}},
+                              {announce, "i1", {10, 2}, false, accepted, lease_ended}},
+                             "i1 draining"},
+                    run_case{"drain_ends_with_the_run_after_the_lease",
+                             {{announce, "i1", {10, 3}, true, accepted},
+                              {announce, "i1", {20, 1}, false, accepted, lease_ended}},
+                             "i1"},
+                    run_case{"late_after_withdrawal_at_a_restarted_node",
+                             {{withdraw, "i1", {10, 5}, false, accepted},
+                              {announce, "i1", {10, 4}, false, outdated}},
+                             ""},
+                    run_case{"late_after_withdrawal_without_lease",
+                             {{announce, "i1", {10, 3}, false, accepted},
+                              {withdraw, "i1", {}, false, accepted, lease_ended},
+                              {announce, "i1", {10, 4}, false, outdated}},
+                             ""},
+                    run_case{"withdrawal_sent_again",
+                             {{announce, "i1", {10, 3}, false, accepted},
+                              {withdraw, "i1", {10, 4}, false, accepted},
+                              {withdraw, "i1", {10, 4}, false, accepted}},
+                             ""},
+                    run_case{"started_again_after_a_withdrawal_without_lease",
+                             {{withdraw, "i1", {10, 5}, false, accepted},
+                              {announce, "i1", {20, 1}, false, accepted}},
+                             "i1"},
+                    run_case{"late_withdrawal_without_lease",
+                             {{announce, "i1", {20, 5}, false, accepted},
+                              {announce, "i2", {30, 1}, false, accepted, lease_ended},
+                              {withdraw, "i1", {10, 9}, false, outdated},
+                              {announce, "i1", {40, 1}, false, accepted}},
+                             "i1"},
                     run_case{"late_withdrawal",
                              {{announce, "i1", {20, 5}, false, accepted},
                               {withdraw, "i1", {10, 9}, false, outdated}},
--- a/src/membership/announcement_registry.cpp
+++ b/src/membership/announcement_registry.cpp
@@ -7,8 +7,10 @@
 
 namespace {
 
-/// Longest assumed delay of a message. Messages of an ended run are not expected after this time.
-constexpr base::duration ended_run_memory = std::chrono::minutes(2);
+/// Longest assumed delay of a message. Messages of a run are not expected later after its end.
+constexpr base::duration run_memory = std::chrono::minutes(2);
+/// Bounds the memory if a sender invents run names; the oldest run is forgotten.
+constexpr std::size_t max_remembered_runs = 256;
 
 } // namespace
 
@@ -40,7 +42,9 @@
     }
     const bool same_run =
         found != m_leases.end() && found->position.started_ms == request.position.started_ms;
-    const bool draining = request.draining || (same_run && found->backend.draining);
+    const auto* before = found == m_leases.end() ? find_remembered(request) : nullptr;
+    const bool draining = request.draining || (same_run && found->backend.draining) ||
+                          (before != nullptr && before->draining);
     const lease renewed{{request.service, request.port, request.slots, request.connections,
                          request.cold, draining, request.instance},
                         now + m_options.lease,
@@ -63,7 +67,7 @@
         return held.backend.instance == request.instance;
     });
     if (found == m_leases.end()) {
-        return announce_verdict::unknown;
+        return withdraw_without_lease(request, now);
     }
     if (!permitted(request.credential, found->backend.service)) {
         return announce_verdict::not_permitted;
@@ -71,12 +75,36 @@
     if (request.position != run_position() && request.position < found->position) {
         return announce_verdict::outdated;
     }
-    std::erase_if(m_ended, [&](const ended_run& ended) { return ended.forget_at <= now; });
-    m_ended.push_back({request.instance, found->position, now + ended_run_memory});
+    remember({request.instance, found->position, true, true, {}}, now);
     m_leases.erase(found);
     return announce_verdict::accepted;
 }
 
+announce_verdict announcement_registry::withdraw_without_lease(const announcement& request,
+                                                               base::time_point now)
+{
+    if (!permitted(request.credential, request.service)) {
+        return announce_verdict::not_permitted;
+    }
+    const auto named =
+        std::find_if(m_remembered.begin(), m_remembered.end(),
+                     [&](const remembered_run& run) { return run.instance == request.instance; });
+    const bool positioned = request.position != run_position();
+    if (named != m_remembered.end() && positioned && request.position < named->position) {
+        return announce_verdict::outdated;
+    }
+    if (named != m_remembered.end() &&
+        (!positioned || request.position.started_ms == named->position.started_ms)) {
+        named->withdrawn = true;
+        return announce_verdict::accepted;
+    }
+    if (!positioned) {
+        return announce_verdict::unknown;
+    }
+    remember({request.instance, request.position, true, true, {}}, now);
+    return announce_verdict::accepted;
+}
+
 announce_verdict announcement_registry::withdraw(const base::service_id& service,
                                                  base::port_number port,
                                                  const credential_text& credential)
@@ -128,9 +156,37 @@
 
 bool announcement_registry::expire(base::time_point now)
 {
+    for (const lease& held : m_leases) {
+        if (held.ends <= now && held.backend.instance != base::instance_id()) {
+            remember({held.backend.instance, held.position, false, held.backend.draining, {}}, now);
+        }
+    }
     return std::erase_if(m_leases, [&](const lease& held) { return held.ends <= now; }) > 0;
 }
 
+void announcement_registry::remember(remembered_run run, base::time_point now)
+{
+    std::erase_if(m_remembered, [&](const remembered_run& known) {
+        return known.forget_at <= now || known.instance == run.instance;
+    });
+    if (m_remembered.size() >= max_remembered_runs) {
+        m_remembered.erase(m_remembered.begin());
+    }
+    run.forget_at = now + run_memory;
+    m_remembered.push_back(std::move(run));
+}
+
+const remembered_run* announcement_registry::find_remembered(const announcement& request) const
+{
+    const auto found =
+        std::find_if(m_remembered.begin(), m_remembered.end(), [&](const remembered_run& run) {
+            return run.instance == request.instance &&
+                   run.position.started_ms == request.position.started_ms;
+        });
+    return found == m_remembered.end() || request.instance == base::instance_id() ? nullptr
+                                                                                  : &*found;
+}
+
 std::vector<backend_server> announcement_registry::backends() const
 {
     std::vector<backend_server> all;
@@ -157,11 +213,16 @@
     if (request.instance == base::instance_id()) {
         return false;
     }
-    const bool ended = std::any_of(m_ended.begin(), m_ended.end(), [&](const ended_run& run) {
-        return run.instance == request.instance &&
-               request.position.started_ms <= run.position.started_ms;
-    });
-    return ended || std::any_of(m_leases.begin(), m_leases.end(), [&](const lease& held) {
+    const auto ended_before = [&](const remembered_run& run) {
+        if (run.instance != request.instance) {
+            return false;
+        }
+        const bool same_run = request.position.started_ms == run.position.started_ms;
+        return run.withdrawn ? request.position.started_ms <= run.position.started_ms
+                             : same_run && request.position < run.position;
+    };
+    return std::any_of(m_remembered.begin(), m_remembered.end(), ended_before) ||
+           std::any_of(m_leases.begin(), m_leases.end(), [&](const lease& held) {
                const bool same = held.backend.instance == request.instance;
                return held.backend.port == request.port &&
                       (same ? request.position < held.position
--- a/src/membership/announcement_registry.hpp
+++ b/src/membership/announcement_registry.hpp
@@ -7,6 +7,7 @@
 #include "membership/announcement.hpp"
 #include "membership/announcement_options.hpp"
 #include "membership/backend_server.hpp"
+#include "membership/remembered_run.hpp"
 
 #include <vector>
 
@@ -18,7 +19,7 @@
 /// it. Messages of a server that names its run (announcement::instance) must arrive in order: a
 /// message is outdated and has no effect if it is older than the last one, if it comes from an
 /// earlier run at the port, or if its run has withdrawn. A later run at a port replaces the earlier
-/// one.
+/// one. Order and draining of a run also hold for two minutes after its lease has ended.
 ///
 /// A lease expires exactly at renewal + lease. Pass backends() to membership_node::set_backends()
 /// after each call.
@@ -28,8 +29,10 @@
 
     /// Adds or renews an announcement. Slots, connections and cold replace the previous values.
     announce_verdict announce(const announcement& request, base::time_point now);
-    /// Withdraws the run that the request names, whatever its service and port. A request without
-    /// an instance id is handled by the overload below.
+    /// Withdraws the run that the request names, whatever its service and port. A run without a
+    /// lease is withdrawn as well if its position is known from the request or from before, since
+    /// the node may have restarted. A request without an instance id is handled by the overload
+    /// below.
     announce_verdict withdraw(const announcement& request, base::time_point now);
     announce_verdict withdraw(const base::service_id& service, base::port_number port,
                               const credential_text& credential);
@@ -52,22 +55,20 @@
         base::time_point ends;
         run_position position;
     };
-    /// Run that withdrew, kept so that its late messages can be recognized.
-    struct ended_run {
-        base::instance_id instance;
-        run_position position;
-        base::time_point forget_at;
-    };
     using position = std::vector<lease>::iterator;
 
     position find(const base::service_id& service, base::port_number port);
+    announce_verdict withdraw_without_lease(const announcement& request, base::time_point now);
+    void remember(remembered_run run, base::time_point now);
+    /// The run of the message if it is remembered, otherwise nullptr.
+    const remembered_run* find_remembered(const announcement& request) const;
     bool is_outdated(const announcement& request) const;
     bool permitted(const credential_text& credential, const base::service_id& service) const;
     bool valid(const announcement& request) const;
 
     announcement_options m_options;
     std::vector<lease> m_leases;
-    std::vector<ended_run> m_ended;
+    std::vector<remembered_run> m_remembered;
 };
 
 } // namespace damaskladder::membership
