Messages: nested lists do not overflow the stack

Report of other operators: one malformed message took a process down. It could happen here with a message that a process of the cluster sealed: the CBOR parser of the library recurses, and a million nested lists (about 4 KB compressed) end the receiver with a segmentation fault.

Evidence: malformed_messages very_deep: segmentation fault before, rejected now. The row of 5,000 levels passed before, because the stack holds that many.

Ruled out: limiting the size of a message; large settings need it.

--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -1,6 +1,7 @@
 #include "wire/message_codec.hpp"
 
 #include "consensus/envelope.hpp"
+#include "control/cbor_reader.hpp"
 #include "lease/lease_message.hpp"
 #include "membership/message.hpp"
 #include "propagation/message.hpp"
@@ -38,8 +39,14 @@
 template <class Message>
 base::result<Message> decode(std::string_view bytes)
 {
+    const auto value =
+        control::parse_cbor({reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
+    if (!value) {
+        return base::fail(base::failure_kind::corrupt, "decode message", {},
+                          "expected CBOR of a message");
+    }
     try {
-        return value_codec::read<Message>(nlohmann::json::from_cbor(bytes));
+        return value_codec::read<Message>(*value);
     }
     catch (const std::exception& error) {
         return base::fail(base::failure_kind::corrupt, "decode message", {}, error.what());
--- a/src/wire/message_codec_test.cpp
+++ b/src/wire/message_codec_test.cpp
@@ -74,7 +74,8 @@
                     malformed_case{"trailing", encode(sample_append()) + "x"},
                     malformed_case{"huge_array", "\x9b\xff\xff\xff\xff\xff\xff\xff\xff"},
                     malformed_case{"unknown_alternative", "\x82\x18\x63\x80"},
-                    malformed_case{"deep", std::string(5000, '\x81')}),
+                    malformed_case{"deep", std::string(5000, '\x81')},
+                    malformed_case{"very_deep", std::string(1'000'000, '\x81')}),
     [](const auto& tested) { return tested.param.name; });
 
 // Guards against a crash on malformed input. The input is a valid message with a few bytes changed,
