Keys: no header field that holds a key reaches a backend server

Cause: only Authorization with the exact prefix `Bearer ` was looked at, and removed if its token was a key.

Ruled out: dropping Authorization always: a backend server may have tokens of its own. Searching every field for every key: the settings hold hashes only. Keys in the target of a request are left: a target is not ours to change.

The limit of key sizes is in one place.

--- a/src/daemon/parsed_request.hpp
+++ b/src/daemon/parsed_request.hpp
@@ -17,9 +17,6 @@
     std::string host;
     /// Key of the request; a view into the headers of the exchange.
     std::optional<std::string_view> key;
-    /// Bearer token in Authorization; a view into the headers of the exchange. If it is a key, the
-    /// field must not be forwarded to a backend server.
-    std::optional<std::string_view> bearer_token;
     std::optional<base::request_id> request;
     /// Whether a retry by the caller carries the same request id; false if each attempt has its
     /// own.
--- a/src/daemon/request_parser.cpp
+++ b/src/daemon/request_parser.cpp
@@ -1,5 +1,6 @@
 #include "daemon/request_parser.hpp"
 
+#include "daemon/key_size.hpp"
 #include "http/header_names.hpp"
 #include "settings/value_parsers.hpp"
 
@@ -11,7 +12,6 @@
 
 namespace {
 
-constexpr std::size_t max_key_size = 512;
 constexpr std::size_t max_request_id_size = 128;
 constexpr std::int64_t max_timeout_ms = std::int64_t{24} * 60 * 60 * 1000;
 constexpr std::string_view bearer_prefix = "Bearer ";
@@ -44,11 +44,12 @@
 base::result<void> parse_key(const http::request_head& head, parsed_request& into)
 {
     const auto* authorization = head.headers.find(http::header_names::authorization);
-    if (authorization != nullptr && authorization->starts_with(bearer_prefix)) {
-        into.bearer_token = std::string_view(*authorization).substr(bearer_prefix.size());
+    if (const auto* key = head.headers.find(http::header_names::key)) {
+        into.key = *key;
+    }
+    else if (authorization != nullptr && authorization->starts_with(bearer_prefix)) {
+        into.key = std::string_view(*authorization).substr(bearer_prefix.size());
     }
-    const auto* key = head.headers.find(http::header_names::key);
-    into.key = key != nullptr ? std::optional<std::string_view>(*key) : into.bearer_token;
     if (into.key && (into.key->empty() || into.key->size() > max_key_size)) {
         return invalid(http::header_names::key, "expected a key of 1 to 512 bytes");
     }
--- a/src/daemon/traffic_frontend.cpp
+++ b/src/daemon/traffic_frontend.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/content_hasher.hpp"
 #include "daemon/importance_name.hpp"
+#include "daemon/key_filter.hpp"
 #include "daemon/log.hpp"
 #include "daemon/outcome_name.hpp"
 #include "daemon/own_dialect.hpp"
@@ -16,6 +17,11 @@
 namespace {
 
 constexpr std::size_t max_kept_answer = std::size_t{64} * 1024;
+// A shorter key may occur in a field by chance, so only whole words are compared with it.
+constexpr std::size_t min_searched_key_size = 8;
+// Shorter words are not hashed, which bounds the cost of a request with many short words. They are
+// compared with the key of the request.
+constexpr std::size_t min_hashed_key_size = 4;
 // Maximum interval between ticks while the traffic state machine has a pending deadline.
 constexpr base::duration tick_interval = std::chrono::milliseconds(50);
 constexpr base::duration connect_timeout = std::chrono::milliseconds(500);
@@ -289,9 +295,7 @@
     base::handle_failure(
         [&]() -> base::result<void> {
             BOOST_LEAF_AUTO(parsed, m_dialect.read_request(head));
-            if (holds_key(parsed)) {
-                request->forwarded.remove(http::header_names::authorization);
-            }
+            remove_keys(parsed, request->forwarded);
             if (parsed.request && parsed.retries_share_id) {
                 request->content = hash_content(head, request->exchange->body());
             }
@@ -319,13 +323,28 @@
         [&](const base::failure& error) { refuse_malformed(request, error); });
 }
 
-bool traffic_frontend::holds_key(const parsed_request& parsed) const
+void traffic_frontend::remove_keys(const parsed_request& parsed, http::header_list& headers)
 {
-    if (!parsed.bearer_token) {
+    if (parsed.key && parsed.key->size() >= min_searched_key_size) {
+        headers.remove_if([&](const http::header& field) {
+            return field.value.find(*parsed.key) != std::string::npos;
+        });
+    }
+    m_plain_words.use_settings(m_view->node->settings_version);
+    remove_fields_with_keys(
+        headers, [&](std::string_view text) { return text == parsed.key || is_key(text); });
+}
+
+bool traffic_frontend::is_key(std::string_view text)
+{
+    if (text.size() < min_hashed_key_size || m_plain_words.contains(text)) {
         return false;
     }
-    return parsed.bearer_token == parsed.key ||
-           m_view->node->find_key(m_keys.hash(*parsed.bearer_token)) != nullptr;
+    if (m_view->node->find_key(m_keys.hash(text)) != nullptr) {
+        return true;
+    }
+    m_plain_words.add(text);
+    return false;
 }
 
 void traffic_frontend::submit_onward(const inbound_ptr& request, const parsed_request& parsed)
--- a/src/daemon/traffic_frontend.hpp
+++ b/src/daemon/traffic_frontend.hpp
@@ -11,6 +11,7 @@
 #include "daemon/traffic_logic.hpp"
 #include "daemon/traffic_metrics.hpp"
 #include "daemon/traffic_view.hpp"
+#include "daemon/word_memory.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
 #include "wire/context_codec.hpp"
@@ -98,8 +99,9 @@
     std::size_t read_body(inbound_request& request, outbound_request& out, char* data,
                           std::size_t size) const;
     void on_response_head(const outbound_ptr& out, http::response_head head);
-    /// Whether Authorization holds the key of the request or any other key.
-    bool holds_key(const parsed_request& parsed) const;
+    /// Removes the fields that hold the key of the request or any other key in force.
+    void remove_keys(const parsed_request& parsed, http::header_list& headers);
+    bool is_key(std::string_view text);
     /// Returns whether the response of the local backend server belongs to its request. If not, has
     /// reported the outcome of the transfer to the traffic state machine.
     bool accept_response(const outbound_ptr& out);
@@ -121,6 +123,8 @@
     dialect m_dialect;
     wire::context_codec m_contexts;
     wire::key_hasher m_keys;
+    /// Words of requests that are no keys.
+    word_memory m_plain_words;
     base::incarnation m_incarnation;
     http::server_limits m_limits;
     traffic_logic m_logic;
--- a/src/daemon/traffic_frontend_test.cpp
+++ b/src/daemon/traffic_frontend_test.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr const char* key = "workspace-key-1";
+constexpr const char* second_key = "workspace-key-2";
 
 /// A node with the real traffic state machine on one event loop and a backend server supplied by
 /// the test. Tokens and claims are granted immediately.
@@ -154,9 +155,11 @@
                                    std::string_view) -> const node::route_entry* {
             return path.substr(0, 5) == "/once" ? &m_once : &m_route;
         };
-        view->find_key =
-            [this, hash = wire::key_hasher(m_secret, wire::key_usage::key_hashes).hash(key)](
-                const base::key_hash& presented) { return presented == hash ? &m_key : nullptr; };
+        const wire::key_hasher hasher(m_secret, wire::key_usage::key_hashes);
+        view->find_key = [this, first = hasher.hash(key),
+                          second = hasher.hash(second_key)](const base::key_hash& presented) {
+            return presented == first || presented == second ? &m_key : nullptr;
+        };
         view->key_active = [](const base::key_id&) { return true; };
         view->weight_of = [](const base::workspace_id&) { return base::share_weight(1); };
         node::service_entry entry;
@@ -249,6 +252,9 @@
     frontend_fixture node([&](const std::shared_ptr<http::exchange>& request) {
         const auto* value = request->head().headers.find("Authorization");
         seen = value == nullptr ? "" : *value;
+        for (const auto& field : request->head().headers) {
+            EXPECT_EQ(field.value.find(key), std::string::npos) << field.name;
+        }
         request->respond({}, "done");
     });
     const auto answer =
@@ -270,7 +276,22 @@
                                        "Bearer x"},
                     authorization_case{"other_scheme",
                                        {{"Damaskladder-Key", key}, {"Authorization", "Basic eA=="}},
-                                       "Basic eA=="}),
+                                       "Basic eA=="},
+                    authorization_case{
+                        "key_in_other_scheme",
+                        {{"Damaskladder-Key", key}, {"authorization", std::string("Token ") + key}},
+                        ""},
+                    authorization_case{"key_in_another_field",
+                                       {{"Damaskladder-Key", key}, {"X-Api-Key", key}},
+                                       ""},
+                    authorization_case{"key_within_a_word",
+                                       {{"Damaskladder-Key", key},
+                                        {"Referer", std::string("http://a/?k=") + key + "&b"}},
+                                       ""},
+                    authorization_case{"another_key_in_force_in_a_cookie",
+                                       {{"Damaskladder-Key", second_key},
+                                        {"Cookie", std::string("a=b; token=") + key}},
+                                       ""}),
     [](const auto& tested) { return tested.param.name; });
 
 class relayed_sizes : public testing::TestWithParam<std::size_t> {};
--- a/src/http/header_list.cpp
+++ b/src/http/header_list.cpp
@@ -96,6 +96,11 @@
     });
 }
 
+void header_list::remove_if(const std::function<bool(const header&)>& condition)
+{
+    std::erase_if(m_fields, condition);
+}
+
 void header_list::remove_prefix(std::string_view prefix)
 {
     std::erase_if(m_fields, [&](const header& f) {
--- a/src/http/header_list.hpp
+++ b/src/http/header_list.hpp
@@ -2,6 +2,7 @@
 
 #include "http/header.hpp"
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +30,9 @@
     /// and Content-Length, which the transport derives from the body.
     void remove_hop_by_hop();
 
+    /// Removes all fields for which the condition holds.
+    void remove_if(const std::function<bool(const header&)>& condition);
+
     /// Removes all fields whose name starts with the prefix.
     void remove_prefix(std::string_view prefix);
 
