http: nothing is sent after a pause that outlasted its time

Report of other operators: a process that had been paused for some seconds acted on a permission that had run out meanwhile. It could happen here between the check of a request and its sending: the check (key, age of the settings, time left) precedes the connection, and when a process that was paused while connecting wakes up, the loop handles the new connection before the timers. The request went out, at the gatekeeper to the backend server.

Cause: only timers ended a transfer that waits for its connection, and on a kept connection nothing did.

Ruled out, by reading: the quota lease (the holder checks it at each message and each tick with the time read then; lent tokens carry their validity), age of settings and key (checked again at each attempt and by the gatekeeper). Checking the key once more when connected: the bound on the time between check and sending (150 ms between nodes, 500 ms to the backend server) covers all that was checked.

Change: both deadlines count from send(), and transfer::connection_ready() compares them with the time read then.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -56,7 +56,8 @@
 
 std::shared_ptr<transfer> client::send(client_request request, transfer::hooks calls)
 {
-    auto started = std::make_shared<transfer>(*this, std::move(request), std::move(calls));
+    auto started =
+        std::make_shared<transfer>(*this, std::move(request), std::move(calls), event_loop::now());
     m_transfers.insert(started);
     m_loop.post([this, started] { start_transfer(started); });
     return started;
@@ -69,9 +70,6 @@
     }
     const auto now = event_loop::now();
     const auto& request = started->m_request;
-    if (request.timeout > base::duration::zero()) {
-        started->m_deadline = now + request.timeout;
-    }
     auto connection = request.fresh_connection ? nullptr : m_idle.take(request.to, now);
     if (connection == nullptr) {
         connection = std::make_shared<client_connection>(*this, request.to);
@@ -80,13 +78,9 @@
                 {transfer_result::kind::not_sent, "cannot open a connection to the server"});
             return;
         }
-        started->m_connect_deadline = now + request.connect_timeout;
+        set_timer(*started, std::min(started->m_connect_deadline, started->m_deadline));
     }
     started->m_connection = connection;
-    const auto first = std::min(started->m_connect_deadline, started->m_deadline);
-    if (first != base::time_point::max()) {
-        set_timer(*started, first);
-    }
     connection->assign_transfer(started);
 }
 
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -110,7 +110,7 @@
     m_request_sent = false;
     m_interim = false;
     m_interim_responses = 0;
-    sending->connection_ready();
+    sending->connection_ready(event_loop::now());
     if (m_transfer != sending || m_closed) {
         return;
     }
--- a/src/http/client_request.hpp
+++ b/src/http/client_request.hpp
@@ -10,7 +10,8 @@
 struct client_request {
     address to;
     request_head head;
-    /// Maximum time to establish the connection.
+    /// Maximum time from send() until a connection is established and the request may be sent. The
+    /// request is not sent later, also if the process was paused meanwhile.
     base::duration connect_timeout = std::chrono::seconds(1);
     /// The connection is treated as broken when sent bytes are not acknowledged within this time;
     /// zero uses the operating system's default, which is minutes.
--- a/src/http/transfer.cpp
+++ b/src/http/transfer.cpp
@@ -3,17 +3,28 @@
 #include "http/client.hpp"
 #include "http/client_connection.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace damaskladder::http {
 
-transfer::transfer(client& owner, client_request request, hooks calls)
-    : m_client(owner), m_request(std::move(request)), m_hooks(std::move(calls))
+transfer::transfer(client& owner, client_request request, hooks calls, base::time_point now)
+    : m_client(owner),
+      m_request(std::move(request)),
+      m_hooks(std::move(calls)),
+      m_connect_deadline(now + m_request.connect_timeout)
 {
+    if (m_request.timeout > base::duration::zero()) {
+        m_deadline = now + m_request.timeout;
+    }
 }
 
-void transfer::connection_ready()
+void transfer::connection_ready(base::time_point now)
 {
+    if (std::min(m_connect_deadline, m_deadline) <= now) {
+        end({transfer_result::kind::not_sent, "timed out before the request was sent"});
+        return;
+    }
     m_may_have_sent = true;
     m_connect_deadline = base::time_point::max();
     m_client.clear_timer(*this);
--- a/src/http/transfer.hpp
+++ b/src/http/transfer.hpp
@@ -39,7 +39,7 @@
         std::function<void(const transfer_result&)> on_end;
     };
 
-    transfer(client& owner, client_request request, hooks calls);
+    transfer(client& owner, client_request request, hooks calls, base::time_point now);
     ~transfer() = default;
     transfer(const transfer&) = delete;
     transfer& operator=(const transfer&) = delete;
@@ -60,7 +60,9 @@
     friend class client_connection;
 
     // Called by the connection.
-    void connection_ready();
+    /// Ends the transfer as not_sent if its time has run out, which a pause of the process may have
+    /// hidden from the timers.
+    void connection_ready(base::time_point now);
     void head_received(response_head head);
     void body_received(std::string_view data);
     void response_complete();
@@ -81,7 +83,7 @@
     std::shared_ptr<client_connection> m_connection;
     /// Body bytes not yet accepted by on_body.
     std::string m_unconsumed;
-    base::time_point m_connect_deadline = base::time_point::max();
+    base::time_point m_connect_deadline;
     base::time_point m_deadline = base::time_point::max();
     /// Position in the client's timers.
     std::optional<std::multimap<base::time_point, transfer*>::iterator> m_timer;
