Tests: a caller that left before its request was read starts no run

Looked for with the report of paused processes: a node that wakes up reads requests whose callers have left. It does not start them: the leaving is handled in the same round of the loop, before anything is sent, also on kept connections.

Ruled out as useless: dropping such requests in the server, tried and reverted. It would also drop a deregistration whose sender does not wait for the answer.

--- a/src/daemon/traffic_frontend_test.cpp
+++ b/src/daemon/traffic_frontend_test.cpp
@@ -1,6 +1,7 @@
 #include "daemon/own_dialect.hpp"
 #include "daemon/secure_random.hpp"
 #include "daemon/traffic_frontend.hpp"
+#include "http/raw_socket_fake.hpp"
 #include "http/run_until.hpp"
 #include "node/traffic_machine.hpp"
 
@@ -408,6 +409,24 @@
     held.reset();
 }
 
+// Guards against runs for callers that left while the node was paused.
+TEST(traffic_frontend, caller_that_left_before_its_request_was_read_starts_no_run)
+{
+    int runs = 0;
+    frontend_fixture node([&](const std::shared_ptr<http::exchange>& request) {
+        ++runs;
+        request->respond({}, "done");
+    });
+    const auto port = node.frontend().callers_port();
+    // Leaves connections between the halves of the node and to the backend server.
+    EXPECT_EQ(node.call(port, request_for("/a", with_key)).head.status, 200);
+    std::make_unique<http::raw_socket_caller>(
+        port, std::string("GET /a HTTP/1.1\r\nHost: a\r\nDamaskladder-Key: ") + key + "\r\n\r\n")
+        .reset();
+    EXPECT_EQ(node.call(port, request_for("/a", with_key)).head.status, 200);
+    EXPECT_EQ(runs, 2) << "of the callers that stayed";
+}
+
 // Guards against a backend server that uses its context to reach a gatekeeper without its node.
 TEST(traffic_frontend, context_of_a_backend_server_is_refused_between_nodes)
 {
