--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -273,7 +273,8 @@
 {
     base::handle_failure(
         [&]() -> base::result<void> {
-            BOOST_LEAF_AUTO(text, answer_query(exchange.head().target, author, m_host.replica()));
+            BOOST_LEAF_AUTO(text, answer_query(exchange.head().target, author, m_host.replica(),
+                                               http::event_loop::now()));
             respond(exchange, 200, text);
             return {};
         },
--- a/src/daemon/operator_query.cpp
+++ b/src/daemon/operator_query.cpp
@@ -2,6 +2,7 @@
 
 #include "control/audit_line.hpp"
 #include "control/timestamp_text.hpp"
+#include "daemon/member_list.hpp"
 #include "daemon/operator_answer.hpp"
 
 #include <nlohmann/json.hpp>
@@ -119,7 +120,7 @@
     return text;
 }
 
-std::string show_status(const control::control_replica& replica)
+std::string show_status(const control::control_replica& replica, base::time_point now)
 {
     const auto log = replica.status();
     const auto state = replica.state().status();
@@ -137,10 +138,7 @@
                          {"audit_records", state.audit_head.sequence.value()},
                          {"awaiting_admission", log.awaiting_admission},
                          {"unreadable_entries", replica.unreadable_entries()}};
-    for (const auto& member : log.members.members) {
-        json["replicas"].push_back({{"name", member.identity.id.value()},
-                                    {"voter", member.role == consensus::member_role::voter}});
-    }
+    json["replicas"] = member_list(log, now);
     return json.dump() + "\n";
 }
 
@@ -200,12 +198,13 @@
 } // namespace
 
 base::result<std::string> answer_query(std::string_view target, const base::operator_id& who,
-                                       const control::control_replica& replica)
+                                       const control::control_replica& replica,
+                                       base::time_point now)
 {
     const query_target query(target);
     const auto& state = replica.state();
     if (query.path() == "/v1/status") {
-        return show_status(replica);
+        return show_status(replica, now);
     }
     if (query.path() == "/v1/audit-head") {
         const auto& head = state.audit().head();
--- a/src/daemon/operator_query.hpp
+++ b/src/daemon/operator_query.hpp
@@ -20,10 +20,11 @@
 ///     /v1/answer?change=ID         result of a change, as JSON
 ///     /v1/audit?path=P&who=N&after=SEQUENCE   audit records as JSON lines
 ///     /v1/audit-head               sequence and hash of the newest audit record
-///     /v1/status                   JSON
+///     /v1/status                   JSON, with the members as in member_list.hpp
 ///
 /// Fails with not_found, permission_denied or invalid_argument.
 base::result<std::string> answer_query(std::string_view target, const base::operator_id& who,
-                                       const control::control_replica& replica);
+                                       const control::control_replica& replica,
+                                       base::time_point now);
 
 } // namespace damaskladder::daemon
