Tests: random schedules with 4, 9, 10 and 15 control replicas

The schedules restart all replicas at the end (power loss of all) and wipe only what the protocol tolerates.

--- a/src/consensus/schedule_test.cpp
+++ b/src/consensus/schedule_test.cpp
@@ -242,7 +242,11 @@
 
 INSTANTIATE_TEST_SUITE_P(table, random_schedules,
                          testing::Values(schedule_case{1, 1, 1000}, schedule_case{3, 10000, 10000},
-                                         schedule_case{5, 100000, 4000}));
+                                         schedule_case{4, 50000, 2000},
+                                         schedule_case{5, 100000, 4000},
+                                         schedule_case{9, 200000, 1000},
+                                         schedule_case{10, 300000, 1000},
+                                         schedule_case{15, 400000, 1000}));
 
 } // namespace
 } // namespace damaskladder::consensus
