Lease: the quiet time after a notice is a decision of the candidate

Since a candidate asks for the rates' lease only when it has heard no notice of the holder for 650 ms. It also kept a holder from renewing for that time after a notice of the holder before it, which came late: of a lease of 900 ms.

Change: lease_candidate::on_holder_notice() delays requests and no renewal; quota_host passes the notices on.

Evidence: holder_notices (6 rows; a new interface, so they could not run before). The tests of lease, quota and the hosts pass.

--- a/include/damaskladder/lease.hpp
+++ b/include/damaskladder/lease.hpp
@@ -30,8 +30,8 @@
 /// (CLOCK_BOOTTIME on Linux). Clocks of different processes are never compared.
 ///
 /// Message load per candidate: one request to every voter each renew_interval while holding, and at
-/// least one each poll_interval + jitter while another candidate holds. Limit the candidates to a
-/// few nodes.
+/// least one each poll_interval + jitter while another candidate holds, unless the holder's notices
+/// are passed to on_holder_notice(). Limit the candidates to a few nodes.
 ///
 /// Errors: none; a message that does not match the state is ignored.
 /// Limits: lease_voter::max_known_candidates.
--- a/src/daemon/quota_host.cpp
+++ b/src/daemon/quota_host.cpp
@@ -17,10 +17,6 @@
 // Interval of any other node, which only forgets a holder that is silent.
 constexpr base::duration node_interval = std::chrono::milliseconds(100);
 constexpr base::duration notice_interval = std::chrono::milliseconds(500);
-// A candidate does not ask for the lease for this time after a notice of its holder: longer than
-// the interval of notices, and shorter than a pooled lease, so that it asks again before the lease
-// of a lost holder ends. Without it each of N candidates asks N voters several times a second.
-constexpr base::duration quiet_after_notice = std::chrono::milliseconds(650);
 // A holder that has sent no notice for this time has lost its lease.
 constexpr base::duration notice_lifetime = std::chrono::seconds(3);
 constexpr std::int64_t interval_points = 1'000'000;
@@ -38,6 +34,8 @@
         options.lease_duration = std::chrono::milliseconds(900);
         options.renew_interval = options.lease_duration / 4;
         options.poll_interval = options.lease_duration / 6;
+        // Without it each of N candidates asks N voters several times a second.
+        options.quiet_after_notice = std::chrono::milliseconds(650);
     }
     return options;
 }
@@ -168,7 +166,7 @@
     if (m_pooled && !m_stopping) {
         set_voters(m_hooks.control_voters(), now);
     }
-    if (m_candidate && now >= m_candidate->next_timer() && !hears_other_holder(now)) {
+    if (m_candidate && now >= m_candidate->next_timer()) {
         perform(m_candidate->on_timer(now));
     }
     update_holder(now);
@@ -197,12 +195,6 @@
     return m_candidate || m_voter ? candidate_interval : node_interval;
 }
 
-bool quota_host::hears_other_holder(base::time_point now) const
-{
-    return m_pooled && m_known_holder && m_known_holder->node != m_settings.name &&
-           now < m_known_until - notice_lifetime + quiet_after_notice;
-}
-
 void quota_host::update_holder(base::time_point now)
 {
     const bool holds = m_candidate && m_candidate->holds(now);
@@ -278,6 +270,9 @@
         m_known_until = now + notice_lifetime;
         m_holder_address = notice.messages;
         set_known_holder(notice.holder);
+        if (m_candidate && notice.holder.node != m_settings.name) {
+            m_candidate->on_holder_notice(now);
+        }
         return;
     }
     const auto known = m_peers.find(notice.domain);
--- a/src/daemon/quota_host.hpp
+++ b/src/daemon/quota_host.hpp
@@ -46,8 +46,6 @@
     void tick();
     /// Time until the next tick.
     base::duration interval() const;
-    /// Whether another process has reported lately that it holds the pooled lease.
-    bool hears_other_holder(base::time_point now) const;
     void update_holder(base::time_point now);
     /// Sets the voters of the lease. If they have changed, the candidate is released and, if this
     /// node is a voter, started again.
--- a/src/lease/lease_candidate.cpp
+++ b/src/lease/lease_candidate.cpp
@@ -90,6 +90,11 @@
     return effects;
 }
 
+void lease_candidate::on_holder_notice(base::time_point now)
+{
+    m_quiet_until = now + m_options.quiet_after_notice;
+}
+
 bool lease_candidate::holds(base::time_point now) const
 {
     return m_state == state::holding && now < m_held_until;
@@ -97,10 +102,17 @@
 
 base::time_point lease_candidate::next_timer() const
 {
-    if (m_state == state::idle) {
+    switch (m_state) {
+    case state::idle:
         return base::time_point::max();
+    case state::backing_off:
+        return std::max(m_next_timer, m_quiet_until);
+    case state::requesting:
+        return m_next_timer;
+    case state::holding:
+        break;
     }
-    return m_state == state::holding ? std::min(m_next_timer, m_held_until) : m_next_timer;
+    return std::min(m_next_timer, m_held_until);
 }
 
 /// Ends an expired lease and removes rounds whose grants would already have expired.
--- a/src/lease/lease_candidate.hpp
+++ b/src/lease/lease_candidate.hpp
@@ -32,6 +32,10 @@
 
     lease_effects on_reply(const lease_reply& reply, base::time_point now);
 
+    /// Another candidate has said that it holds the lease. Delays the next request by
+    /// options.quiet_after_notice, so that candidates do not ask in vain; a renewal is not delayed.
+    void on_holder_notice(base::time_point now);
+
     /// Handles renewals, timeouts and retries. Call at next_timer(); calls at other times are
     /// harmless.
     lease_effects on_timer(base::time_point now);
@@ -83,6 +87,7 @@
     base::duration m_retry_in{};
     int m_failed_attempts = 0;
     base::time_point m_next_timer;
+    base::time_point m_quiet_until;
     base::time_point m_held_until;
 };
 
--- a/src/lease/lease_candidate_test.cpp
+++ b/src/lease/lease_candidate_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <string>
 
 namespace damaskladder::lease {
@@ -73,6 +74,55 @@
         candidate_case{"late_grant", {"x"}, {{3'000, "x", granted}}, 3'000, false}),
     [](const auto& param) { return param.param.name; });
 
+struct notice_case {
+    std::string name;
+    /// Verdict of the only voter on the first request, at 1 ms; none if it does not answer.
+    std::optional<lease_verdict> verdict;
+    /// Another candidate says at 2 ms that it holds the lease.
+    bool notice;
+    int timer_at_ms;
+    /// Requests sent by the timer.
+    int requests;
+};
+
+class holder_notices : public testing::TestWithParam<notice_case> {};
+
+// Guards against candidates that ask the voters several times a second while another one holds the
+// lease, against a holder that does not renew because of a notice of the one before it, and against
+// candidates that stay quiet after the holder is lost.
+TEST_P(holder_notices, delay_requests_but_no_renewal)
+{
+    const auto& tested = GetParam();
+    lease_options options;
+    options.quiet_after_notice = milliseconds(650);
+    const base::node_id voter("x");
+    lease_candidate candidate(options, base::node_id("a"), base::incarnation(1),
+                              lease_resource("d"), {voter}, [] { return 0; });
+    const auto first = std::get<lease_request>(candidate.acquire(base::time_point{})[0].message);
+    if (tested.verdict) {
+        candidate.on_reply({first, voter, *tested.verdict, {}, milliseconds(100)},
+                           base::time_point{milliseconds(1)});
+    }
+    if (tested.notice) {
+        candidate.on_holder_notice(base::time_point{milliseconds(2)});
+    }
+    int requests = 0;
+    for (const auto& effect :
+         candidate.on_timer(base::time_point{milliseconds(tested.timer_at_ms)})) {
+        requests += std::holds_alternative<lease_request>(effect.message) ? 1 : 0;
+    }
+    EXPECT_EQ(requests, tested.requests);
+}
+
+INSTANTIATE_TEST_SUITE_P(table, holder_notices,
+                         testing::Values(notice_case{"refused", held, false, 200, 1},
+                                         notice_case{"refused_and_notice", held, true, 200, 0},
+                                         notice_case{"just_quiet", held, true, 651, 0},
+                                         notice_case{"no_longer_quiet", held, true, 652, 1},
+                                         notice_case{"renewal", granted, true, 750, 1},
+                                         notice_case{"unanswered", std::nullopt, true, 250, 0}),
+                         [](const auto& tested) { return tested.param.name; });
+
 // Guards against a candidate that still holds after release(), and against voters that are not
 // notified.
 TEST(candidate, give_up_ends_hold_and_tells_voters)
--- a/src/lease/lease_options.hpp
+++ b/src/lease/lease_options.hpp
@@ -20,6 +20,10 @@
     base::duration initial_backoff = std::chrono::milliseconds(20);
     /// Maximum wait between two attempts while another candidate holds the lease, without jitter.
     base::duration poll_interval = std::chrono::milliseconds(500);
+    /// Time after lease_candidate::on_holder_notice() for which a candidate does not start to
+    /// request the lease; zero for none. Longer than the interval of the notices and shorter than
+    /// the lease, so that candidates ask again before the lease of a lost holder ends.
+    base::duration quiet_after_notice{0};
 
     /// Duration of a hold on the candidate's clock, from the time its requests were sent.
     base::duration hold_time() const { return drift.shortened(lease_duration); }
