--- a/src/daemon/process_settings.cpp
+++ b/src/daemon/process_settings.cpp
@@ -1,5 +1,6 @@
 #include "daemon/process_settings.hpp"
 
+#include "consensus/replica_options.hpp"
 #include "settings/section_reader.hpp"
 #include "settings/value_parsers.hpp"
 
@@ -282,6 +283,13 @@
             m_reader.add(problem_kind::missing_reference, "control", {},
                          "a section [replicas/NAME] for this process");
         }
+        const auto max_replicas = consensus::replica_options().max_members;
+        if (m_settings.replicas.size() > max_replicas) {
+            const bool discovered = m_settings.discovers_replicas;
+            m_reader.add(problem_kind::out_of_range, discovered ? "discovery" : "process",
+                         discovered ? "control_vms" : "",
+                         "at most " + std::to_string(max_replicas) + " control replicas");
+        }
     }
 
     settings::section_reader m_reader;
--- a/src/daemon/process_settings_test.cpp
+++ b/src/daemon/process_settings_test.cpp
@@ -58,6 +58,58 @@
     EXPECT_EQ(line.substr(0, expected.problem.size()), expected.problem) << line;
 }
 
+/// Sections or a list with this many control replicas.
+std::string replica_sections(int count)
+{
+    std::string text;
+    for (int i = 1; i <= count; ++i) {
+        text += "[replicas/r" + std::to_string(i) + "]\nmessages = 10.0.0." + std::to_string(i) +
+                ":7101\n";
+    }
+    return text;
+}
+
+std::string discovery_of(int count)
+{
+    std::string list;
+    for (int i = 1; i <= count; ++i) {
+        list += (i > 1 ? ",\n  10.0.0." : "10.0.0.") + std::to_string(i) + ":7101";
+    }
+    return "[discovery]\ncontrol_vms = " + list + "\nmessages_port = 7101\n";
+}
+
+struct replica_count_case {
+    std::string name;
+    std::string sections;
+    /// The first problem; empty if the settings are valid.
+    std::string problem;
+};
+
+class replica_counts : public testing::TestWithParam<replica_count_case> {};
+
+// Guards against a cluster that starts with more replicas than it can admit again after a loss.
+TEST_P(replica_counts, above_the_limit_are_one_problem)
+{
+    const auto problems = read_process_settings(good + GetParam().sections, "vm1.ini").problems;
+    ASSERT_EQ(problems.size(), GetParam().problem.empty() ? 0U : 1U);
+    if (!problems.empty()) {
+        EXPECT_EQ(to_string(problems.front()), GetParam().problem);
+    }
+}
+
+// The good settings name one replica.
+INSTANTIATE_TEST_SUITE_P(
+    table, replica_counts,
+    testing::Values(replica_count_case{"most", replica_sections(30), ""},
+                    replica_count_case{"too_many", replica_sections(31),
+                                       "vm1.ini:1: [process] expected at most 31 control replicas "
+                                       "(out_of_range)"},
+                    replica_count_case{"most_discovered", discovery_of(30), ""},
+                    replica_count_case{"too_many_discovered", discovery_of(31),
+                                       "vm1.ini:17: [discovery] control_vms: expected at most 31 "
+                                       "control replicas (out_of_range)"}),
+    [](const auto& tested) { return tested.param.name; });
+
 INSTANTIATE_TEST_SUITE_P(
     table, process_problems,
     testing::Values(
