--- a/src/daemon/node_host.cpp
+++ b/src/daemon/node_host.cpp
@@ -1,12 +1,11 @@
 #include "daemon/node_host.hpp"
 
+#include "daemon/announce_permission.hpp"
 #include "daemon/log.hpp"
 #include "daemon/secure_random.hpp"
 #include "daemon/view_builder.hpp"
 #include "membership/nearby_relays.hpp"
 
-#include <sodium.h>
-
 #include <algorithm>
 
 namespace damaskladder::daemon {
@@ -41,12 +40,6 @@
     return options;
 }
 
-/// Compares two secrets in a time that does not depend on the position of the first difference.
-bool equal_secrets(const std::string& a, const std::string& b)
-{
-    return a.size() == b.size() && sodium_memcmp(a.data(), b.data(), a.size()) == 0;
-}
-
 membership::announcement_options announcement_options_of(const node_settings& settings)
 {
     constexpr int intervals_per_lease = 4;
@@ -54,9 +47,7 @@
     options.lease = settings.announce_interval * intervals_per_lease;
     options.may_announce = [&settings](const membership::credential_text& credential,
                                        const base::service_id& service) {
-        const auto& services = settings.services;
-        return equal_secrets(credential.value(), settings.credential) &&
-               std::find(services.begin(), services.end(), service) != services.end();
+        return may_announce(settings, credential, service);
     };
     return options;
 }
