Announcements: a withdrawal is remembered beside the next run of its name

Seen in the reading of the whole change: kept one run for each name. When the lease of the next run of a name ended, the run that had withdrawn before it was forgotten, and a late heartbeat of that run announced the server again.

Change: one entry for each run, by name and start. The entries are written with the names of their fields; a draining flag that nothing read is no longer set for withdrawn runs.

--- a/src/membership/announcement_registry.cpp
+++ b/src/membership/announcement_registry.cpp
@@ -75,7 +75,7 @@
     if (request.position != run_position() && request.position < found->position) {
         return announce_verdict::outdated;
     }
-    remember({request.instance, found->position, true, true, {}}, now);
+    remember({.instance = request.instance, .position = found->position, .withdrawn = true}, now);
     m_leases.erase(found);
     return announce_verdict::accepted;
 }
@@ -86,22 +86,22 @@
     if (!permitted(request.credential, request.service)) {
         return announce_verdict::not_permitted;
     }
-    const auto named =
-        std::find_if(m_remembered.begin(), m_remembered.end(),
+    const auto latest =
+        std::find_if(m_remembered.rbegin(), m_remembered.rend(),
                      [&](const remembered_run& run) { return run.instance == request.instance; });
     const bool positioned = request.position != run_position();
-    if (named != m_remembered.end() && positioned && request.position < named->position) {
+    if (latest != m_remembered.rend() && positioned && request.position < latest->position) {
         return announce_verdict::outdated;
     }
-    if (named != m_remembered.end() &&
-        (!positioned || request.position.started_ms == named->position.started_ms)) {
-        named->withdrawn = true;
+    if (latest != m_remembered.rend() &&
+        (!positioned || request.position.started_ms == latest->position.started_ms)) {
+        latest->withdrawn = true;
         return announce_verdict::accepted;
     }
     if (!positioned) {
         return announce_verdict::unknown;
     }
-    remember({request.instance, request.position, true, true, {}}, now);
+    remember({.instance = request.instance, .position = request.position, .withdrawn = true}, now);
     return announce_verdict::accepted;
 }
 
@@ -158,7 +158,10 @@
 {
     for (const lease& held : m_leases) {
         if (held.ends <= now && held.backend.instance != base::instance_id()) {
-            remember({held.backend.instance, held.position, false, held.backend.draining, {}}, now);
+            remember({.instance = held.backend.instance,
+                      .position = held.position,
+                      .draining = held.backend.draining},
+                     now);
         }
     }
     return std::erase_if(m_leases, [&](const lease& held) { return held.ends <= now; }) > 0;
@@ -167,7 +170,9 @@
 void announcement_registry::remember(remembered_run run, base::time_point now)
 {
     std::erase_if(m_remembered, [&](const remembered_run& known) {
-        return known.forget_at <= now || known.instance == run.instance;
+        const bool same_run =
+            known.instance == run.instance && known.position.started_ms == run.position.started_ms;
+        return known.forget_at <= now || same_run;
     });
     if (m_remembered.size() >= max_remembered_runs) {
         m_remembered.erase(m_remembered.begin());
--- a/src/membership/announcement_registry.hpp
+++ b/src/membership/announcement_registry.hpp
@@ -59,6 +59,7 @@
 
     position find(const base::service_id& service, base::port_number port);
     announce_verdict withdraw_without_lease(const announcement& request, base::time_point now);
+    /// Sets the time at which the run is forgotten.
     void remember(remembered_run run, base::time_point now);
     /// The run of the message if it is remembered, otherwise nullptr.
     const remembered_run* find_remembered(const announcement& request) const;
@@ -68,6 +69,7 @@
 
     announcement_options m_options;
     std::vector<lease> m_leases;
+    /// In the order in which they ended; one for each run.
     std::vector<remembered_run> m_remembered;
 };
 
