--- a/src/consensus/membership_policy.cpp
+++ b/src/consensus/membership_policy.cpp
@@ -1,18 +1,9 @@
 #include "consensus/membership_policy.hpp"
 
-#include <algorithm>
-
 namespace damaskladder::consensus {
 
 namespace {
 
-std::optional<base::time_point> last_heard(const replica_status& status, const replica_id& id)
-{
-    const auto found = std::find_if(status.contacts.begin(), status.contacts.end(),
-                                    [&](const auto& contact) { return contact.id == id; });
-    return found == status.contacts.end() ? std::nullopt : std::optional(found->last_heard);
-}
-
 /// The identity to be added, or the id to be removed with no nonce.
 replica_identity subject_of(const membership_change& change)
 {
@@ -102,7 +93,7 @@
 bool membership_policy::can_remove(const replica_status& status, const member& candidate,
                                    base::time_point now) const
 {
-    const auto heard = last_heard(status, candidate.identity.id);
+    const auto heard = status.last_heard(candidate.identity.id);
     const bool silent = heard && now - *heard > m_options.removal_timeout;
     if (!silent && !is_leaving(candidate.identity)) {
         return false;
@@ -113,7 +104,7 @@
     // Starts at 1 for this leader itself.
     std::size_t remaining = 1;
     for (const auto& each : status.members.members) {
-        const auto each_last_heard = last_heard(status, each.identity.id);
+        const auto each_last_heard = status.last_heard(each.identity.id);
         const bool is_live =
             each_last_heard && now - *each_last_heard <= m_options.live_voter_timeout;
         const bool counts = each.identity != candidate.identity &&
--- a/src/consensus/replica_status.hpp
+++ b/src/consensus/replica_status.hpp
@@ -26,6 +26,9 @@
     bool awaiting_admission = false;
     /// Last contact with each other member; empty unless this replica is the leader.
     std::vector<member_contact> contacts;
+
+    /// Time of the last contact with a member; nullopt if contacts does not have it.
+    std::optional<base::time_point> last_heard(const replica_id& id) const;
 };
 
 } // namespace damaskladder::consensus
--- a/src/daemon/member_list.cpp
+++ b/src/daemon/member_list.cpp
@@ -20,11 +20,8 @@
         const auto& id = member.identity.id;
         nlohmann::ordered_json entry = {{"name", id.value()},
                                         {"voter", member.role == consensus::member_role::voter}};
-        const auto contact =
-            std::find_if(status.contacts.begin(), status.contacts.end(),
-                         [&](const consensus::member_contact& other) { return other.id == id; });
-        if (contact != status.contacts.end()) {
-            const auto silent = std::max(now - contact->last_heard, base::duration::zero());
+        if (const auto heard = status.last_heard(id)) {
+            const auto silent = std::max(now - *heard, base::duration::zero());
             entry["silent_ms"] =
                 std::chrono::duration_cast<std::chrono::milliseconds>(silent).count();
             entry["missing"] = silent >= missing_after;
