http: no second check for a closed connection

read_response() does nothing without a transfer, and close() drops the transfer; the posted call checked m_closed as well. Behaviour is unchanged; the tests of http pass.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -233,9 +233,7 @@
     m_reading_scheduled = true;
     m_owner.loop().post([self = shared_from_this()] {
         self->m_reading_scheduled = false;
-        if (!self->m_closed) {
-            self->read_response();
-        }
+        self->read_response();
     });
 }
 
