Tests of http: one sender, one meter and one connection for the fakes

endless_caller_fake repeated the sending of endless_server_fake and the connecting of raw_socket_caller; the counting of what is read between two rounds, and its bound, stood in two test files. They are endless_sender, connect_to_loopback() and reading_meter now. Assertions, bounds and cases are unchanged.

--- a/src/http/endless_response_test.cpp
+++ b/src/http/endless_response_test.cpp
@@ -1,10 +1,10 @@
 #include "damaskladder/http.hpp"
 #include "http/endless_server_fake.hpp"
+#include "http/reading_meter.hpp"
 #include "http/run_until.hpp"
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
 #include <chrono>
 #include <string>
 
@@ -14,8 +14,6 @@
 /// What a client may read before it gives up: several times the limit of a head and the buffers of
 /// the sockets between.
 constexpr std::size_t max_bytes_read = std::size_t{16} * 1024 * 1024;
-/// One turn for an event and one posted by the turn before; each ends with a whole read.
-constexpr std::size_t max_bytes_read_in_round = std::size_t{2} * (64 + 16) * 1024;
 
 struct endless_case {
     std::string name;
@@ -32,8 +30,7 @@
         request.to = {"127.0.0.1", m_fake.port()};
         transfer::hooks hooks;
         hooks.on_body = [this](std::string_view data) {
-            m_read_in_round += data.size();
-            m_most_read_in_round = std::max(m_most_read_in_round, m_read_in_round);
+            m_read.add(data.size());
             return true;
         };
         hooks.on_end = [this](const transfer_result& result) { m_end = result; };
@@ -47,10 +44,9 @@
 
     endless_server_fake m_fake{GetParam().prefix, GetParam().piece};
     event_loop m_loop;
+    reading_meter m_read{m_loop};
     client m_out{m_loop};
     std::optional<transfer_result> m_end;
-    std::size_t m_read_in_round = 0;
-    std::size_t m_most_read_in_round = 0;
 };
 
 class endless_heads : public endless_responses {};
@@ -87,16 +83,12 @@
 TEST_P(endless_bodies, leave_time_for_timers_and_end_when_cancelled)
 {
     const auto started = send_request();
-    m_loop.each_round([this](base::time_point) {
-        m_read_in_round = 0;
-        return std::nullopt;
-    });
     m_loop.call_at(event_loop::now() + std::chrono::milliseconds(20), [&] { started->cancel(); });
     run_until_ended();
     ASSERT_TRUE(m_end);
     EXPECT_EQ(m_end->completion, transfer_result::kind::cancelled) << m_end->text;
-    EXPECT_LT(m_fake.bytes_sent(), endless_server_fake::limit);
-    EXPECT_LE(m_most_read_in_round, max_bytes_read_in_round);
+    EXPECT_LT(m_fake.bytes_sent(), endless_sender::limit);
+    EXPECT_LE(m_read.most_in_round(), reading_meter::max_in_round);
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/src/http/raw_socket_fake.hpp
+++ b/src/http/raw_socket_fake.hpp
@@ -1,15 +1,14 @@
 #pragma once
 
+#include "http/loopback_connection.hpp"
 #include "http/loopback_listener.hpp"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
 #include <atomic>
-#include <stdexcept>
 #include <string>
 #include <thread>
 #include <utility>
@@ -86,34 +85,28 @@
 class raw_socket_caller {
 public:
     raw_socket_caller(std::uint16_t port, const std::string& bytes)
-        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+        : m_socket(connect_to_loopback(port))
     {
-        sockaddr_in peer{};
-        peer.sin_family = AF_INET;
-        peer.sin_port = htons(port);
-        peer.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        if (connect(m_socket, reinterpret_cast<sockaddr*>(&peer), sizeof peer) != 0) {
-            throw std::runtime_error("cannot connect to the server");
-        }
         write(bytes);
-        fcntl(m_socket, F_SETFL, O_NONBLOCK);
+        fcntl(m_socket.get(), F_SETFL, O_NONBLOCK);
     }
-    ~raw_socket_caller() { close(m_socket); }
+    ~raw_socket_caller() = default;
     raw_socket_caller(const raw_socket_caller&) = delete;
     raw_socket_caller& operator=(const raw_socket_caller&) = delete;
 
     void write(const std::string& bytes) const
     {
-        [[maybe_unused]] const auto sent = send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        [[maybe_unused]] const auto sent =
+            send(m_socket.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
     }
-    void shut_down_sending() const { shutdown(m_socket, SHUT_WR); }
+    void shut_down_sending() const { shutdown(m_socket.get(), SHUT_WR); }
 
     /// Reads the available bytes. Returns true when the server has closed the connection.
     bool try_read_all()
     {
         std::array<char, 4096> data{};
         for (;;) {
-            const auto got = read(m_socket, data.data(), data.size());
+            const auto got = read(m_socket.get(), data.data(), data.size());
             if (got <= 0) {
                 return got == 0 || errno != EAGAIN;
             }
@@ -123,7 +116,7 @@
     const std::string& received() const { return m_received; }
 
 private:
-    int m_socket;
+    base::file_descriptor m_socket;
     std::string m_received;
 };
 
