--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,7 +3,7 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/damaskladder ] && [ -x "target/review/case-$(basename "$here")" ] || exit 2
-timeout -k 5 110 "target/review/case-$(basename "$here")" "$here/record.txt"
+timeout -k 1 118 "target/review/case-$(basename "$here")" "$here/record.txt"
 code=$?
 [ "$code" -le 2 ] && exit "$code"
 exit 2
