--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -129,6 +129,17 @@
         return true;
     }
 
+    bool binds(const std::string& ip, int port) const
+    {
+        const int on = 1;
+        ::setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_port = htons(static_cast<std::uint16_t>(port));
+        inet_pton(AF_INET, ip.c_str(), &at.sin_addr);
+        return ::bind(m_fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0;
+    }
+
     bool send(const std::string& bytes, double timeout_s = 5.0)
     {
         std::size_t sent = 0;
@@ -537,8 +548,33 @@
         return *sidecars.back();
     }
 
+    /// Ends the test with 2 if a port of a machine is in use.
+    void check_ports() const
+    {
+        for (const auto& each : machines) {
+            for (const int port : {7000, 7001, 7002, 7003, 8540, 8543, 8546, 8548}) {
+                const connection probe(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+                if (!probe.binds(each->ip(), port)) {
+                    m_record.line("exit code 2: port " + std::to_string(port) + " is in use");
+                    std::exit(could_not_run);
+                }
+            }
+        }
+    }
+
+    /// Whether all processes run.
+    bool all_run()
+    {
+        bool all = true;
+        for (const auto& each : machines) {
+            all = all && each->pid > 0 && ::waitpid(each->pid, nullptr, WNOHANG) == 0;
+        }
+        return all;
+    }
+
     void start_all()
     {
+        check_ports();
         for (auto& each : machines) {
             each->start();
         }
