--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -7,6 +7,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -439,6 +440,8 @@
         const auto log = m_folder + "/" + name + ".log";
         pid = ::fork();
         if (pid == 0) {
+            // Ends with the test, also if the test is killed.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             ::dup2(out, 1);
             ::dup2(out, 2);
