--- a/src/consensus/cluster_test.cpp
+++ b/src/consensus/cluster_test.cpp
@@ -57,7 +57,7 @@
 {
     replica_options options;
     options.snapshot_after_entries = 150;
-    options.entries_retained_before_snapshot = 10;
+    options.retained_before_snapshot.max_entries = 10;
     options.snapshot_chunk = base::byte_count(32);
     // One entry per request, so that faults can occur between two entries.
     options.max_append = base::byte_count(1);
@@ -391,7 +391,7 @@
 {
     replica_options options;
     options.snapshot_after_entries = 8;
-    options.entries_retained_before_snapshot = 2;
+    options.retained_before_snapshot.max_entries = 2;
     constexpr std::uint64_t points = 150;
     for (std::uint64_t point = 1; point <= points; ++point) {
         test_cluster cluster(3, point, options);
--- a/src/consensus/entry_log.cpp
+++ b/src/consensus/entry_log.cpp
@@ -59,12 +59,14 @@
     if (const auto* members = std::get_if<configuration>(&added.payload)) {
         m_configurations.push_back({added.index, *members});
     }
+    m_size += size_of(added);
     m_entries.push_back(std::move(added));
 }
 
 void entry_log::truncate_from(log_index first)
 {
     while (!m_entries.empty() && m_entries.back().index >= first) {
+        m_size -= size_of(m_entries.back());
         m_entries.pop_back();
     }
     while (m_configurations.size() > 1 && m_configurations.back().index >= first) {
@@ -77,6 +79,7 @@
     m_snapshot = std::move(received);
     if (disposition == log_disposition::discard_all) {
         m_entries.clear();
+        m_size = {};
         m_base_index = m_snapshot->last_index;
         m_base_term = m_snapshot->last_term;
     }
@@ -86,14 +89,20 @@
     rebuild_configurations();
 }
 
-void entry_log::compact(std::shared_ptr<const snapshot> taken, std::uint64_t retained)
+void entry_log::compact(std::shared_ptr<const snapshot> taken, const log_retention& retained)
 {
     m_snapshot = std::move(taken);
-    const std::uint64_t covered = entries_between(m_base_index, m_snapshot->last_index);
-    if (covered > retained) {
-        const log_index new_base = index_after(m_base_index, covered - retained);
-        drop_front(new_base, *term_at(new_base));
+    log_index new_base = m_snapshot->last_index;
+    base::byte_count kept;
+    while (new_base > m_base_index) {
+        kept += size_of(at(new_base));
+        if (kept > retained.max_bytes ||
+            entries_between(new_base, m_snapshot->last_index) >= retained.max_entries) {
+            break;
+        }
+        new_base = index_before(new_base);
     }
+    drop_front(new_base, *term_at(new_base));
     rebuild_configurations();
 }
 
@@ -124,6 +133,7 @@
 void entry_log::drop_front(log_index new_base, term_number base_term)
 {
     while (!m_entries.empty() && m_entries.front().index <= new_base) {
+        m_size -= size_of(m_entries.front());
         m_entries.pop_front();
     }
     m_base_index = new_base;
--- a/src/consensus/entry_log.hpp
+++ b/src/consensus/entry_log.hpp
@@ -4,6 +4,7 @@
 #include "consensus/entry.hpp"
 #include "consensus/indexed_configuration.hpp"
 #include "consensus/log_disposition.hpp"
+#include "consensus/log_retention.hpp"
 #include "consensus/snapshot.hpp"
 
 #include <deque>
@@ -37,12 +38,14 @@
     /// Installs a snapshot received from the leader.
     void install(std::shared_ptr<const snapshot> received, log_disposition disposition);
     /// Records a snapshot of the local state machine and discards entries up to it, except the last
-    /// `retained` ones.
-    void compact(std::shared_ptr<const snapshot> taken, std::uint64_t retained);
+    /// ones that `retained` allows.
+    void compact(std::shared_ptr<const snapshot> taken, const log_retention& retained);
 
     const std::shared_ptr<const snapshot>& newest_snapshot() const { return m_snapshot; }
     log_index snapshot_index() const { return m_snapshot ? m_snapshot->last_index : log_index(); }
 
+    /// Total size of the entries held in memory.
+    base::byte_count size() const { return m_size; }
     /// True if the log has neither entries nor a snapshot.
     bool empty() const { return m_entries.empty() && m_base_index == log_index(); }
     /// The latest configuration in the log, committed or not; without members if there is none.
@@ -65,6 +68,7 @@
     log_index m_base_index;
     term_number m_base_term;
     std::deque<entry> m_entries;
+    base::byte_count m_size;
     std::shared_ptr<const snapshot> m_snapshot;
     /// Never empty. The first element is the configuration of the snapshot, or an empty one if
     /// there is no snapshot.
--- a/src/consensus/replica_core.cpp
+++ b/src/consensus/replica_core.cpp
@@ -65,6 +65,7 @@
             m_commit,
             m_log.last_index(),
             m_log.snapshot_index(),
+            m_log.size(),
             m_log.members(),
             m_awaiting_admission,
             contacts()};
@@ -238,6 +239,7 @@
     while (m_applied < m_commit) {
         m_applied = index_after(m_applied);
         apply_committed applied{m_log.at(m_applied), std::nullopt};
+        m_applied_since_snapshot += size_of(applied.committed);
         if (m_leader_state) {
             m_leader_state->uncommitted -= size_of(applied.committed);
             auto& proposals = m_leader_state->proposals;
@@ -250,11 +252,24 @@
     }
 }
 
-void replica_core::request_snapshot_if_due()
+bool replica_core::snapshot_is_due() const
 {
     const log_index since = std::max(m_log.snapshot_index(), m_snapshot_requested_at);
-    if (entries_between(since, m_applied) >= m_options.snapshot_after_entries) {
+    if (since == m_applied) {
+        return false;
+    }
+    const auto& newest = m_log.newest_snapshot();
+    const base::byte_count newest_size(newest ? static_cast<std::int64_t>(newest->state.size())
+                                              : 0);
+    return entries_between(since, m_applied) >= m_options.snapshot_after_entries ||
+           m_applied_since_snapshot >= std::max(m_options.snapshot_after_bytes, newest_size);
+}
+
+void replica_core::request_snapshot_if_due()
+{
+    if (snapshot_is_due()) {
         m_snapshot_requested_at = m_applied;
+        m_applied_since_snapshot = {};
         m_effects.emplace_back(snapshot_wanted{m_applied});
     }
 }
--- a/src/consensus/replica_core.hpp
+++ b/src/consensus/replica_core.hpp
@@ -71,6 +71,7 @@
     // Committing and applying.
     void commit_up_to(log_index index);
     void apply_committed_entries();
+    bool snapshot_is_due() const;
     void request_snapshot_if_due();
 
     // Elections.
@@ -145,6 +146,8 @@
     log_index m_commit;
     log_index m_applied;
     log_index m_snapshot_requested_at;
+    /// Size of the entries applied since the last snapshot was requested or installed.
+    base::byte_count m_applied_since_snapshot;
     persist_tracker m_persist;
     std::deque<deferred_message> m_deferred;
     std::vector<effect> m_effects;
--- a/src/consensus/replica_options.hpp
+++ b/src/consensus/replica_options.hpp
@@ -2,6 +2,7 @@
 
 #include "base/byte_count.hpp"
 #include "base/time.hpp"
+#include "consensus/log_retention.hpp"
 #include "consensus/replica_id.hpp"
 
 #include <chrono>
@@ -45,11 +46,15 @@
     /// take its place before it is removed: its removal may have to wait for that.
     base::duration voter_replaced_after = std::chrono::seconds(2);
 
-    /// A snapshot is requested once this many entries have been applied since the last one.
+    /// A snapshot is requested once this many entries have been applied since the last one, or
+    /// entries of this total size, whichever comes first. A snapshot that is larger than
+    /// snapshot_after_bytes raises the latter limit to its own size, so that writing snapshots costs
+    /// no more than writing the log.
     std::uint64_t snapshot_after_entries = 10'000;
+    base::byte_count snapshot_after_bytes{8 << 20};
     /// Entries kept in memory before the last index of a snapshot, so that a replica that is
     /// slightly behind needs no snapshot transfer.
-    std::uint64_t entries_retained_before_snapshot = 1'000;
+    log_retention retained_before_snapshot;
     base::byte_count snapshot_chunk{256 << 10};
     base::byte_count max_snapshot{256 << 20};
 
--- a/src/consensus/replica_snapshot.cpp
+++ b/src/consensus/replica_snapshot.cpp
@@ -20,7 +20,7 @@
     auto content = std::make_shared<const snapshot>(
         snapshot{taken.last_index, *m_log.term_at(taken.last_index),
                  m_log.members_at(taken.last_index), std::move(taken.state)});
-    m_log.compact(content, m_options.entries_retained_before_snapshot);
+    m_log.compact(content, m_options.retained_before_snapshot);
     persist_hard_state_if_dirty();
     m_effects.emplace_back(
         persist_snapshot{m_persist.issue(), std::move(content), log_disposition::keep_suffix});
@@ -86,6 +86,7 @@
     m_log.install(received, disposition);
     m_commit = last;
     m_applied = last;
+    m_applied_since_snapshot = {};
     persist_hard_state_if_dirty();
     m_effects.emplace_back(persist_snapshot{m_persist.issue_snapshot(last), received, disposition});
     m_effects.emplace_back(install_snapshot{received});
--- a/src/consensus/replica_status.hpp
+++ b/src/consensus/replica_status.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/byte_count.hpp"
 #include "consensus/configuration.hpp"
 #include "consensus/log_index.hpp"
 #include "consensus/member_contact.hpp"
@@ -21,6 +22,8 @@
     log_index commit_index;
     log_index last_index;
     log_index snapshot_index;
+    /// Size of the entries held in memory.
+    base::byte_count log_size;
     configuration members;
     /// A cluster exists that does not know this identity. An operator has to add it.
     bool awaiting_admission = false;
--- a/src/consensus/replica_test.cpp
+++ b/src/consensus/replica_test.cpp
@@ -42,11 +42,16 @@
     std::vector<log_disposition> installed;
     std::size_t wanted = 0;
     bool sync = true;
+    /// Size of the state passed when a snapshot is wanted; nullopt if none is passed.
+    std::optional<std::size_t> state_size;
+
+    base::byte_count log_size() const { return m_core.status().log_size; }
 
 private:
     void execute_effects(const std::vector<effect>& effects)
     {
         std::optional<persist_token> last;
+        std::optional<log_index> snapshot_at;
         for (const effect& each : effects) {
             if (const auto* request = std::get_if<refused>(&each)) {
                 refusals.push_back(request->reason);
@@ -61,7 +66,10 @@
                 installed.push_back(content->log);
                 last = content->token;
             }
-            wanted += std::holds_alternative<snapshot_wanted>(each) ? 1 : 0;
+            if (const auto* due = std::get_if<snapshot_wanted>(&each)) {
+                ++wanted;
+                snapshot_at = due->applied_index;
+            }
             if (const auto* votes = std::get_if<persist_vote>(&each)) {
                 last = votes->token;
             }
@@ -72,6 +80,9 @@
         if (last && sync) {
             handle(sync_completed{*last});
         }
+        if (snapshot_at && state_size) {
+            handle(snapshot_taken{*snapshot_at, std::string(*state_size, 's')});
+        }
     }
 
     base::time_point m_now;
@@ -213,6 +224,61 @@
     EXPECT_EQ(replica.rejected.size(), 1U);
 }
 
+struct log_growth_case {
+    const char* name;
+    std::function<void(replica_options&)> set;
+    std::size_t commands;
+    std::size_t command_size;
+    std::size_t state_size;
+    std::size_t snapshots;
+    std::int64_t max_log_size;
+};
+
+void PrintTo(const log_growth_case& value, std::ostream* out)
+{
+    *out << value.name;
+}
+
+class log_growth : public testing::TestWithParam<log_growth_case> {};
+
+// Guards against a replica that runs out of memory, at each restart too, after a few hundred large
+// commands: the log was cut after a number of entries, whatever their size.
+TEST_P(log_growth, is_bounded_by_size)
+{
+    replica_options options;
+    options.initial_replicas = {self.id};
+    GetParam().set(options);
+    isolated_replica replica(options);
+    replica.state_size = GetParam().state_size;
+    for (std::size_t i = 0; i < GetParam().commands; ++i) {
+        replica.propose_size(GetParam().command_size);
+        ASSERT_LE(replica.log_size(), base::byte_count(GetParam().max_log_size)) << i;
+    }
+    EXPECT_EQ(replica.refusals.size(), 0U);
+    EXPECT_EQ(replica.wanted, GetParam().snapshots);
+}
+
+constexpr std::size_t kib = 1 << 10;
+constexpr std::int64_t mib = 1 << 20;
+
+void small_limits(replica_options& options)
+{
+    options.snapshot_after_entries = 100;
+    options.snapshot_after_bytes = base::byte_count(mib);
+    options.retained_before_snapshot = {10, base::byte_count(mib / 4)};
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, log_growth,
+    testing::Values(
+        log_growth_case{"defaults", no_change, 120, 600 * kib, 700 * kib, 8, 13 * mib},
+        log_growth_case{"small_commands", small_limits, 1000, 10, 1, 10, 5 * mib / 1000},
+        log_growth_case{"large_commands", small_limits, 100, 100 * kib, 1, 9,
+                        mib + mib / 4 + mib / 8},
+        log_growth_case{"command_above_retention", small_limits, 10, 600 * kib, 1, 5, 2 * mib},
+        log_growth_case{"snapshot_above_limit", small_limits, 100, 100 * kib, 4 * mib, 3, 5 * mib}),
+    [](const auto& each) { return std::string(each.param.name); });
+
 const replica_identity leader{replica_id("b"), identity_nonce(2)};
 const replica_identity other{replica_id("c"), identity_nonce(3)};
 
--- a/src/consensus/schedule_test.cpp
+++ b/src/consensus/schedule_test.cpp
@@ -51,7 +51,7 @@
     {
         replica_options small;
         small.snapshot_after_entries = 12;
-        small.entries_retained_before_snapshot = 3;
+        small.retained_before_snapshot.max_entries = 3;
         small.snapshot_chunk = base::byte_count(50);
         // With even seeds a request holds one entry, with odd seeds a few.
         small.max_append = base::byte_count(seed % 2 == 0 ? 1 : 150);
--- a/src/daemon/operator_query.cpp
+++ b/src/daemon/operator_query.cpp
@@ -131,6 +131,7 @@
                          {"term", log.term.value()},
                          {"commit_index", log.commit_index.value()},
                          {"snapshot_index", log.snapshot_index.value()},
+                         {"log_bytes", log.log_size.value()},
                          {"version", state.version.value()},
                          {"entries", state.entries},
                          {"pending_proposals", state.pending_proposals},
