Control: tables of the replicated state are bounded by size, too

Callers would see: control processes killed for memory, and unable to start again, where changes are large: 10,000 replies with a conflict of 50 changes each, 500 proposals of up to 1 MiB each pending and as many closed, or 50,000 audit records with values of 1,000 bytes do not fit 256 MB. Cause: history, cached replies, audit records and proposals were bounded by a number of rows, and the history by a number of changes, whatever their size. Change: table_limits has rows and size for each of the four, 16 MiB each by default; the oldest rows go, the newest always stays. Pending proposals of 16 MiB in all refuse the next one as too_many, as 500 of them did. The size limit of the history takes the place of the one by changes. What counts as size (row_size) is fixed, so that replicas of any build agree.

--- a/src/control/audit_trail.cpp
+++ b/src/control/audit_trail.cpp
@@ -2,6 +2,7 @@
 
 #include "control/audit_line.hpp"
 #include "control/audit_verifier.hpp"
+#include "control/row_size.hpp"
 
 #include <iterator>
 #include <utility>
@@ -32,11 +33,9 @@
     record.previous = m_head.hash;
     record.hash = hash_of(record);
     m_head = {record.sequence, record.hash};
+    m_size += row_size(record);
     m_records.push_back(std::move(record));
-    while (m_records.size() > m_max_records) {
-        m_anchor = {m_records.front().sequence, m_records.front().hash};
-        m_records.pop_front();
-    }
+    drop_oldest_beyond_limits();
 }
 
 std::vector<audit_record> audit_trail::find(const audit_query& query) const
@@ -73,7 +72,22 @@
     }
     m_records.assign(std::make_move_iterator(records.begin()),
                      std::make_move_iterator(records.end()));
-    return is_linked();
+    m_size = {};
+    for (const auto& record : m_records) {
+        m_size += row_size(record);
+    }
+    const bool linked = is_linked();
+    drop_oldest_beyond_limits();
+    return linked;
+}
+
+void audit_trail::drop_oldest_beyond_limits()
+{
+    while (m_limits.exceeded_by(m_records.size(), m_size)) {
+        m_size -= row_size(m_records.front());
+        m_anchor = {m_records.front().sequence, m_records.front().hash};
+        m_records.pop_front();
+    }
 }
 
 bool audit_trail::is_linked() const
--- a/src/control/audit_trail.hpp
+++ b/src/control/audit_trail.hpp
@@ -4,8 +4,8 @@
 #include "control/audit_fault.hpp"
 #include "control/audit_query.hpp"
 #include "control/audit_record.hpp"
+#include "control/table_limits.hpp"
 
-#include <cstddef>
 #include <deque>
 #include <optional>
 #include <vector>
@@ -16,7 +16,7 @@
 /// and its position in the chain becomes the anchor from which the remaining records are verified.
 class audit_trail {
 public:
-    explicit audit_trail(std::size_t max_records) : m_max_records(max_records) {}
+    explicit audit_trail(const table_limits& limits) : m_limits(limits) {}
 
     /// Sets the record's sequence number and hashes and appends it.
     void append(audit_record record);
@@ -37,9 +37,11 @@
 
 private:
     bool is_linked() const;
+    void drop_oldest_beyond_limits();
 
-    std::size_t m_max_records;
+    table_limits m_limits;
     std::deque<audit_record> m_records;
+    base::byte_count m_size;
     audit_anchor m_anchor;
     audit_anchor m_head;
 };
--- a/src/control/audit_trail_test.cpp
+++ b/src/control/audit_trail_test.cpp
@@ -15,7 +15,7 @@
 
 audit_trail trail_of(std::size_t records, std::size_t kept)
 {
-    audit_trail trail(kept);
+    audit_trail trail(table_limits{kept, base::byte_count(1 << 20)});
     for (std::size_t i = 0; i < records; ++i) {
         audit_record record;
         record.who = base::operator_id(i % 2 == 0 ? "luz" : "vet");
@@ -235,7 +235,7 @@
 // unstable.
 TEST(audit_line, holds_reasons_of_any_bytes)
 {
-    audit_trail trail(10);
+    audit_trail trail(table_limits{10, base::byte_count(1 << 20)});
     for (const auto* note : {"motivo: revisi\xC3\xB3n \"x\"", "\xFF\xFE", "line\nbreak"}) {
         audit_record record;
         record.note = note;
--- a/src/control/change_decider.cpp
+++ b/src/control/change_decider.cpp
@@ -1,6 +1,7 @@
 #include "control/change_decider.hpp"
 
 #include "control/command_bounds.hpp"
+#include "control/row_size.hpp"
 #include "settings/value_parsers.hpp"
 
 #include <algorithm>
@@ -101,25 +102,36 @@
     if (decision.reply.verdict != change_verdict::accepted) {
         return decision;
     }
-    const auto& pending = m_state.proposals.pending();
-    auto live = std::count_if(pending.begin(), pending.end(),
-                              [this](const auto& entry) { return entry.second.expires > m_now; });
-    if (static_cast<std::size_t>(live) >= m_state.options.max_pending_proposals) {
-        decision.reply.verdict = change_verdict::too_many;
-        return decision;
-    }
     proposal opened;
     opened.header = request.header;
     opened.subtree = request.subtree;
     opened.based_on = request.based_on;
     opened.diff = std::move(evaluated.diff);
     opened.expires = m_now + request.lifetime;
+    if (!has_room_for(opened)) {
+        decision.reply.verdict = change_verdict::too_many;
+        return decision;
+    }
     decision.reply.verdict = change_verdict::pending;
     decision.note = "proposed";
     decision.effects.emplace_back(open_proposal_effect{std::move(opened)});
     return decision;
 }
 
+bool change_decider::has_room_for(const proposal& opened) const
+{
+    std::size_t live = 1;
+    base::byte_count size = row_size(opened);
+    for (const auto& [id, entry] : m_state.proposals.pending()) {
+        if (entry.expires > m_now) {
+            ++live;
+            size += row_size(entry);
+        }
+    }
+    return live <= m_state.options.max_pending_proposals &&
+           size <= m_state.options.max_pending_proposals_size;
+}
+
 change_decision change_decider::decide(const approve_proposal& request)
 {
     const auto* target = find_unexpired(request.proposal);
--- a/src/control/change_decider.hpp
+++ b/src/control/change_decider.hpp
@@ -48,6 +48,8 @@
     bool has_overlapping_subtree(const base::operator_id& author,
                                  const settings::setting_path& subtree) const;
     const proposal* find_unexpired(proposal_id id) const;
+    /// Whether the pending proposals stay within their limits with this one.
+    bool has_room_for(const proposal& opened) const;
     bool requires_review(const settings::setting_diff& diff) const;
     bool may_review(const credential& reviewer, const proposal& target) const;
     bool is_root_admin(const base::operator_id& name) const;
--- a/src/control/control_state.hpp
+++ b/src/control/control_state.hpp
@@ -18,10 +18,10 @@
 struct control_state {
     explicit control_state(const state_options& bounds)
         : options(bounds),
-          proposals(bounds.max_closed_proposals),
-          history(bounds.max_history, bounds.max_history_changes),
-          replies(bounds.max_cached_replies),
-          audit(bounds.max_audit_records),
+          proposals(bounds.closed_proposals),
+          history(bounds.history),
+          replies(bounds.cached_replies),
+          audit(bounds.audit_records),
           claims(bounds)
     {
     }
--- a/src/control/proposal_table.cpp
+++ b/src/control/proposal_table.cpp
@@ -1,5 +1,7 @@
 #include "control/proposal_table.hpp"
 
+#include "control/row_size.hpp"
+
 #include <utility>
 
 namespace damaskladder::control {
@@ -27,8 +29,10 @@
         m_pending.insert_or_assign(id, std::move(added));
         return;
     }
+    m_closed_size += row_size(added);
     m_closed.push_back(std::move(added));
-    while (m_closed.size() > m_max_closed) {
+    while (m_closed_limits.exceeded_by(m_closed.size(), m_closed_size)) {
+        m_closed_size -= row_size(m_closed.front());
         m_closed.pop_front();
     }
 }
--- a/src/control/proposal_table.hpp
+++ b/src/control/proposal_table.hpp
@@ -3,9 +3,9 @@
 #include "base/time.hpp"
 #include "control/proposal.hpp"
 #include "control/proposal_id.hpp"
+#include "control/table_limits.hpp"
 #include "settings/setting_path.hpp"
 
-#include <cstddef>
 #include <deque>
 #include <map>
 #include <vector>
@@ -17,7 +17,7 @@
 public:
     using pending_container = std::map<proposal_id, proposal>;
 
-    explicit proposal_table(std::size_t max_closed) : m_max_closed(max_closed) {}
+    explicit proposal_table(const table_limits& closed_limits) : m_closed_limits(closed_limits) {}
 
     const proposal* find_pending(proposal_id id) const;
     const proposal* find_closed(proposal_id id) const;
@@ -35,9 +35,10 @@
     std::vector<proposal_id> pending_of(const settings::setting_path& versioned_root) const;
 
 private:
-    std::size_t m_max_closed;
+    table_limits m_closed_limits;
     pending_container m_pending;
     std::deque<proposal> m_closed;
+    base::byte_count m_closed_size;
 };
 
 } // namespace damaskladder::control
--- a/src/control/reply_cache.hpp
+++ b/src/control/reply_cache.hpp
@@ -2,8 +2,9 @@
 
 #include "base/change_id.hpp"
 #include "control/cached_reply.hpp"
+#include "control/row_size.hpp"
+#include "control/table_limits.hpp"
 
-#include <cstddef>
 #include <deque>
 #include <unordered_map>
 #include <utility>
@@ -14,7 +15,7 @@
 /// A resend after that is evaluated again and gets a conflict, since it is based on an old version.
 class reply_cache {
 public:
-    explicit reply_cache(std::size_t max_cached_replies) : m_max_replies(max_cached_replies) {}
+    explicit reply_cache(const table_limits& limits) : m_limits(limits) {}
 
     const cached_reply* find(const base::change_id& change) const
     {
@@ -24,14 +25,18 @@
 
     void insert(cached_reply cached)
     {
-        auto change = cached.change;
-        if (!m_replies.insert_or_assign(change, std::move(cached)).second) {
-            return;
+        const auto change = cached.change;
+        m_size += row_size(cached);
+        const auto [place, is_new] = m_replies.try_emplace(change);
+        if (is_new) {
+            m_order.push_back(change);
         }
-        m_order.push_back(change);
-        while (m_order.size() > m_max_replies) {
-            m_replies.erase(m_order.front());
-            m_order.pop_front();
+        else {
+            m_size -= row_size(place->second);
+        }
+        place->second = std::move(cached);
+        while (m_limits.exceeded_by(m_order.size(), m_size)) {
+            drop_oldest();
         }
     }
 
@@ -39,7 +44,16 @@
     const std::deque<base::change_id>& order() const { return m_order; }
 
 private:
-    std::size_t m_max_replies;
+    void drop_oldest()
+    {
+        const auto oldest = m_replies.find(m_order.front());
+        m_size -= row_size(oldest->second);
+        m_replies.erase(oldest);
+        m_order.pop_front();
+    }
+
+    table_limits m_limits;
+    base::byte_count m_size;
     std::unordered_map<base::change_id, cached_reply> m_replies;
     std::deque<base::change_id> m_order;
 };
--- a/src/control/settings_history.cpp
+++ b/src/control/settings_history.cpp
@@ -1,5 +1,7 @@
 #include "control/settings_history.hpp"
 
+#include "control/row_size.hpp"
+
 #include <algorithm>
 #include <compare>
 #include <optional>
@@ -57,9 +59,9 @@
 void settings_history::append(version_record record)
 {
     m_versions[record.versioned_root] = record.version;
-    m_change_count += record.diff.changes.size();
+    m_size += row_size(record);
     m_records.push_back(std::move(record));
-    while (m_records.size() > m_max_records || m_change_count > m_max_changes) {
+    while (m_limits.exceeded_by(m_records.size(), m_size)) {
         drop_oldest();
     }
 }
@@ -103,7 +105,7 @@
                                base::settings_version last_dropped_version)
 {
     m_records.clear();
-    m_change_count = 0;
+    m_size = {};
     m_last_dropped_version = last_dropped_version;
     for (auto& record : records) {
         append(std::move(record));
@@ -113,7 +115,7 @@
 
 void settings_history::drop_oldest()
 {
-    m_change_count -= m_records.front().diff.changes.size();
+    m_size -= row_size(m_records.front());
     m_last_dropped_version = m_records.front().version;
     m_records.pop_front();
 }
--- a/src/control/settings_history.hpp
+++ b/src/control/settings_history.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "base/settings_version.hpp"
+#include "control/table_limits.hpp"
 #include "control/version_difference.hpp"
 #include "control/version_record.hpp"
 #include "settings/setting_path.hpp"
 
-#include <cstddef>
 #include <deque>
 #include <map>
 #include <vector>
@@ -19,10 +19,7 @@
 /// would cause each other needless conflicts.
 class settings_history {
 public:
-    settings_history(std::size_t max_records, std::size_t max_changes)
-        : m_max_records(max_records), m_max_changes(max_changes)
-    {
-    }
+    explicit settings_history(const table_limits& limits) : m_limits(limits) {}
 
     void append(version_record record);
 
@@ -50,10 +47,9 @@
 private:
     void drop_oldest();
 
-    std::size_t m_max_records;
-    std::size_t m_max_changes;
-    std::size_t m_change_count = 0;
+    table_limits m_limits;
     std::deque<version_record> m_records;
+    base::byte_count m_size;
     std::map<settings::setting_path, base::settings_version> m_versions;
     base::settings_version m_last_dropped_version;
 };
--- a/src/control/state_machine_test.cpp
+++ b/src/control/state_machine_test.cpp
@@ -212,9 +212,9 @@
 TEST(state_machine, keeps_its_tables_bounded)
 {
     state_options options;
-    options.max_history = 3;
-    options.max_cached_replies = 4;
-    options.max_audit_records = 5;
+    options.history.max_rows = 3;
+    options.cached_replies.max_rows = 4;
+    options.audit_records.max_rows = 5;
     options.max_pending_proposals = 1;
     options.max_credentials = 2;
     log_driver driver(options);
@@ -256,6 +256,118 @@
     EXPECT_EQ(restored.snapshot(), machine.snapshot());
 }
 
+constexpr std::int64_t table_size = 128 << 10;
+constexpr int large_routes = 200;
+
+/// Replaces the routes of team a by large_routes routes with this time-out, or by none.
+change_settings set_routes(log_driver& driver, const std::string& change, int timeout_ms)
+{
+    settings::setting_tree tree;
+    for (int i = 0; timeout_ms > 0 && i < large_routes; ++i) {
+        const auto name = "r" + std::to_string(i);
+        const auto route = path_of("teams/a/routes/" + name);
+        tree.set(route, settings::field_name("prefix"), settings::field_value("/" + name));
+        tree.set(route, settings::field_name("service"), settings::field_value("files"));
+        tree.set(route, settings::field_name("idempotent"), settings::field_value("yes"));
+        tree.set(route, settings::field_name("open"), settings::field_value("yes"));
+        tree.set(route, settings::field_name("timeout"),
+                 settings::field_value(std::to_string(timeout_ms) + "ms"));
+    }
+    const auto routes = path_of("teams/a/routes");
+    return {header(change), routes, driver.machine.version_of(routes), tree};
+}
+
+propose_settings propose_routes(log_driver& driver, const std::string& change, int timeout_ms)
+{
+    const auto wanted = set_routes(driver, change, timeout_ms);
+    propose_settings proposed;
+    proposed.header = wanted.header;
+    proposed.subtree = wanted.subtree;
+    proposed.based_on = wanted.based_on;
+    proposed.edit = wanted.edit;
+    return proposed;
+}
+
+struct large_row_case {
+    const char* name;
+    /// Applies the i-th command; returns its verdict.
+    change_verdict (*step)(log_driver&, int i);
+    /// Verdict of the first and of the last step.
+    change_verdict first;
+    change_verdict last;
+};
+
+void PrintTo(const large_row_case& value, std::ostream* out)
+{
+    *out << value.name;
+}
+
+class large_rows : public testing::TestWithParam<large_row_case> {};
+
+// Guards against a replica that runs out of memory because tables of the replicated state were
+// bounded by a number of rows or changes, whatever their size.
+TEST_P(large_rows, are_bounded_by_size)
+{
+    state_options options;
+    const table_limits limits{10'000, base::byte_count(table_size)};
+    options.history = limits;
+    options.cached_replies = limits;
+    options.audit_records = limits;
+    options.closed_proposals = limits;
+    options.max_pending_proposals_size = base::byte_count(table_size);
+    log_driver driver(options);
+    driver.apply(grant("g1", "mara", credential_role::admin, ""));
+    driver.change(set_routes(driver, "first", 1));
+    constexpr int steps = 400;
+    for (int i = 0; i < steps; ++i) {
+        const auto verdict = GetParam().step(driver, i);
+        EXPECT_EQ(verdict, i == 0 ? GetParam().first : verdict);
+        EXPECT_EQ(verdict, i == steps - 1 ? GetParam().last : verdict);
+    }
+    // A row may exceed the limit alone, and the stored form has more bytes than the text.
+    constexpr std::size_t bound = 6 * table_size;
+    EXPECT_LE(driver.machine.snapshot().size(), bound);
+    EXPECT_EQ(driver.machine.audit().verify(), std::nullopt);
+    state_machine restored(options);
+    ASSERT_TRUE(restore(restored, driver.machine.snapshot()));
+    EXPECT_EQ(restored.snapshot(), driver.machine.snapshot());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, large_rows,
+    testing::Values(
+        large_row_case{"history_and_audit",
+                       [](log_driver& driver, int i) {
+                           const auto change = "c" + std::to_string(i);
+                           return driver.change(set_routes(driver, change, i % 2)).verdict;
+                       },
+                       change_verdict::accepted, change_verdict::accepted},
+        large_row_case{"replies_to_conflicts",
+                       [](log_driver& driver, int i) {
+                           auto stale = set_routes(driver, "c" + std::to_string(i), 2);
+                           stale.based_on = base::settings_version(1);
+                           return driver.change(stale).verdict;
+                       },
+                       change_verdict::conflict, change_verdict::conflict},
+        large_row_case{"pending_proposals",
+                       [](log_driver& driver, int i) {
+                           const auto change = "p" + std::to_string(i);
+                           return driver.change(propose_routes(driver, change, 2)).verdict;
+                       },
+                       change_verdict::pending, change_verdict::too_many},
+        large_row_case{"closed_proposals",
+                       [](log_driver& driver, int i) {
+                           const auto change = std::to_string(i);
+                           refuse_proposal refusal;
+                           refusal.proposal =
+                               driver.change(propose_routes(driver, "p" + change, 2)).proposal;
+                           refusal.header = header("r" + change);
+                           refusal.reason = "not now";
+                           return driver.change(refusal).verdict;
+                       },
+                       change_verdict::accepted, change_verdict::accepted}),
+    [](const auto& each) { return std::string(each.param.name); });
+
 // Damaged snapshots must neither crash a replica nor be restored partially: truncation at every
 // length and 3,000 random mutations.
 TEST(state_machine, refuses_damaged_snapshots)
--- a/src/control/state_options.hpp
+++ b/src/control/state_options.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "base/byte_count.hpp"
 #include "base/time.hpp"
+#include "control/table_limits.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -19,18 +21,18 @@
     std::size_t max_released_attempts = 16;
     std::size_t max_credentials = 2'000;
     std::size_t max_pending_proposals = 500;
+    /// Total row_size of the pending proposals, above which further ones are refused.
+    base::byte_count max_pending_proposals_size{16 << 20};
     /// Closed proposals kept for queries.
-    std::size_t max_closed_proposals = 500;
+    table_limits closed_proposals{500, base::byte_count(16 << 20)};
     /// Field changes per command.
     std::size_t max_changes_per_command = 20'000;
     /// Versions kept with their differences: three days at 3,500 changes a day.
-    std::size_t max_history = 10'000;
-    /// Field changes kept in the history; bounds its memory after large imports.
-    std::size_t max_history_changes = 100'000;
+    table_limits history{10'000, base::byte_count(16 << 20)};
     /// Replies kept for resends: three days at 3,500 changes a day.
-    std::size_t max_cached_replies = 10'000;
+    table_limits cached_replies{10'000, base::byte_count(16 << 20)};
     /// Audit records kept in the state; older ones remain in the audit files on the control VMs.
-    std::size_t max_audit_records = 50'000;
+    table_limits audit_records{50'000, base::byte_count(16 << 20)};
 };
 
 } // namespace damaskladder::control
