Routes: a prefix that ends with a slash needs it

Cause: two places decided by different rules. The translation of a config dropped the final slash of a prefix, because the settings tree refused it; the match of the settings tree goes by whole parts of a path, so that /shop/orders matches itself. The platform's rule is that the prefix begins the path. Ruled out: a second match elsewhere. Only the entry node matches paths (compiled_settings::match_route); the gatekeeper gets the route by its id. The uniqueness of prefixes compares their text and so tells /shop and /shop/ apart. Change: the settings tree takes a prefix with a final slash, which then does not match the path without it. A prefix without one means what it did. The random comparison with a scan has prefixes and paths with final slashes now. Limits: nodes of an older version skip a route with such a prefix, and a config stored by one keeps its prefixes without the slash until the next change: update all VMs before changing the config.

--- a/src/settings/compiled_settings.cpp
+++ b/src/settings/compiled_settings.cpp
@@ -63,6 +63,13 @@
     return ids;
 }
 
+/// Whether the first `length` characters of a path, at least one, end with a part or with the slash
+/// behind it.
+bool ends_at_part(std::string_view path, std::size_t length)
+{
+    return length == path.size() || path[length] == '/' || path[length - 1] == '/';
+}
+
 } // namespace
 
 std::shared_ptr<const compiled_settings> compiled_settings::compile(const setting_tree& tree)
@@ -99,20 +106,16 @@
     }
     const auto& by_prefix = host_routes->second;
     auto length = std::min(path.size(), m_longest_prefix);
-    // Moves back to the end of a complete part.
-    while (length > 0 && length < path.size() && path[length] != '/') {
-        --length;
-    }
-    while (length > 0) {
+    for (; length > 0; --length) {
+        if (!ends_at_part(path, length)) {
+            continue;
+        }
         auto found = by_prefix.find(path.substr(0, length));
         if (found != by_prefix.end()) {
             return found->second;
         }
-        auto slash = path.rfind('/', length - 1);
-        length = slash == std::string_view::npos ? 0 : slash;
     }
-    auto root = by_prefix.find("/");
-    return root == by_prefix.end() ? nullptr : root->second;
+    return nullptr;
 }
 
 const route_settings* compiled_settings::find_route(const base::route_id& id) const
--- a/src/settings/compiled_settings_test.cpp
+++ b/src/settings/compiled_settings_test.cpp
@@ -50,6 +50,42 @@
         match_case{"/payments/calendar/%2f..%2f1", ""}, match_case{"/payments/calendar\\..\\1", ""},
         match_case{"/payments/calendar/...", calendar}));
 
+struct slash_case {
+    const char* path;
+    /// Prefix of the route; null if no route matches.
+    const char* prefix;
+};
+
+class slash_match : public testing::TestWithParam<slash_case> {};
+
+// Guards against a request that is run by the service of a longer prefix because the final slash of
+// that prefix does not count.
+TEST_P(slash_match, needs_the_final_slash_of_a_prefix)
+{
+    setting_tree tree;
+    int routes = 0;
+    for (const char* prefix : {"/shop/", "/shop/orders/", "/fair", "/fair/", "/files/new/"}) {
+        const auto route = *setting_path::parse("teams/t/routes/r" + std::to_string(++routes));
+        tree.set(route, field_name("prefix"), field_value(prefix));
+        tree.set(route, field_name("service"), field_value("s"));
+    }
+    const auto compiled = compiled_settings::compile(tree);
+    const auto* route = compiled->match_route(GetParam().path);
+    ASSERT_EQ(route != nullptr, GetParam().prefix != nullptr);
+    EXPECT_TRUE(route == nullptr || route->prefix.value() == GetParam().prefix);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, slash_match,
+    testing::Values(slash_case{"/shop/orders", "/shop/"},
+                    slash_case{"/shop/orders/", "/shop/orders/"},
+                    slash_case{"/shop/orders/7", "/shop/orders/"},
+                    slash_case{"/shop/ordersx", "/shop/"}, slash_case{"/shop/", "/shop/"},
+                    slash_case{"/shop", nullptr}, slash_case{"/shop//orders/", "/shop/"},
+                    slash_case{"/fair", "/fair"}, slash_case{"/fair/", "/fair/"},
+                    slash_case{"/fair/1", "/fair/"}, slash_case{"/fairs", nullptr},
+                    slash_case{"/files/new", nullptr}, slash_case{"/", nullptr}));
+
 // Guards against values that lose their unit in the compilation.
 TEST(compiled_settings, holds_typed_values)
 {
@@ -100,17 +136,19 @@
         setting_tree tree;
         for (int i = 0; i < 15; ++i) {
             auto path = *setting_path::parse("teams/t/routes/r" + std::to_string(i));
-            auto prefix = i == 0 ? std::string("/") : random_path(random);
+            auto prefix =
+                i == 0 ? std::string("/") : random_path(random) + (random() % 2 == 0 ? "/" : "");
             tree.set(path, field_name("prefix"), field_value(prefix));
             tree.set(path, field_name("service"), field_value("s"));
         }
         auto compiled = compiled_settings::compile(tree);
         for (int i = 0; i < 20; ++i) {
-            auto path = random_path(random);
+            auto path = random_path(random) + (random() % 2 == 0 ? "/" : "");
             std::string longest_match = "/";
             for (const auto& route : compiled->routes()) {
                 const auto& prefix = route.prefix.value();
-                bool matches = path == prefix || path.starts_with(prefix + "/");
+                bool matches = path == prefix ||
+                               path.starts_with(prefix.ends_with('/') ? prefix : prefix + "/");
                 longest_match =
                     matches && prefix.size() > longest_match.size() ? prefix : longest_match;
             }
--- a/src/settings/value_parsers.cpp
+++ b/src/settings/value_parsers.cpp
@@ -295,8 +295,8 @@
     if (text.empty() || text.front() != '/') {
         return false;
     }
-    if (text == "/") {
-        return true;
+    if (text.ends_with('/')) {
+        text.remove_suffix(1);
     }
     while (!text.empty()) {
         text.remove_prefix(1);
