Membership: what a node has confirmed about the end of a run outlives its restart

Cause: announcement_registry keeps ended and draining runs in the memory of one process. A node without a disk has nowhere else to keep them, and it took the first message after its restart for the run's newest. Ruled out: refusing unknown runs for a while after a start (delays service at each restart, and a message can be later still); a status check of the server (it may answer 200 until it exits); an entry of the replicated log for each drain (needs a leader where the other members of the group suffice). Change: the record of a node names the runs that were withdrawn or drain (at most 8), and its tombstone keeps them. They are sent on before the confirmation is given. A member that hears of a later run of the node's process returns the earlier record: the seeds at the join, and the node's observers, which have the newest one. The node then refuses late messages of these runs and ends a lease that one of them has obtained meanwhile. A node that has left the fleet no longer confirms an end (503), as nobody would keep it. Event run_endings_recovered. Looked at for the same cause: keys, configs and claims are entries of the replicated log, leases of rates abstain after a restart, and a drain named in an answer takes the same way now. Limits: nobody acknowledges the copy, so a loss of power within the round trip forgets it; so does a restart of all members of the group at once. A group with one member keeps nothing.

--- a/src/daemon/local_api.cpp
+++ b/src/daemon/local_api.cpp
@@ -31,6 +31,8 @@
         return not_found;
     case membership::announce_verdict::outdated:
         return conflict;
+    case membership::announce_verdict::leaving:
+        return unavailable;
     case membership::announce_verdict::invalid:
     case membership::announce_verdict::too_many:
         break;
--- a/src/daemon/node_host.cpp
+++ b/src/daemon/node_host.cpp
@@ -87,7 +87,7 @@
 {
     const auto now = http::event_loop::now();
     if (m_announcements.expire(now)) {
-        perform(m_membership.set_backends(m_announcements.backends(), now));
+        publish_backends(now);
         m_view_stale = true;
     }
     perform(m_membership.tick(now));
@@ -105,6 +105,20 @@
                         send.body);
     }
     m_view_stale = m_view_stale || effects.view_changed;
+    if (!effects.recovered_endings.empty()) {
+        const auto now = http::event_loop::now();
+        m_announcements.recover(effects.recovered_endings, now);
+        m_view_stale = true;
+        log(log_level::info, "run_endings_recovered",
+            {{"count", std::to_string(effects.recovered_endings.size())}});
+        publish_backends(now);
+    }
+}
+
+void node_host::publish_backends(base::time_point now)
+{
+    perform(
+        m_membership.set_backends(m_announcements.backends(), now, m_announcements.endings(now)));
 }
 
 void node_host::set_settings(std::shared_ptr<const settings::compiled_settings> settings)
@@ -138,15 +152,17 @@
         verdict = m_announcements.drain(offer.service, offer.port, offer.credential);
         break;
     }
-    perform(m_membership.set_backends(m_announcements.backends(), now));
+    publish_backends(now);
     publish();
-    return verdict;
+    const bool ends_run = wanted != local_api::action::announce || offer.draining;
+    const bool left = m_membership.self().status == membership::member_status::left;
+    return ends_run && left ? membership::announce_verdict::leaving : verdict;
 }
 
 void node_host::drain_run(const base::instance_id& run)
 {
     if (m_announcements.drain_run(run)) {
-        perform(m_membership.set_backends(m_announcements.backends(), http::event_loop::now()));
+        publish_backends(http::event_loop::now());
         publish();
     }
 }
--- a/src/daemon/node_host.hpp
+++ b/src/daemon/node_host.hpp
@@ -55,6 +55,8 @@
 private:
     void tick();
     void perform(const membership::effects& effects);
+    /// Publishes the announced backend servers to the fleet.
+    void publish_backends(base::time_point now);
     void publish();
     void update_nearby_relays();
     /// Logs the numbers of known backend servers if they have changed.
--- a/src/membership/announce_verdict.cpp
+++ b/src/membership/announce_verdict.cpp
@@ -17,6 +17,8 @@
         return "unknown";
     case announce_verdict::outdated:
         return "outdated";
+    case announce_verdict::leaving:
+        return "leaving";
     }
     return "unknown";
 }
--- a/src/membership/announce_verdict.hpp
+++ b/src/membership/announce_verdict.hpp
@@ -18,6 +18,8 @@
     /// The message arrived after a newer one of the same run, after the end of its run, or after a
     /// message of a later run at this port.
     outdated,
+    /// The node is leaving the fleet, so nobody would remember the end of the run.
+    leaving,
 };
 
 /// Stable lower-case name.
--- a/src/membership/announced_run_test.cpp
+++ b/src/membership/announced_run_test.cpp
@@ -187,5 +187,86 @@
                              "i1"}),
     [](const auto& test) { return test.param.name; });
 
+struct recovery_case {
+    std::string name;
+    /// Before the restart.
+    std::vector<run_step> before;
+    /// After the restart and before the endings are recovered.
+    std::vector<run_step> early;
+    std::vector<run_step> after;
+    std::string announced;
+};
+
+void apply(announcement_registry& leases, const std::vector<run_step>& steps, base::time_point& now)
+{
+    for (const auto& step : steps) {
+        now += step.after;
+        const auto offer = offer_of(step);
+        const auto verdict = step.kind == step_kind::announce ? leases.announce(offer, now)
+                                                              : leases.withdraw(offer, now);
+        EXPECT_EQ(verdict, step.verdict) << step.instance << ' ' << step.position.sequence;
+    }
+}
+
+class recovered_runs : public testing::TestWithParam<recovery_case> {};
+
+// Guards against a server that left, or drains, and is in use again because its node has restarted.
+TEST_P(recovered_runs, stay_ended)
+{
+    announcement_options options;
+    options.may_announce = [](const auto&, const auto&) { return true; };
+    base::time_point now;
+    announcement_registry first(options);
+    apply(first, GetParam().before, now);
+    announcement_registry restarted(options);
+    apply(restarted, GetParam().early, now);
+    restarted.recover(first.endings(now), now);
+    apply(restarted, GetParam().after, now);
+    EXPECT_EQ(announced(restarted), GetParam().announced);
+    announcement_registry again(options);
+    again.recover(restarted.endings(now), now);
+    EXPECT_EQ(again.endings(now).size(), restarted.endings(now).size());
+}
+
+const std::vector<run_step> left = {{announce, "i1", {10, 4}}, {withdraw, "i1", {10, 6}}};
+const std::vector<run_step> drains = {{announce, "i1", {10, 4}}, {announce, "i1", {10, 6}, true}};
+
+INSTANTIATE_TEST_SUITE_P(
+    table, recovered_runs,
+    testing::Values(
+        recovery_case{
+            "late_after_withdrawal", left, {}, {{announce, "i1", {10, 5}, false, outdated}}, ""},
+        recovery_case{"late_before_the_endings_are_back",
+                      left,
+                      {{announce, "i1", {10, 5}}},
+                      {{announce, "i1", {10, 5}, false, outdated}},
+                      ""},
+        recovery_case{"started_again_under_its_name", left, {}, {{announce, "i1", {20, 1}}}, "i1"},
+        recovery_case{"started_again_before_the_endings_are_back",
+                      left,
+                      {{announce, "i1", {20, 1}}},
+                      {{announce, "i1", {20, 2}}},
+                      "i1"},
+        recovery_case{"other_run_at_the_port",
+                      left,
+                      {{announce, "i2", {30, 1}}},
+                      {{announce, "i2", {30, 2}}},
+                      "i2"},
+        recovery_case{
+            "late_after_draining", drains, {}, {{announce, "i1", {10, 5}, false, outdated}}, ""},
+        recovery_case{"late_after_draining_before_the_endings_are_back",
+                      drains,
+                      {{announce, "i1", {10, 5}}},
+                      {{announce, "i1", {10, 5}, false, outdated}},
+                      "i1 draining"},
+        recovery_case{"drains_on", drains, {}, {{announce, "i1", {10, 7}}}, "i1 draining"},
+        recovery_case{"withdrawn_after_draining", drains, {}, {{withdraw, "i1", {10, 8}}}, ""},
+        recovery_case{"ready_is_no_ending",
+                      {{announce, "i1", {10, 4}}},
+                      {},
+                      {{announce, "i1", {10, 5}}},
+                      "i1"}),
+    [](const auto& test) { return test.param.name; });
+
 } // namespace
 } // namespace damaskladder::membership
--- a/src/membership/announcement_registry.cpp
+++ b/src/membership/announcement_registry.cpp
@@ -167,6 +167,57 @@
     return std::erase_if(m_leases, [&](const lease& held) { return held.ends <= now; }) > 0;
 }
 
+std::vector<run_ending> announcement_registry::endings(base::time_point now) const
+{
+    std::vector<run_ending> all;
+    for (const remembered_run& run : m_remembered) {
+        const bool is_leased =
+            std::any_of(m_leases.begin(), m_leases.end(), [&](const lease& held) {
+                return held.backend.instance == run.instance &&
+                       held.position.started_ms == run.position.started_ms;
+            });
+        if (run.forget_at > now && !is_leased && (run.withdrawn || run.draining)) {
+            all.push_back({run.instance, run.position, run.withdrawn});
+        }
+    }
+    for (const lease& held : m_leases) {
+        if (held.backend.draining && held.backend.instance != base::instance_id()) {
+            all.push_back({held.backend.instance, held.position, false});
+        }
+    }
+    return all;
+}
+
+void announcement_registry::recover(const std::vector<run_ending>& endings, base::time_point now)
+{
+    for (const run_ending& ending : endings) {
+        const auto is_same_run = [&](const auto& instance, const run_position& latest) {
+            return instance == ending.instance && latest.started_ms == ending.position.started_ms;
+        };
+        remembered_run run{.instance = ending.instance,
+                           .position = ending.position,
+                           .withdrawn = ending.withdrawn,
+                           .draining = !ending.withdrawn};
+        for (const remembered_run& known : m_remembered) {
+            if (is_same_run(known.instance, known.position)) {
+                run.position = std::max(run.position, known.position);
+                run.withdrawn = run.withdrawn || known.withdrawn;
+                run.draining = run.draining || known.draining;
+            }
+        }
+        std::erase_if(m_leases, [&](const lease& held) {
+            return run.withdrawn && is_same_run(held.backend.instance, held.position);
+        });
+        for (lease& held : m_leases) {
+            if (is_same_run(held.backend.instance, held.position)) {
+                held.backend.draining = true;
+                held.position = std::max(held.position, run.position);
+            }
+        }
+        remember(std::move(run), now);
+    }
+}
+
 void announcement_registry::remember(remembered_run run, base::time_point now)
 {
     std::erase_if(m_remembered, [&](const remembered_run& known) {
--- a/src/membership/announcement_registry.hpp
+++ b/src/membership/announcement_registry.hpp
@@ -8,6 +8,7 @@
 #include "membership/announcement_options.hpp"
 #include "membership/backend_server.hpp"
 #include "membership/remembered_run.hpp"
+#include "membership/run_ending.hpp"
 
 #include <vector>
 
@@ -46,6 +47,12 @@
     /// Removes expired leases. Returns true if there was one.
     bool expire(base::time_point now);
 
+    /// Runs that were withdrawn or drain, newest last, for `recover` after a restart.
+    std::vector<run_ending> endings(base::time_point now) const;
+    /// Takes back endings that were confirmed before the node restarted: late messages of these
+    /// runs are outdated, and a lease that such a message has obtained meanwhile ends or drains.
+    void recover(const std::vector<run_ending>& endings, base::time_point now);
+
     /// Announced backend servers, ordered by service and port.
     std::vector<backend_server> backends() const;
 
--- a/src/membership/fake_fleet_test.hpp
+++ b/src/membership/fake_fleet_test.hpp
@@ -54,6 +54,7 @@
     std::map<base::node_id, traffic> sent;
     std::map<base::node_id, traffic> received;
     base::time_point now{};
+    std::map<base::node_id, std::vector<run_ending>> recovered_endings;
 
     membership_node& start(const base::node_id& name, const std::string& domain,
                            std::uint64_t incarnation)
@@ -118,6 +119,9 @@
 
     void perform(const base::node_id& from, effects result)
     {
+        auto& recovered = recovered_endings[from];
+        recovered.insert(recovered.end(), result.recovered_endings.begin(),
+                         result.recovered_endings.end());
         for (send& item : result.sends) {
             const std::string& address = item.to.address.value();
             const base::node_id to(address.substr(0, address.find(':')));
--- a/src/membership/member_record.hpp
+++ b/src/membership/member_record.hpp
@@ -9,6 +9,7 @@
 #include "membership/load_level.hpp"
 #include "membership/member_status.hpp"
 #include "membership/record_version.hpp"
+#include "membership/run_ending.hpp"
 #include "membership/table_digest.hpp"
 
 #include <vector>
@@ -30,6 +31,8 @@
     /// Failure domain of the node's VM if `domain` stands for a group of failure domains; otherwise
     /// empty.
     base::failure_domain_id vm_domain = {};
+    /// Kept in a tombstone.
+    std::vector<run_ending> run_endings = {};
 
     /// Failure domain of the node's VM.
     const base::failure_domain_id& location() const
--- a/src/membership/membership_limits.hpp
+++ b/src/membership/membership_limits.hpp
@@ -10,6 +10,8 @@
     std::size_t members_per_domain = 2'048;
     std::size_t failure_domains = 32;
     std::size_t backends_per_node = 8;
+    /// Ended or draining runs that other nodes keep for a node; the oldest are dropped.
+    std::size_t run_endings_per_node = 8;
     /// Length of an id or address in bytes.
     std::size_t text_length = 128;
     /// Records in one message. Keeps messages smaller than 16 KiB.
--- a/src/membership/membership_node.cpp
+++ b/src/membership/membership_node.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -111,15 +112,26 @@
     return finish_event();
 }
 
-effects membership_node::set_backends(std::vector<backend_server> backends, base::time_point now)
+effects membership_node::set_backends(std::vector<backend_server> backends, base::time_point now,
+                                      std::vector<run_ending> endings)
 {
     begin_event(now);
     if (backends.size() > m_options.limits.backends_per_node) {
         backends.resize(m_options.limits.backends_per_node);
     }
-    if (!m_left && backends != m_self.backends) {
+    const auto max_endings = m_options.limits.run_endings_per_node;
+    if (endings.size() > max_endings) {
+        endings.erase(endings.begin(), endings.end() - static_cast<std::ptrdiff_t>(max_endings));
+    }
+    const bool new_endings = endings != m_self.run_endings;
+    if (!m_left && (backends != m_self.backends || new_endings)) {
         m_self.backends = std::move(backends);
+        m_self.run_endings = std::move(endings);
         publish_self(m_self.incarnation);
+        if (new_endings) {
+            // The caller confirms the ending next, and other nodes must know it by then.
+            send_urgent();
+        }
     }
     return finish_event();
 }
@@ -199,8 +211,9 @@
         refresh_rings();
         refresh_view();
     }
-    effects result{std::move(m_sends), m_view_changed};
+    effects result{std::move(m_sends), m_view_changed, std::move(m_recovered_endings)};
     m_sends.clear();
+    m_recovered_endings.clear();
     m_view_changed = false;
     return result;
 }
@@ -277,6 +290,9 @@
         }
         return;
     }
+    if (const member_record* earlier = m_table.find(joiner.node)) {
+        return_endings(*earlier, joiner);
+    }
     merge_record(from, joiner);
     const bool joiner_knows_self =
         body.forwarded && !body.alone && m_table.find_alive(joiner.node) != nullptr;
@@ -285,6 +301,13 @@
     }
 }
 
+void membership_node::return_endings(const member_record& earlier, const member_record& restarted)
+{
+    if (!earlier.run_endings.empty() && earlier.run_endings != restarted.run_endings) {
+        send_records({restarted.node, restarted.messages}, {earlier});
+    }
+}
+
 void membership_node::handle(const base::node_id& /*from*/, const domain_hello& body)
 {
     m_domains.handle(body, context());
@@ -354,6 +377,10 @@
     if (verdict == merge_verdict::ignored || verdict == merge_verdict::refused_full) {
         return;
     }
+    if (before.has_value() && before->incarnation < record.incarnation && observes(record.node)) {
+        // The seed that the node has joined through may not have had its last update yet.
+        return_endings(*before, record);
+    }
     m_view_stale = true;
     m_domains.member_changed(before.has_value() ? &*before : nullptr, record, context());
     m_pending_tombstones.discard(record.node);
@@ -376,6 +403,12 @@
     }
 }
 
+bool membership_node::observes(const base::node_id& node) const
+{
+    const auto& observers = m_rings.observers_of(node);
+    return std::find(observers.begin(), observers.end(), m_self.node) != observers.end();
+}
+
 void membership_node::merge_synced_record(const base::node_id& from, const member_record& record)
 {
     const member_record* alive = m_table.find_alive(record.node);
@@ -393,6 +426,11 @@
 
 void membership_node::check_own_record(const base::node_id& from, const member_record& record)
 {
+    const auto& known = m_self.run_endings;
+    std::copy_if(record.run_endings.begin(), record.run_endings.end(),
+                 std::back_inserter(m_recovered_endings), [&](const run_ending& ending) {
+                     return std::find(known.begin(), known.end(), ending) == known.end();
+                 });
     const bool same_order =
         record.incarnation == m_self.incarnation && record.version == m_self.version;
     const bool from_other_run = same_order && record != m_self;
--- a/src/membership/membership_node.hpp
+++ b/src/membership/membership_node.hpp
@@ -45,8 +45,11 @@
     /// the limits.
     effects receive(const base::node_id& from, const message& body, base::time_point now);
 
-    /// Publishes the backend servers of this VM. Servers beyond backends_per_node are left out.
-    effects set_backends(std::vector<backend_server> backends, base::time_point now);
+    /// Publishes the backend servers of this VM, and the endings of their runs for other nodes to
+    /// keep, newest last. Servers beyond backends_per_node and the oldest endings beyond
+    /// run_endings_per_node are left out.
+    effects set_backends(std::vector<backend_server> backends, base::time_point now,
+                         std::vector<run_ending> endings = {});
     /// Publishes the load level. Changes within load_interval are delayed, and only the last one is
     /// published.
     effects set_load(load_level load, base::time_point now);
@@ -90,6 +93,10 @@
     void merge_record(const base::node_id& from, const member_record& record);
     void merge_synced_record(const base::node_id& from, const member_record& record);
     void check_own_record(const base::node_id& from, const member_record& record);
+    /// Returns to a node that has restarted what it had published before.
+    void return_endings(const member_record& earlier, const member_record& restarted);
+    /// Whether this node is an observer of the other one.
+    bool observes(const base::node_id& node) const;
     void handle_suspicion(const base::node_id& from, const observer_vote& body);
     void publish_self(base::incarnation incarnation);
     void refute();
@@ -147,6 +154,7 @@
     /// Sender of the message that is being handled; this node outside of receive().
     base::node_id m_source;
     std::vector<send> m_sends;
+    std::vector<run_ending> m_recovered_endings;
     /// True while merged records must not be forwarded.
     bool m_suppress_forwarding = false;
     base::time_point m_suppress_forwarding_until{};
--- a/src/membership/membership_node_test.cpp
+++ b/src/membership/membership_node_test.cpp
@@ -7,6 +7,56 @@
 namespace damaskladder::membership {
 namespace {
 
+struct restart_case {
+    std::string name;
+    std::size_t nodes;
+    /// Time from the confirmation to the kill, and from the kill to the restart.
+    base::duration killed_after;
+    base::duration down;
+    std::uint64_t incarnation;
+};
+
+class restarted_nodes : public testing::TestWithParam<restart_case> {};
+
+// Guards against a node that restarts right after it has confirmed the end of a backend server's
+// run and then takes a late message for the server's newest.
+TEST_P(restarted_nodes, get_back_the_endings_that_they_confirmed)
+{
+    const run_ending ending{base::instance_id("i1"), {10, 5}, true};
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        fake_fleet fleet(seed);
+        start_domain(fleet, GetParam().nodes);
+        fleet.run(5s);
+        const auto name = node_name(GetParam().nodes - 1);
+        fleet.announce(name, "advice");
+        fleet.perform(name, fleet.at(name).set_backends({}, fleet.now, {ending}));
+        fleet.run(GetParam().killed_after);
+        fleet.kill(name);
+        fleet.run(GetParam().down);
+        fleet.recovered_endings.clear();
+        fleet.start(name, "d1", GetParam().incarnation);
+        fleet.run(1s);
+        ASSERT_FALSE(fleet.recovered_endings[name].empty()) << "seed " << seed;
+        EXPECT_EQ(fleet.recovered_endings[name].front(), ending);
+        // Published again, the endings must not be reported over and over.
+        fleet.perform(name, fleet.at(name).set_backends({}, fleet.now, {ending}));
+        fleet.run(1s);
+        fleet.recovered_endings.clear();
+        fleet.run(5s);
+        EXPECT_TRUE(fleet.recovered_endings[name].empty()) << "seed " << seed;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, restarted_nodes,
+    testing::Values(restart_case{"at_once", 40, 5ms, 0s, 101},
+                    restart_case{"two_nodes", 2, 5ms, 500ms, 101},
+                    restart_case{"within_the_same_second", 40, 5ms, 100ms, 100},
+                    restart_case{"with_clock_set_back", 40, 5ms, 500ms, 50},
+                    restart_case{"after_its_death_is_known", 40, 5ms, 10s, 111},
+                    restart_case{"after_its_death_is_known_with_clock_set_back", 40, 5ms, 10s, 50}),
+    [](const auto& test) { return test.param.name; });
+
 struct fault_case {
     std::string name;
     std::size_t nodes;
--- a/src/membership/message_check.cpp
+++ b/src/membership/message_check.cpp
@@ -75,7 +75,10 @@
                item.traffic.value().size() <= m_limits.text_length &&
                item.backends.size() <= m_limits.backends_per_node &&
                std::all_of(item.backends.begin(), item.backends.end(),
-                           [&](const backend_server& backend) { return valid_backend(backend); });
+                           [&](const backend_server& backend) { return valid_backend(backend); }) &&
+               item.run_endings.size() <= m_limits.run_endings_per_node &&
+               std::all_of(item.run_endings.begin(), item.run_endings.end(),
+                           [&](const run_ending& ending) { return valid_name(ending.instance); });
     }
 
 private:
--- a/src/membership/message_size.cpp
+++ b/src/membership/message_size.cpp
@@ -38,6 +38,13 @@
            size_of_number(static_cast<std::uint64_t>(backend.connections.value())) + 2 * flag_size;
 }
 
+std::int64_t size_of_ending(const run_ending& ending)
+{
+    return 1 + size_of_text(ending.instance.value()) + 1 +
+           size_of_number(ending.position.started_ms) + size_of_number(ending.position.sequence) +
+           flag_size;
+}
+
 std::int64_t size_of_record(const member_record& record)
 {
     std::int64_t size =
@@ -49,6 +56,10 @@
     for (const backend_server& backend : record.backends) {
         size += size_of_backend(backend);
     }
+    size += size_of_number(record.run_endings.size());
+    for (const run_ending& ending : record.run_endings) {
+        size += size_of_ending(ending);
+    }
     return size;
 }
 
