http: a caller that sends on does not keep a closing connection open

Callers would see: connections refused at the limit. A caller that is refused (malformed or too long head, body above the limit) and sends on kept its connection, a descriptor and the reading of it for as long as it sent; seen in a test only. Cause: a closing connection is read until the caller closes or is quiet for 2 s (drain_timeout), and each read counted as activity. Evidence: endless_requests.end_the_connection_that_is_closing, a caller that sends a line each 100 ms: still open after 10 s before. Found while looking for what grows as long as a peer sends (report on bytes without end). Change: reads do not count as activity once the connection is closing, so it ends 2 s after its last answer was sent.

--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -104,7 +104,10 @@
         switch (got.what) {
         case stream_socket::io_result::status::transferred:
             turn.add(got.size);
-            m_last_active = m_owner.loop().woken_at();
+            if (!m_draining) {
+                // A caller that sends on does not keep a connection open that is closing.
+                m_last_active = m_owner.loop().woken_at();
+            }
             parse_input({buffer.data(), got.size});
             break;
         case stream_socket::io_result::status::blocked:
