bus: a peer that sends without end holds neither the loop nor memory

Callers would see: leases, settings and heartbeats of a process that are late, or the process killed for memory, while one peer sends as fast as it is read, or many peers send parts of large messages. Seen in tests only. Bytes on the port of the bus are read before a message can be authenticated, so any process in the network can be that peer. Cause: a connection was read until nothing was left, unlike those of http, and each connection could hold an incomplete message of 8 MiB, whatever the number of connections; its buffer also kept the size of its largest message. Change: connections take turns of 64 KiB as in http (one further turn scheduled at a time, reads of 16 KiB); incomplete messages of all connections hold 32 MiB at most, beyond which the connection that exceeds it is closed; the buffer of a message is released with it.

--- a/src/bus/bus_limits.hpp
+++ b/src/bus/bus_limits.hpp
@@ -11,6 +11,9 @@
 struct bus_limits {
     /// Maximum size of a received message. A connection that announces a larger one is closed.
     base::byte_count message_size{8 * 1024 * 1024};
+    /// Maximum bytes of incomplete messages held for all connections together. A connection whose
+    /// bytes exceed it is closed.
+    base::byte_count incomplete_size{32 * 1024 * 1024};
     /// Maximum bytes queued for one peer; messages that do not fit are dropped. The largest
     /// messages are parts of the settings, of which a few are in flight at a time.
     base::byte_count queue_size{4 * 1024 * 1024};
--- a/src/bus/frame_decoder.cpp
+++ b/src/bus/frame_decoder.cpp
@@ -28,6 +28,10 @@
 {
     m_received.erase(0, m_consumed);
     m_consumed = 0;
+    if (m_received.empty()) {
+        // Releases the memory of a large message.
+        m_received = std::string();
+    }
     m_received += data;
     const auto max = static_cast<std::size_t>(m_max.value());
     std::size_t at = 0;
--- a/src/bus/frame_decoder.hpp
+++ b/src/bus/frame_decoder.hpp
@@ -23,6 +23,9 @@
     /// Returns the next complete message, if there is one.
     std::optional<std::string> next();
 
+    /// Memory held for bytes that are not part of a returned message.
+    std::size_t held_size() const { return m_received.capacity(); }
+
 private:
     base::byte_count m_max;
     std::string m_received;
--- a/src/bus/message_bus.cpp
+++ b/src/bus/message_bus.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t read_size = std::size_t{64} * 1024;
+constexpr std::size_t read_size = std::size_t{16} * 1024;
 
 } // namespace
 
@@ -49,10 +49,23 @@
         return;
     }
     const auto receiver = found->second;
-    if (!receiver->read(events, m_buffer, m_handler)) {
+    const auto held_before = receiver->held_size();
+    const auto result = receiver->read(events, m_buffer, m_handler);
+    m_held = m_held - held_before + receiver->held_size();
+    const bool holds_too_much = m_held > static_cast<std::size_t>(m_limits.incomplete_size.value());
+    if (result == message_receiver::read_result::closed || holds_too_much) {
+        m_held -= receiver->held_size();
         m_loop.unwatch(fd);
         m_receivers.erase(fd);
     }
+    else if (result == message_receiver::read_result::more && !receiver->set_scheduled(true)) {
+        m_loop.post([this, fd, scheduled = std::weak_ptr(receiver)] {
+            if (const auto reading = scheduled.lock()) {
+                reading->set_scheduled(false);
+                read(fd, 0);
+            }
+        });
+    }
 }
 
 void message_bus::send(const std::string& endpoint, std::string_view message)
--- a/src/bus/message_bus.hpp
+++ b/src/bus/message_bus.hpp
@@ -53,6 +53,8 @@
     std::optional<base::time_point> m_next_connect_deadline;
     /// By descriptor.
     std::unordered_map<int, std::shared_ptr<message_receiver>> m_receivers;
+    /// Memory that all receivers hold for incomplete messages.
+    std::size_t m_held = 0;
     std::unordered_map<std::string, std::shared_ptr<message_sender>> m_senders;
 };
 
--- a/src/bus/message_bus_test.cpp
+++ b/src/bus/message_bus_test.cpp
@@ -1,4 +1,7 @@
 #include "damaskladder/bus.hpp"
+#include "http/endless_sender.hpp"
+#include "http/loopback_connection.hpp"
+#include "http/reading_meter.hpp"
 #include "http/run_until.hpp"
 
 #include <arpa/inet.h>
@@ -7,8 +10,11 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <cerrno>
 #include <functional>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace damaskladder::bus {
@@ -153,6 +159,69 @@
     EXPECT_LE(silence, 3);
 }
 
+// Guards against a peer that sends messages as fast as they are read and so holds the control
+// thread: timers do not run and other peers are not heard.
+TEST(message_bus, leaves_time_for_timers_while_a_peer_sends_without_end)
+{
+    http::event_loop loop;
+    http::reading_meter read(loop);
+    message_bus receiver(loop, {}, [&](const std::string& message) { read.add(message.size()); });
+    ASSERT_TRUE(receiver.listen("127.0.0.1:0"));
+    const auto peer = http::connect_to_loopback(receiver.port());
+    http::endless_sender sender;
+    std::string frame;
+    append_frame(frame, std::string(1000, 'a'));
+    std::thread sending([&] { sender.send(peer.get(), {}, frame); });
+    bool due = false;
+    loop.call_at(http::event_loop::now() + milliseconds(20), [&] { due = true; });
+    EXPECT_TRUE(http::run_until(loop, [&] { return due; }));
+    EXPECT_LT(sender.bytes_sent(), http::endless_sender::limit);
+    EXPECT_LE(read.most_in_round(), http::reading_meter::max_in_round);
+    shutdown(peer.get(), SHUT_RDWR);
+    sending.join();
+}
+
+// Guards against memory that grows with the number of peers, each of which sends a part of a large
+// message only.
+TEST(message_bus, bounds_the_incomplete_messages_of_all_peers)
+{
+    bus_limits limits;
+    limits.message_size = base::byte_count(1 << 20);
+    limits.incomplete_size = base::byte_count(3 << 20);
+    http::event_loop loop;
+    std::size_t messages = 0;
+    message_bus receiver(loop, limits, [&](const std::string&) { ++messages; });
+    ASSERT_TRUE(receiver.listen("127.0.0.1:0"));
+    std::string frame;
+    append_frame(frame, std::string(1 << 20, 'a'));
+    const std::string part = frame.substr(0, frame.size() - 1);
+    std::vector<base::file_descriptor> peers;
+    for (int i = 0; i < 8; ++i) {
+        peers.push_back(http::connect_to_loopback(receiver.port()));
+    }
+    std::thread sending([&] {
+        for (const auto& each : peers) {
+            [[maybe_unused]] const auto sent =
+                send(each.get(), part.data(), part.size(), MSG_NOSIGNAL);
+        }
+    });
+    const auto closed = [&] {
+        return std::count_if(peers.begin(), peers.end(), [](const auto& each) {
+            char byte = 0;
+            return recv(each.get(), &byte, 1, MSG_DONTWAIT | MSG_PEEK) >= 0 || errno != EAGAIN;
+        });
+    };
+    EXPECT_TRUE(http::run_until(loop, [&] { return closed() >= 5; }));
+    sending.join();
+    // Those that were not closed can complete their message.
+    EXPECT_TRUE(http::run_until(loop, [&] {
+        for (const auto& each : peers) {
+            send(each.get(), "a", 1, MSG_NOSIGNAL | MSG_DONTWAIT);
+        }
+        return messages > 0;
+    }));
+}
+
 struct frame_case {
     std::string name;
     std::string bytes;
--- a/src/bus/message_receiver.hpp
+++ b/src/bus/message_receiver.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace damaskladder::bus {
@@ -18,17 +19,32 @@
     {
     }
 
-    /// Updates the socket's readiness, reads the available bytes and passes complete messages to
-    /// the handler. Returns false if the connection has closed or announces a message that is too
-    /// long.
-    bool read(std::uint32_t events, std::vector<char>& buffer,
-              const std::function<void(std::string)>& handler);
+    enum class read_result {
+        /// No bytes are available.
+        waiting,
+        /// The turn has ended; call read() again in a later round of the loop.
+        more,
+        /// The connection has closed or announces a message that is too long.
+        closed,
+    };
+
+    /// Updates the socket's readiness, reads available bytes for one turn and passes complete
+    /// messages to the handler.
+    read_result read(std::uint32_t events, std::vector<char>& buffer,
+                     const std::function<void(std::string)>& handler);
+
+    /// Notes whether a further turn is scheduled; returns whether one was before.
+    bool set_scheduled(bool scheduled) { return std::exchange(m_scheduled, scheduled); }
+
+    /// Memory held for incomplete messages.
+    std::size_t held_size() const { return m_decoder.held_size(); }
 
     int descriptor() const { return m_socket.descriptor(); }
 
 private:
     http::stream_socket m_socket;
     frame_decoder m_decoder;
+    bool m_scheduled = false;
 };
 
 } // namespace damaskladder::bus
