Operators' API: bodies in progress are bounded together

Callers would see: a control replica killed for memory while many clients send large orders slowly; each body may have 4 MiB and 200 connections are accepted, 800 MB in all against 256 MB. Change: body_budget bounds the bodies that are being received to 32 MiB together, eight of the largest; the request that exceeds it gets 503 and a line operator_refused. Left: answers to readers that do not read hold a copy of the config for each connection.

--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -22,6 +22,7 @@
 constexpr int unavailable = 503;
 // Large enough for a subtree as INI text escaped as JSON.
 constexpr base::byte_count max_command_body{4 * 1024 * 1024};
+constexpr base::byte_count max_bodies_in_progress{8 * max_command_body.value()};
 
 http::server_limits operator_limits()
 {
@@ -95,6 +96,7 @@
       m_settings(settings),
       m_dialect(http_dialect),
       m_tokens(secret, wire::key_usage::tokens),
+      m_bodies(max_bodies_in_progress),
       m_server(loop, operator_limits(), [this](const exchange_ptr& e) { on_request(e); })
 {
 }
@@ -105,14 +107,21 @@
     if (size && size->value() == 0) {
         return run_document_call(exchange, m_dialect.read_operator_call(exchange->head(), {}));
     }
+    exchange->on_disconnect([this, raw = exchange.get()] { m_bodies.release(raw); });
     exchange->on_body([this, raw = exchange.get()] {
         if (raw->body_complete()) {
+            m_bodies.release(raw);
             run_document_call(raw->shared_from_this(),
                               m_dialect.read_operator_call(raw->head(), raw->body()));
         }
         else if (raw->body().size() >= static_cast<std::size_t>(max_command_body.value())) {
+            m_bodies.release(raw);
             respond(*raw, bad_request, "the command is longer than 4 MiB\n");
         }
+        else if (!m_bodies.grow(raw, raw->body().size())) {
+            log(log_level::warn, "operator_refused", {{"reason", "too many large bodies"}});
+            respond(*raw, unavailable, "too many large requests at once\n");
+        }
     });
 }
 
--- a/src/daemon/operator_api.hpp
+++ b/src/daemon/operator_api.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/body_budget.hpp"
 #include "daemon/dialect.hpp"
 #include "daemon/process_settings.hpp"
 #include "daemon/replica_host.hpp"
@@ -47,6 +48,8 @@
     const process_settings& m_settings;
     const dialect& m_dialect;
     wire::key_hasher m_tokens;
+    /// Bodies that are being received.
+    body_budget m_bodies;
     http::server m_server;
 };
 
