--- a/src/http/endless_response_test.cpp
+++ b/src/http/endless_response_test.cpp
@@ -31,7 +31,7 @@
         transfer::hooks hooks;
         hooks.on_body = [this](std::string_view data) {
             m_read.add(data.size());
-            return true;
+            return m_takes_body;
         };
         hooks.on_end = [this](const transfer_result& result) { m_end = result; };
         return m_out.send(request, hooks);
@@ -47,6 +47,7 @@
     reading_meter m_read{m_loop};
     client m_out{m_loop};
     std::optional<transfer_result> m_end;
+    bool m_takes_body = true;
 };
 
 class endless_heads : public endless_responses {};
@@ -78,6 +79,18 @@
 
 class endless_bodies : public endless_responses {};
 
+// Guards against a node that keeps a body without end in memory while the caller does not read.
+TEST_P(endless_bodies, are_not_read_while_nobody_takes_them)
+{
+    m_takes_body = false;
+    const auto started = send_request();
+    m_loop.call_at(event_loop::now() + std::chrono::milliseconds(300), [&] { started->cancel(); });
+    run_until_ended();
+    ASSERT_TRUE(m_end);
+    EXPECT_LE(m_read.most_in_round(), reading_meter::max_in_round);
+    EXPECT_LT(m_fake.bytes_sent(), max_bytes_read);
+}
+
 // Guards against a body without end that holds the traffic thread: timers do not run, and the
 // cancellation of the request does not take effect while the backend server sends.
 TEST_P(endless_bodies, leave_time_for_timers_and_end_when_cancelled)
