Consensus: a leader whose disk stalls hands over before it runs out of memory

Callers would see: a control process killed for memory while its disk hangs or is full and changes go on. Shown by a test only. The limit on uncommitted entries does not hold what the leader's own disk has not written yet: the others commit without it, and the queue of its writes had no bound. Change: with more than 32 MiB unwritten (max_unsynced) the leader refuses proposals as overloaded and transfers its leadership. A follower with a stalled disk is bounded by the entries in flight.

--- a/src/consensus/cluster_test.cpp
+++ b/src/consensus/cluster_test.cpp
@@ -383,6 +383,42 @@
                     scenario{"unsynced_is_not_acknowledged", 3, unsynced_is_not_acknowledged}),
     [](const auto& each) { return std::string(each.param.name); });
 
+// Guards against a leader whose disk stalls while the others commit without it, and that keeps in
+// memory all that it has to write until it runs out.
+TEST(cluster, leader_with_a_stalled_disk_gives_up_leadership)
+{
+    replica_options options;
+    options.max_unsynced = base::byte_count(2'000);
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        test_cluster cluster(3, seed, options);
+        const std::size_t leader = wait_for_leader(cluster);
+        cluster.run(1s);
+        cluster.delay_syncs = true;
+        const auto flush_others = [&] {
+            for (std::size_t i = 0; i < cluster.size(); ++i) {
+                if (i != leader) {
+                    cluster.flush(i);
+                }
+            }
+        };
+        const log_index before = cluster.status(leader).last_index;
+        for (int i = 0; i < 200 && !has_leader_other_than(cluster, leader); ++i) {
+            cluster.propose(leader);
+            cluster.run(20ms);
+            flush_others();
+        }
+        EXPECT_TRUE(has_leader_other_than(cluster, leader)) << cluster.describe();
+        // 2,000 bytes of small commands, and some of them under way.
+        constexpr std::uint64_t max_entries = 80;
+        EXPECT_LE(entries_between(before, cluster.status(leader).last_index), max_entries);
+        cluster.delay_syncs = false;
+        cluster.flush(leader);
+        flush_others();
+        EXPECT_TRUE(cluster.converges(10s)) << cluster.describe();
+        EXPECT_EQ(cluster.violation(), "");
+    }
+}
+
 class crash_points : public testing::TestWithParam<unsynced_data> {};
 
 // Guards against a data folder that cannot be opened, or has lost acknowledged data, after a crash
--- a/src/consensus/persist_tracker.cpp
+++ b/src/consensus/persist_tracker.cpp
@@ -10,11 +10,12 @@
     return m_issued;
 }
 
-persist_token persist_tracker::issue_entries(log_index first, log_index last)
+persist_token persist_tracker::issue_entries(log_index first, log_index last, base::byte_count size)
 {
     discard_after(index_before(first));
     const persist_token token = issue();
-    m_unsynced.push_back({token, last});
+    m_unsynced.push_back({token, last, size});
+    m_unsynced_size += size;
     return token;
 }
 
@@ -41,6 +42,7 @@
     m_synced = std::max(m_synced, token);
     while (!m_unsynced.empty() && m_unsynced.front().token <= token) {
         m_synced_index = std::max(m_synced_index, m_unsynced.front().last_index);
+        m_unsynced_size -= m_unsynced.front().size;
         m_unsynced.pop_front();
     }
 }
--- a/src/consensus/replica_core.cpp
+++ b/src/consensus/replica_core.cpp
@@ -208,11 +208,14 @@
 void replica_core::append_as_leader(std::vector<entry> added)
 {
     persist_hard_state_if_dirty();
+    base::byte_count size;
     for (const entry& each : added) {
-        m_leader_state->uncommitted += size_of(each);
+        size += size_of(each);
         m_log.append(each);
     }
-    const persist_token token = m_persist.issue_entries(added.front().index, added.back().index);
+    m_leader_state->uncommitted += size;
+    const persist_token token =
+        m_persist.issue_entries(added.front().index, added.back().index, size);
     m_effects.emplace_back(persist_entries{token, std::move(added)});
 }
 
--- a/src/consensus/replica_core.hpp
+++ b/src/consensus/replica_core.hpp
@@ -100,6 +100,8 @@
 
     // Leading.
     void leader_tick();
+    /// Whether this replica's disk is so far behind that it should not lead.
+    bool disk_is_behind() const;
     bool has_quorum_contact(const configuration& members) const;
     follower_progress* record_contact(const replica_identity& from, term_number term,
                                       round_number round);
--- a/src/consensus/replica_leader.cpp
+++ b/src/consensus/replica_leader.cpp
@@ -25,7 +25,7 @@
         else if (size > m_options.max_command) {
             refuse(each.id, refusal_reason::too_large);
         }
-        else if (uncommitted > m_options.max_uncommitted) {
+        else if (uncommitted > m_options.max_uncommitted || disk_is_behind()) {
             refuse(each.id, refusal_reason::overloaded);
         }
         else {
@@ -41,6 +41,11 @@
     }
 }
 
+bool replica_core::disk_is_behind() const
+{
+    return m_persist.unsynced_size() > m_options.max_unsynced;
+}
+
 void replica_core::on(const read_requested& request)
 {
     if (m_role == replica_role::halted) {
@@ -111,6 +116,9 @@
     }
     // Independent of the heartbeat deadline: frequent reads start rounds of their own and postpone
     // it.
+    if (disk_is_behind() && !m_leader_state->transfer_target) {
+        on(transfer_requested{});
+    }
     continue_leadership_transfer();
     promote_learner_if_due();
 }
--- a/src/consensus/replica_options.hpp
+++ b/src/consensus/replica_options.hpp
@@ -36,6 +36,10 @@
     std::size_t max_appends_in_flight = 4;
     /// Limit on the size of uncommitted entries; proposals above it are refused as overloaded.
     base::byte_count max_uncommitted{32 << 20};
+    /// Limit on the size of entries that the leader's own disk has not synced, although the others
+    /// may have committed them; proposals above it are refused as overloaded, and the leader
+    /// transfers its leadership.
+    base::byte_count max_unsynced{32 << 20};
     std::size_t max_pending_reads = 100'000;
     /// Further replicas are refused admission.
     std::size_t max_members = 31;
@@ -48,8 +52,8 @@
 
     /// A snapshot is requested once this many entries have been applied since the last one, or
     /// entries of this total size, whichever comes first. A snapshot that is larger than
-    /// snapshot_after_bytes raises the latter limit to its own size, so that writing snapshots costs
-    /// no more than writing the log.
+    /// snapshot_after_bytes raises the latter limit to its own size, so that writing snapshots
+    /// costs no more than writing the log.
     std::uint64_t snapshot_after_entries = 10'000;
     base::byte_count snapshot_after_bytes{8 << 20};
     /// Entries kept in memory before the last index of a snapshot, so that a replica that is
