http: a connection that was busy when idle ones close ends with its answer

Cause: when a stopping server closes its idle connections, one with an answer under way stays open. If the head of that answer was sent before the stop, it has no Connection: close, and the connection became idle and stayed. Evidence: draining_server.closes_a_connection_whose_answer_began_before: still open 20 s after the answer before. Change: from then on a connection is closed once its answer has been handed to the socket, unless a request has arrived on it meanwhile; that one is served, with Connection: close. Left: a request that is already there when the answer ends is still passed on with its deadline cut to the end of serving (entry_machine::fit_into_serving_time), so it may be broken off; whether to refuse it instead is not decided.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -87,6 +87,7 @@
 
 void server::close_idle_connections()
 {
+    m_closes_idle = true;
     std::vector<std::shared_ptr<server_connection>> idle;
     for (const auto& item : m_connections) {
         if (item.second->is_idle()) {
@@ -94,10 +95,7 @@
         }
     }
     for (const auto& connection : idle) {
-        connection->read_pending_input();
-        if (connection->is_idle()) {
-            connection->close();
-        }
+        connection->close_if_idle();
     }
 }
 
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -37,8 +37,8 @@
     /// with the next response on existing ones.
     void drain();
 
-    /// Closes connections without a request in progress. A request that has arrived but was not
-    /// read yet is served.
+    /// Closes connections without a request in progress, now and when their request ends. A request
+    /// that has arrived but was not read yet is served.
     void close_idle_connections();
 
     /// The bound port.
@@ -63,6 +63,7 @@
     std::uint16_t m_port = 0;
     std::size_t m_open = 0;
     bool m_draining = false;
+    bool m_closes_idle = false;
     base::time_point m_next_idle_check;
     std::vector<char> m_read_buffer;
     /// By descriptor.
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -120,11 +120,17 @@
     }
 }
 
-void server_connection::read_pending_input()
+void server_connection::close_if_idle()
 {
     const auto keep = shared_from_this();
+    if (m_closed || !is_idle()) {
+        return;
+    }
     m_socket.update_readiness(EPOLLIN);
     read_input();
+    if (is_idle()) {
+        close();
+    }
 }
 
 void server_connection::parse_input(std::string_view data)
@@ -381,6 +387,9 @@
     }
     else {
         m_out.release_memory();
+        if (m_owner.m_closes_idle) {
+            m_owner.loop().post([self = shared_from_this()] { self->close_if_idle(); });
+        }
     }
     if (m_socket.readable() || !m_unparsed.empty()) {
         read_input();
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -37,9 +37,9 @@
     /// Whether no request is in progress.
     bool is_idle() const { return m_exchange == nullptr; }
 
-    /// Reads what has arrived without waiting for the loop to report it. A request is passed to the
-    /// handler.
-    void read_pending_input();
+    /// Closes the connection unless a request is in progress. What has arrived is read first; a
+    /// request in it is passed to the handler.
+    void close_if_idle();
 
     /// Closes the connection. A request in progress is notified that its caller has disconnected.
     void close();
--- a/src/http/transfer_test.cpp
+++ b/src/http/transfer_test.cpp
@@ -478,6 +478,32 @@
                                                     true, whole_request.substr(9)}),
                          [](const auto& tested) { return tested.param.name; });
 
+// Guards against a connection that stays open in a planned stop because its answer began before it:
+// a request that comes on it late in the stop is broken off.
+TEST(draining_server, closes_a_connection_whose_answer_began_before)
+{
+    event_loop loop;
+    std::shared_ptr<exchange> busy;
+    server in(loop, {}, [&](const std::shared_ptr<exchange>& request) {
+        busy = request;
+        busy->start({200, {}, base::byte_count(2)});
+        busy->write("o");
+    });
+    ASSERT_TRUE(in.listen({"127.0.0.1", 0}));
+    raw_socket_caller caller(in.port(), whole_request);
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
+    ASSERT_TRUE(run_until(loop, [&] {
+        caller.try_read_all();
+        return caller.received() == head + "o";
+    }));
+    in.drain();
+    in.close_idle_connections();
+    busy->write("k");
+    busy->finish();
+    EXPECT_TRUE(run_until(loop, [&] { return caller.try_read_all(); }));
+    EXPECT_EQ(caller.received(), head + "ok");
+}
+
 struct reuse_case {
     std::string name;
     std::string first_response;
