--- a/src/settings/compiled_settings.hpp
+++ b/src/settings/compiled_settings.hpp
@@ -35,8 +35,8 @@
     /// of the host or, if none of these matches, among those of any host. A prefix matches whole
     /// parts of the path: "/pay" matches "/pay" and "/pay/1", not "/payments". A prefix that ends
     /// with a slash matches only paths that have it: "/pay/" matches "/pay/" and "/pay/1", not
-    /// "/pay". Null if no route matches, and for paths with a "." or ".." part, plain or percent-encoded, which a backend
-    /// server could resolve differently.
+    /// "/pay". Null if no route matches, and for paths with a "." or ".." part, plain or
+    /// percent-encoded, which a backend server could resolve differently.
     const route_settings* match_route(std::string_view path, std::string_view host = {}) const;
     const route_settings* find_route(const base::route_id& id) const;
     /// Null if no key has this hash. The caller checks the state of the key.
