bus: the buffer of a message that was passed on counts no more

Found when the change was read: the limit on incomplete messages counted the memory of connections whose messages had all been passed on, as the assignment of an empty string keeps a buffer. With enough peers that have once sent a large message, sound connections would be closed. Evidence: frame_decoder.holds_no_memory_for_complete_messages: 524,292 bytes held after a message of that size had been returned, and with the assignment in the new place as well. Change: the buffer is released when no byte is left.

--- a/src/bus/frame_decoder.cpp
+++ b/src/bus/frame_decoder.cpp
@@ -28,10 +28,6 @@
 {
     m_received.erase(0, m_consumed);
     m_consumed = 0;
-    if (m_received.empty()) {
-        // Releases the memory of a large message.
-        m_received = std::string();
-    }
     m_received += data;
     const auto max = static_cast<std::size_t>(m_max.value());
     std::size_t at = 0;
@@ -48,6 +44,12 @@
 std::optional<std::string> frame_decoder::next()
 {
     const auto rest = std::string_view(m_received).substr(m_consumed);
+    if (rest.empty()) {
+        // Releases the memory of a large message, which an assignment keeps.
+        std::string().swap(m_received);
+        m_consumed = 0;
+        return std::nullopt;
+    }
     if (rest.size() < length_size) {
         return std::nullopt;
     }
--- a/src/bus/frame_decoder.hpp
+++ b/src/bus/frame_decoder.hpp
@@ -23,7 +23,8 @@
     /// Returns the next complete message, if there is one.
     std::optional<std::string> next();
 
-    /// Memory held for bytes that are not part of a returned message.
+    /// Memory held for received bytes; none to speak of once next() has returned all messages and
+    /// no part of a further one has come.
     std::size_t held_size() const { return m_received.capacity(); }
 
 private:
--- a/src/bus/message_bus_test.cpp
+++ b/src/bus/message_bus_test.cpp
@@ -222,6 +222,20 @@
     }));
 }
 
+// Guards against connections that are closed because buffers of messages that were passed on long
+// ago count as incomplete messages.
+TEST(frame_decoder, holds_no_memory_for_complete_messages)
+{
+    frame_decoder decoder(base::byte_count(1 << 20));
+    std::string frame;
+    append_frame(frame, std::string(1 << 19, 'a'));
+    ASSERT_TRUE(decoder.add(frame));
+    EXPECT_GE(decoder.held_size(), frame.size());
+    EXPECT_TRUE(decoder.next());
+    EXPECT_FALSE(decoder.next());
+    EXPECT_LT(decoder.held_size(), 100U);
+}
+
 struct frame_case {
     std::string name;
     std::string bytes;
