--- a/src/bus/message_bus_test.cpp
+++ b/src/bus/message_bus_test.cpp
@@ -195,8 +195,10 @@
     std::string frame;
     append_frame(frame, std::string(1 << 20, 'a'));
     const std::string part = frame.substr(0, frame.size() - 1);
+    constexpr std::size_t count = 8;
     std::vector<base::file_descriptor> peers;
-    for (int i = 0; i < 8; ++i) {
+    peers.reserve(count);
+    for (std::size_t i = 0; i < count; ++i) {
         peers.push_back(http::connect_to_loopback(receiver.port()));
     }
     std::thread sending([&] {
