bus: a connection that ends gives back only what was counted for it

Cause: an empty string holds 15 bytes, which were not counted when a connection was accepted and were taken off when it ended. The total fell below zero, wrapped, and exceeded every limit. Change: what a new connection holds is counted.

--- a/src/bus/message_bus.cpp
+++ b/src/bus/message_bus.cpp
@@ -37,7 +37,10 @@
 void message_bus::handle_accepted(http::stream_socket socket)
 {
     const int fd = socket.descriptor();
-    m_receivers[fd] = std::make_shared<message_receiver>(std::move(socket), m_limits.message_size);
+    const auto receiver =
+        std::make_shared<message_receiver>(std::move(socket), m_limits.message_size);
+    m_held += receiver->held_size();
+    m_receivers[fd] = receiver;
     m_loop.watch(fd, http::stream_socket::input_events,
                  [this, fd](std::uint32_t events) { read(fd, events); });
 }
--- a/src/bus/message_bus_test.cpp
+++ b/src/bus/message_bus_test.cpp
@@ -224,6 +224,35 @@
     }));
 }
 
+// Guards against connections that are closed after a peer has gone: its part of the total was given
+// back although it had not been counted, and the total fell below zero.
+TEST(message_bus, keeps_connections_when_another_peer_has_gone)
+{
+    http::event_loop loop;
+    int got = 0;
+    message_bus receiver(loop, {}, [&](const std::string&) { ++got; });
+    ASSERT_TRUE(receiver.listen("127.0.0.1:0"));
+    std::string frame;
+    append_frame(frame, "message");
+    const auto staying = http::connect_to_loopback(receiver.port());
+    const auto send_and_wait = [&](int connection) {
+        const int before = got;
+        send(connection, frame.data(), frame.size(), MSG_NOSIGNAL);
+        return http::run_until(loop, [&] { return got > before; });
+    };
+    EXPECT_TRUE(send_and_wait(staying.get()));
+    for (int i = 0; i < 3; ++i) {
+        const auto leaving = http::connect_to_loopback(receiver.port());
+        EXPECT_TRUE(send_and_wait(leaving.get()));
+    }
+    // The end of the last one is read before or with the next message.
+    EXPECT_TRUE(send_and_wait(staying.get()));
+    EXPECT_TRUE(send_and_wait(staying.get()));
+    char byte = 0;
+    EXPECT_EQ(recv(staying.get(), &byte, 1, MSG_DONTWAIT), -1);
+    EXPECT_EQ(errno, EAGAIN);
+}
+
 // Guards against connections that are closed because buffers of messages that were passed on long
 // ago count as incomplete messages.
 TEST(frame_decoder, holds_no_memory_for_complete_messages)
