--- a/src/membership/announcement_registry.cpp
+++ b/src/membership/announcement_registry.cpp
@@ -12,6 +12,13 @@
 /// Bounds the memory if a sender invents run names; the oldest run is forgotten.
 constexpr std::size_t max_remembered_runs = 256;
 
+/// Whether two entries, each with an instance id and a position, belong to one run.
+template <class First, class Second>
+bool is_same_run(const First& a, const Second& b)
+{
+    return a.instance == b.instance && a.position.started_ms == b.position.started_ms;
+}
+
 } // namespace
 
 announcement_registry::announcement_registry(announcement_options options)
@@ -175,10 +182,8 @@
     std::vector<run_ending> all;
     for (const remembered_run& run : m_remembered) {
         const bool is_leased =
-            std::any_of(m_leases.begin(), m_leases.end(), [&](const lease& held) {
-                return held.backend.instance == run.instance &&
-                       held.position.started_ms == run.position.started_ms;
-            });
+            std::any_of(m_leases.begin(), m_leases.end(),
+                        [&](const lease& held) { return is_same_run(held.run(), run); });
         if (run.forget_at > now && !is_leased && (run.withdrawn || run.draining)) {
             all.push_back({run.instance, run.position, run.withdrawn});
         }
@@ -194,25 +199,22 @@
 void announcement_registry::recover(const std::vector<run_ending>& endings, base::time_point now)
 {
     for (const run_ending& ending : endings) {
-        const auto is_same_run = [&](const auto& instance, const run_position& latest) {
-            return instance == ending.instance && latest.started_ms == ending.position.started_ms;
-        };
         remembered_run run{.instance = ending.instance,
                            .position = ending.position,
                            .withdrawn = ending.withdrawn,
                            .draining = !ending.withdrawn};
         for (const remembered_run& known : m_remembered) {
-            if (is_same_run(known.instance, known.position)) {
+            if (is_same_run(known, ending)) {
                 run.position = std::max(run.position, known.position);
                 run.withdrawn = run.withdrawn || known.withdrawn;
                 run.draining = run.draining || known.draining;
             }
         }
         std::erase_if(m_leases, [&](const lease& held) {
-            return run.withdrawn && is_same_run(held.backend.instance, held.position);
+            return run.withdrawn && is_same_run(held.run(), ending);
         });
         for (lease& held : m_leases) {
-            if (is_same_run(held.backend.instance, held.position)) {
+            if (is_same_run(held.run(), ending)) {
                 held.drains_from = held.backend.draining ? held.drains_from : run.position;
                 held.backend.draining = true;
                 held.position = std::max(held.position, run.position);
@@ -225,9 +227,7 @@
 void announcement_registry::remember(remembered_run run, base::time_point now)
 {
     std::erase_if(m_remembered, [&](const remembered_run& known) {
-        const bool same_run =
-            known.instance == run.instance && known.position.started_ms == run.position.started_ms;
-        return known.forget_at <= now || same_run;
+        return known.forget_at <= now || is_same_run(known, run);
     });
     if (m_remembered.size() >= max_remembered_runs) {
         m_remembered.erase(m_remembered.begin());
@@ -239,10 +239,8 @@
 const remembered_run* announcement_registry::find_remembered(const announcement& request) const
 {
     const auto found =
-        std::find_if(m_remembered.begin(), m_remembered.end(), [&](const remembered_run& run) {
-            return run.instance == request.instance &&
-                   run.position.started_ms == request.position.started_ms;
-        });
+        std::find_if(m_remembered.begin(), m_remembered.end(),
+                     [&](const remembered_run& run) { return is_same_run(run, request); });
     return found == m_remembered.end() || request.instance == base::instance_id() ? nullptr
                                                                                   : &*found;
 }
--- a/src/membership/announcement_registry.hpp
+++ b/src/membership/announcement_registry.hpp
@@ -64,6 +64,8 @@
         /// Position from which the run drains; not updated by later messages, so that what other
         /// nodes keep does not change with each of them.
         run_position drains_from = {};
+
+        run_ending run() const { return {backend.instance, position, false}; }
     };
     using position = std::vector<lease>::iterator;
 
