--- a/src/bus/message_bus.cpp
+++ b/src/bus/message_bus.cpp
@@ -71,16 +71,17 @@
     }
 }
 
-void message_bus::send(const std::string& endpoint, std::string_view message)
+bool message_bus::send(const std::string& endpoint, std::string_view message)
 {
     message_sender* sender = sender_to(endpoint);
     if (sender == nullptr) {
-        return;
+        return false;
     }
-    sender->send(message, http::event_loop::now());
+    const bool accepted = sender->send(message, http::event_loop::now());
     if (const auto due = sender->connect_deadline()) {
         m_next_connect_deadline = std::min(*due, m_next_connect_deadline.value_or(*due));
     }
+    return accepted;
 }
 
 message_sender* message_bus::sender_to(const std::string& endpoint)
--- a/src/bus/message_bus.hpp
+++ b/src/bus/message_bus.hpp
@@ -34,8 +34,9 @@
     /// The bound port.
     std::uint16_t port() const { return m_acceptor.port(); }
 
-    /// Sends a message to "IP:PORT" without blocking.
-    void send(const std::string& endpoint, std::string_view message);
+    /// Sends a message to "IP:PORT" without blocking. Returns false if it was dropped at once: the
+    /// endpoint is malformed, its queue is full, or the next attempt to connect is not due yet.
+    bool send(const std::string& endpoint, std::string_view message);
 
 private:
     std::optional<base::time_point> check_connect_timeouts(base::time_point now);
--- a/src/bus/message_bus_test.cpp
+++ b/src/bus/message_bus_test.cpp
@@ -72,6 +72,22 @@
     }));
 }
 
+// Guards against messages that are lost after failed attempts to connect and counted nowhere.
+TEST(message_bus, reports_messages_that_it_drops_before_it_connects_again)
+{
+    http::event_loop loop;
+    message_bus sender(loop, {}, [](const std::string&) {});
+    std::string gone;
+    {
+        message_bus receiver(loop, {}, [](const std::string&) {});
+        ASSERT_TRUE(receiver.listen("127.0.0.1:0"));
+        gone = endpoint_of(receiver.port());
+    }
+    EXPECT_TRUE(sender.send(gone, "starts the attempt"));
+    EXPECT_TRUE(http::run_until(loop, [&] { return !sender.send(gone, "dropped"); }));
+    EXPECT_FALSE(sender.send("no endpoint", "dropped"));
+}
+
 /// A listener whose accept queue is full, so that it does not respond, like a VM behind a network
 /// partition.
 class unresponsive_fake {
--- a/src/bus/message_sender.cpp
+++ b/src/bus/message_sender.cpp
@@ -22,26 +22,27 @@
     }
 }
 
-void message_sender::send(std::string_view message, base::time_point now)
+bool message_sender::send(std::string_view message, base::time_point now)
 {
     m_last_use = now;
     if (!m_socket) {
         if (now < m_next_attempt) {
-            return;
+            return false;
         }
         connect(now);
         if (!m_socket) {
-            return;
+            return false;
         }
     }
     if (m_output.pending_size() + message.size() >
         static_cast<std::size_t>(m_limits.queue_size.value())) {
-        return;
+        return false;
     }
     append_frame(m_output.bytes(), message);
     if (m_connected) {
         schedule_flush();
     }
+    return true;
 }
 
 void message_sender::connect(base::time_point now)
--- a/src/bus/message_sender.hpp
+++ b/src/bus/message_sender.hpp
@@ -23,7 +23,8 @@
     message_sender& operator=(const message_sender&) = delete;
 
     /// Sends without blocking. Messages sent within one round of the loop are written together.
-    void send(std::string_view message, base::time_point now);
+    /// Returns false if the message was dropped at once.
+    bool send(std::string_view message, base::time_point now);
 
     /// Aborts a connection attempt whose deadline has passed.
     void check_connect_timeout(base::time_point now);
--- a/src/daemon/messenger.cpp
+++ b/src/daemon/messenger.cpp
@@ -45,7 +45,9 @@
     }
     const auto sealed = m_codec.seal(receiver, kind, std::move(body));
     m_sent.count(kind, sealed.size());
-    m_bus.send(endpoint, sealed);
+    if (!m_bus.send(endpoint, sealed)) {
+        m_sent.count_dropped(kind);
+    }
 }
 
 void messenger::on_sealed_message(const std::string& sealed)
