Membership: the end of a run is confirmed when a majority of the observers keeps it

A server deregistered, its node confirmed, was killed and restarted, took a late heartbeat and offered the server again; about 60 requests reached it. Cause: the record with the ending was returned once, when a member first heard of the new process. Members probe a silent node each 100 ms, at the same multiples of 100 ms; each probe is a refused attempt to connect, and the bus drops what is sent in the delay (50, 100, 200 ms) before the next one. So all members can drop the record at once, and afterwards the new process has replaced it in their tables. Ruled out by the same logs: a copy lost on its way out, a record that had been replaced before, members that return nothing. Class: a confirmation that rests on a message sent once, or on a race that a restart usually wins. Both sides had it: the copy was sent once before the 200, and the restarted node offered servers before it had heard from anybody. Change: a node repeats its list of endings until its observers acknowledge it, and answers 200 to the end of a run when a majority of them has; after 0.8 s it answers 503 (verdict unconfirmed). After its start it asks its observers until they answer, and publishes no server before a majority has. Members keep endings for 2 minutes apart from records. A node that meets no other member for 2 s is taken for the only one. Limits: most observers restarting together with the node forget the ending.

--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -161,8 +161,10 @@
     requests.announce = [this](local_api::action wanted, const membership::announcement& offer,
                                local_api::done done) {
         m_loop.post([this, wanted, offer, done = std::move(done)] {
-            const auto verdict = m_node->announce(wanted, offer);
-            m_traffic->post([done, verdict](traffic_frontend&, traffic_quota&) { done(verdict); });
+            m_node->announce(wanted, offer, [this, done](membership::announce_verdict verdict) {
+                m_traffic->post(
+                    [done, verdict](traffic_frontend&, traffic_quota&) { done(verdict); });
+            });
         });
     };
     requests.drain_run = [this](const base::instance_id& run) {
--- a/src/daemon/local_api.cpp
+++ b/src/daemon/local_api.cpp
@@ -32,6 +32,7 @@
     case membership::announce_verdict::outdated:
         return conflict;
     case membership::announce_verdict::leaving:
+    case membership::announce_verdict::unconfirmed:
         return unavailable;
     case membership::announce_verdict::invalid:
     case membership::announce_verdict::too_many:
--- a/src/daemon/node_host.cpp
+++ b/src/daemon/node_host.cpp
@@ -15,6 +15,9 @@
 /// One may fail without a gap in the settings of its failure domain.
 constexpr std::size_t relays_per_failure_domain = 2;
 
+/// Backend servers wait a second for an answer.
+constexpr base::duration confirmation_time_limit = std::chrono::milliseconds(800);
+
 membership::node_identity identity_of(const process_settings& settings,
                                       base::incarnation incarnation)
 {
@@ -62,6 +65,7 @@
       m_hooks(std::move(callbacks)),
       m_announcements(announcement_options_of(*settings.node)),
       m_membership(identity_of(settings, incarnation), options_of(settings), secure_random()),
+      m_confirmations(confirmation_time_limit),
       m_compiled(settings::compiled_settings::compile({})),
       m_tables(make_tables(m_compiled))
 {
@@ -113,12 +117,24 @@
             {{"count", std::to_string(effects.recovered_endings.size())}});
         publish_backends(now);
     }
+    if (!m_knows_earlier_endings && m_membership.knows_earlier_endings()) {
+        m_knows_earlier_endings = true;
+        m_view_stale = true;
+        log(log_level::info, "earlier_run_endings_known");
+        publish_backends(http::event_loop::now());
+    }
+    m_confirmations.resolve(m_membership.confirmed_endings(), http::event_loop::now());
+}
+
+std::vector<membership::backend_server> node_host::offered_servers() const
+{
+    return m_knows_earlier_endings ? m_announcements.backends()
+                                   : std::vector<membership::backend_server>();
 }
 
 void node_host::publish_backends(base::time_point now)
 {
-    perform(
-        m_membership.set_backends(m_announcements.backends(), now, m_announcements.endings(now)));
+    perform(m_membership.set_backends(offered_servers(), now, m_announcements.endings(now)));
 }
 
 void node_host::set_settings(std::shared_ptr<const settings::compiled_settings> settings)
@@ -136,27 +152,48 @@
     publish();
 }
 
-membership::announce_verdict node_host::announce(local_api::action wanted,
-                                                 const membership::announcement& offer)
+membership::announce_verdict node_host::apply(local_api::action wanted,
+                                              const membership::announcement& offer,
+                                              base::time_point now)
 {
-    const auto now = http::event_loop::now();
-    auto verdict = membership::announce_verdict::unknown;
     switch (wanted) {
     case local_api::action::announce:
-        verdict = m_announcements.announce(offer, now);
-        break;
+        return m_announcements.announce(offer, now);
     case local_api::action::withdraw:
-        verdict = m_announcements.withdraw(offer, now);
-        break;
+        return m_announcements.withdraw(offer, now);
     case local_api::action::drain:
-        verdict = m_announcements.drain(offer.service, offer.port, offer.credential);
-        break;
+        return m_announcements.drain(offer.service, offer.port, offer.credential);
     }
+    return membership::announce_verdict::unknown;
+}
+
+void node_host::announce(local_api::action wanted, const membership::announcement& offer,
+                         local_api::done done)
+{
+    const auto now = http::event_loop::now();
+    const auto verdict = apply(wanted, offer, now);
     publish_backends(now);
     publish();
     const bool ends_run = wanted != local_api::action::announce || offer.draining;
     const bool left = m_membership.self().status == membership::member_status::left;
-    return ends_run && left ? membership::announce_verdict::leaving : verdict;
+    if (ends_run && left) {
+        done(membership::announce_verdict::leaving);
+        return;
+    }
+    if (!ends_run || verdict != membership::announce_verdict::accepted) {
+        done(verdict);
+        return;
+    }
+    m_confirmations.add(
+        m_membership.published_endings(),
+        [done = std::move(done), run = offer.instance](membership::announce_verdict outcome) {
+            if (outcome == membership::announce_verdict::unconfirmed) {
+                log(log_level::warn, "run_ending_unconfirmed", {{"instance", run.value()}});
+            }
+            done(outcome);
+        },
+        now);
+    m_confirmations.resolve(m_membership.confirmed_endings(), now);
 }
 
 void node_host::drain_run(const base::instance_id& run)
@@ -215,7 +252,7 @@
     from.settings = m_tables;
     from.settings_confirmed_at = m_confirmed_at;
     from.services = m_membership.view();
-    from.local = m_announcements.backends();
+    from.local = offered_servers();
     from.backend_server_host = m_settings.node->backend_server_host;
     return build_view(from);
 }
--- a/src/daemon/node_host.hpp
+++ b/src/daemon/node_host.hpp
@@ -7,6 +7,7 @@
 #include "daemon/view_builder.hpp"
 #include "membership/announcement_registry.hpp"
 #include "membership/membership_node.hpp"
+#include "membership/pending_confirmations.hpp"
 #include "propagation/peer.hpp"
 #include "propagation/upstream_candidates.hpp"
 #include "settings/compiled_settings.hpp"
@@ -35,8 +36,10 @@
     void set_settings(std::shared_ptr<const settings::compiled_settings> settings);
     void confirm_settings(base::time_point when);
 
-    membership::announce_verdict announce(local_api::action wanted,
-                                          const membership::announcement& offer);
+    /// Handles an announcement. The end of a run is accepted only when other nodes keep it, so that
+    /// a restart of this one does not bring the run back; `done` may be called later.
+    void announce(local_api::action wanted, const membership::announcement& offer,
+                  local_api::done done);
     /// Marks a run of a backend server on this VM as draining.
     void drain_run(const base::instance_id& run);
     /// Withdraws the announcements and notifies the fleet that this node stops.
@@ -55,7 +58,12 @@
 private:
     void tick();
     void perform(const membership::effects& effects);
-    /// Publishes the announced backend servers to the fleet.
+    membership::announce_verdict apply(local_api::action wanted,
+                                       const membership::announcement& offer, base::time_point now);
+    /// The announced backend servers. None until this node knows which of them have left according
+    /// to what it confirmed before a restart.
+    std::vector<membership::backend_server> offered_servers() const;
+    /// Publishes the offered backend servers to the fleet.
     void publish_backends(base::time_point now);
     void publish();
     void update_nearby_relays();
@@ -68,6 +76,8 @@
     hooks m_hooks;
     membership::announcement_registry m_announcements;
     membership::membership_node m_membership;
+    membership::pending_confirmations m_confirmations;
+    bool m_knows_earlier_endings = false;
     std::shared_ptr<const settings::compiled_settings> m_compiled;
     std::shared_ptr<const settings_tables> m_tables;
     base::time_point m_confirmed_at;
--- a/src/membership/announce_verdict.cpp
+++ b/src/membership/announce_verdict.cpp
@@ -19,6 +19,8 @@
         return "outdated";
     case announce_verdict::leaving:
         return "leaving";
+    case announce_verdict::unconfirmed:
+        return "unconfirmed";
     }
     return "unknown";
 }
--- a/src/membership/announce_verdict.hpp
+++ b/src/membership/announce_verdict.hpp
@@ -20,6 +20,8 @@
     outdated,
     /// The node is leaving the fleet, so nobody would remember the end of the run.
     leaving,
+    /// The other members of the group have not confirmed in time that they keep the end of the run.
+    unconfirmed,
 };
 
 /// Stable lower-case name.
--- a/src/membership/announcement_registry.cpp
+++ b/src/membership/announcement_registry.cpp
@@ -12,13 +12,6 @@
 /// Bounds the memory if a sender invents run names; the oldest run is forgotten.
 constexpr std::size_t max_remembered_runs = 256;
 
-/// Whether two entries, each with an instance id and a position, belong to one run.
-template <class First, class Second>
-bool is_same_run(const First& a, const Second& b)
-{
-    return a.instance == b.instance && a.position.started_ms == b.position.started_ms;
-}
-
 } // namespace
 
 announcement_registry::announcement_registry(announcement_options options)
--- /dev/null
+++ b/src/membership/endings_recovery.cpp
@@ -0,0 +1,40 @@
+#include "membership/endings_recovery.hpp"
+
+#include <algorithm>
+
+namespace damaskladder::membership {
+
+std::vector<base::node_id> endings_recovery::due(const std::vector<base::node_id>& observers,
+                                                 base::time_point now)
+{
+    std::vector<base::node_id> receivers;
+    if (m_complete && m_met_others_at && now - *m_met_others_at >= m_options.query_time) {
+        return receivers;
+    }
+    for (const base::node_id& observer : observers) {
+        base::time_point& next = m_next_query[observer];
+        if (now >= next && !m_answered.contains(observer)) {
+            next = now + m_options.query_interval;
+            receivers.push_back(observer);
+        }
+    }
+    return receivers;
+}
+
+void endings_recovery::update(const std::vector<base::node_id>& observers, base::time_point now)
+{
+    if (!m_met_others_at && !observers.empty()) {
+        m_met_others_at = now;
+    }
+    if (m_complete) {
+        return;
+    }
+    const auto answers =
+        std::count_if(observers.begin(), observers.end(),
+                      [&](const base::node_id& observer) { return m_answered.contains(observer); });
+    const bool majority =
+        !observers.empty() && static_cast<std::size_t>(answers) > observers.size() / 2;
+    m_complete = majority || is_alone(now);
+}
+
+} // namespace damaskladder::membership
--- a/src/membership/membership_limits.hpp
+++ b/src/membership/membership_limits.hpp
@@ -12,6 +12,9 @@
     std::size_t backends_per_node = 8;
     /// Ended or draining runs that other nodes keep for a node; the oldest are dropped.
     std::size_t run_endings_per_node = 8;
+    /// Endings that a node keeps for one other node over several of its lists, and for all.
+    std::size_t kept_endings_per_node = 32;
+    std::size_t kept_endings = 4'096;
     /// Length of an id or address in bytes.
     std::size_t text_length = 128;
     /// Records in one message. Keeps messages smaller than 16 KiB.
--- a/src/membership/membership_node.cpp
+++ b/src/membership/membership_node.cpp
@@ -37,6 +37,11 @@
     return record;
 }
 
+endings_recovery::options recovery_options(const membership_options& options)
+{
+    return {options.endings_interval, options.alone_after, options.endings_query_time};
+}
+
 base::incarnation next_incarnation(base::incarnation earlier)
 {
     return base::incarnation(earlier.value() + 1);
@@ -57,6 +62,11 @@
       m_pending_tombstones(m_options.refutation_timeout),
       m_refutation(m_options.max_refutation_delay),
       m_domains({m_self.node, m_self.messages}, m_self.domain, m_options.domains, m_random),
+      m_process(identity.start_incarnation),
+      m_kept_endings({m_options.endings_retention, m_options.limits.kept_endings,
+                      m_options.limits.kept_endings_per_node}),
+      m_confirmation(m_options.endings_interval),
+      m_recovery(recovery_options(m_options), {}),
       m_urgent(m_options.urgent_interval),
       m_source(m_self.node),
       m_view(std::make_shared<const service_view>())
@@ -68,6 +78,7 @@
     begin_event(now);
     const auto interval = static_cast<std::uint64_t>(m_options.heartbeat_interval.count());
     m_next_heartbeat = now + base::duration(static_cast<std::int64_t>(m_random() % interval));
+    m_recovery = endings_recovery(recovery_options(m_options), now);
     reset_members();
     try_join();
     return finish_event();
@@ -127,11 +138,10 @@
     if (!m_left && (backends != m_self.backends || new_endings)) {
         m_self.backends = std::move(backends);
         m_self.run_endings = std::move(endings);
-        publish_self(m_self.incarnation);
         if (new_endings) {
-            // The caller confirms the ending next, and other nodes must know it by then.
-            send_urgent();
+            m_confirmation.begin_list();
         }
+        publish_self(m_self.incarnation);
     }
     return finish_event();
 }
@@ -210,6 +220,7 @@
     if (!m_left) {
         refresh_rings();
         refresh_view();
+        exchange_endings();
     }
     effects result{std::move(m_sends), m_view_changed, std::move(m_recovered_endings)};
     m_sends.clear();
@@ -290,9 +301,6 @@
         }
         return;
     }
-    if (const member_record* earlier = m_table.find(joiner.node)) {
-        return_endings(*earlier, joiner);
-    }
     merge_record(from, joiner);
     const bool joiner_knows_self =
         body.forwarded && !body.alone && m_table.find_alive(joiner.node) != nullptr;
@@ -301,13 +309,77 @@
     }
 }
 
-void membership_node::return_endings(const member_record& earlier, const member_record& restarted)
+void membership_node::handle(const base::node_id& from, const keep_endings& body)
+{
+    m_kept_endings.keep(from, body.endings, m_now);
+    send_to(from, body.reply_to, endings_kept{body.process, body.number, m_self.incarnation});
+}
+
+void membership_node::handle(const base::node_id& from, const endings_kept& body)
 {
-    if (!earlier.run_endings.empty() && earlier.run_endings != restarted.run_endings) {
-        send_records({restarted.node, restarted.messages}, {earlier});
+    if (body.process == m_process) {
+        m_confirmation.on_kept(from, body.number, body.holder);
     }
 }
 
+void membership_node::handle(const base::node_id& from, const endings_query& body)
+{
+    if (const member_record* known = m_table.find(from)) {
+        m_kept_endings.keep(from, known->run_endings, m_now);
+    }
+    send_to(from, body.reply_to, endings_reply{body.process, m_kept_endings.of(from, m_now)});
+}
+
+void membership_node::handle(const base::node_id& from, const endings_reply& body)
+{
+    if (body.process == m_process) {
+        m_recovery.on_reply(from);
+        recover_endings(body.endings);
+    }
+}
+
+void membership_node::recover_endings(const std::vector<run_ending>& endings)
+{
+    const auto& known = m_self.run_endings;
+    std::copy_if(endings.begin(), endings.end(), std::back_inserter(m_recovered_endings),
+                 [&](const run_ending& ending) {
+                     return std::find(known.begin(), known.end(), ending) == known.end();
+                 });
+}
+
+void membership_node::exchange_endings()
+{
+    const auto& observers = m_rings.observers_of(m_self.node);
+    m_recovery.update(observers, m_now);
+    for (const base::node_id& observer : m_recovery.due(observers, m_now)) {
+        send_to_member(observer, endings_query{m_process, m_self.messages});
+    }
+    if (!m_self.run_endings.empty()) {
+        for (const base::node_id& observer : m_confirmation.due(ending_holders(), m_now)) {
+            send_to_member(observer, keep_endings{m_process, m_confirmation.newest(),
+                                                  m_self.run_endings, m_self.messages});
+        }
+    }
+}
+
+std::vector<endings_confirmation::holder> membership_node::ending_holders() const
+{
+    std::vector<endings_confirmation::holder> holders;
+    for (const base::node_id& observer : m_rings.observers_of(m_self.node)) {
+        if (const member_record* known = m_table.find(observer)) {
+            holders.push_back({observer, known->incarnation});
+        }
+    }
+    return holders;
+}
+
+endings_number membership_node::confirmed_endings() const
+{
+    const bool nothing_to_hold = m_self.run_endings.empty() || m_recovery.is_alone(m_now);
+    return nothing_to_hold ? m_confirmation.newest()
+                           : m_confirmation.held_by_majority(ending_holders());
+}
+
 void membership_node::handle(const base::node_id& /*from*/, const domain_hello& body)
 {
     m_domains.handle(body, context());
@@ -377,9 +449,8 @@
     if (verdict == merge_verdict::ignored || verdict == merge_verdict::refused_full) {
         return;
     }
-    if (before.has_value() && before->incarnation < record.incarnation && observes(record.node)) {
-        // The seed that the node has joined through may not have had its last update yet.
-        return_endings(*before, record);
+    if (before.has_value() && before->incarnation < record.incarnation) {
+        m_kept_endings.keep(record.node, before->run_endings, m_now);
     }
     m_view_stale = true;
     m_domains.member_changed(before.has_value() ? &*before : nullptr, record, context());
@@ -403,12 +474,6 @@
     }
 }
 
-bool membership_node::observes(const base::node_id& node) const
-{
-    const auto& observers = m_rings.observers_of(node);
-    return std::find(observers.begin(), observers.end(), m_self.node) != observers.end();
-}
-
 void membership_node::merge_synced_record(const base::node_id& from, const member_record& record)
 {
     const member_record* alive = m_table.find_alive(record.node);
@@ -426,11 +491,7 @@
 
 void membership_node::check_own_record(const base::node_id& from, const member_record& record)
 {
-    const auto& known = m_self.run_endings;
-    std::copy_if(record.run_endings.begin(), record.run_endings.end(),
-                 std::back_inserter(m_recovered_endings), [&](const run_ending& ending) {
-                     return std::find(known.begin(), known.end(), ending) == known.end();
-                 });
+    recover_endings(record.run_endings);
     const bool same_order =
         record.incarnation == m_self.incarnation && record.version == m_self.version;
     const bool from_other_run = same_order && record != m_self;
--- a/src/membership/membership_node.hpp
+++ b/src/membership/membership_node.hpp
@@ -6,7 +6,10 @@
 #include "membership/active_clock.hpp"
 #include "membership/domain_exchange.hpp"
 #include "membership/effects.hpp"
+#include "membership/endings_confirmation.hpp"
+#include "membership/endings_recovery.hpp"
 #include "membership/failure_detector.hpp"
+#include "membership/kept_endings.hpp"
 #include "membership/member_table.hpp"
 #include "membership/membership_options.hpp"
 #include "membership/message.hpp"
@@ -68,6 +71,15 @@
     /// Relays of the local failure domain: its first alive nodes by id, at most two.
     std::vector<endpoint> relays() const;
     bool is_relay() const;
+    /// Number of the list of endings that set_backends() published last.
+    endings_number published_endings() const { return m_confirmation.newest(); }
+    /// The newest list that a majority of this node's observers holds. Every list if it is empty or
+    /// the node is the only member of its group. Endings up to this list may be confirmed.
+    endings_number confirmed_endings() const;
+    /// Whether the node has learned after its start which endings an earlier process of it has
+    /// confirmed; until then its backend servers may have left and should not be published. True
+    /// for good once a majority of the observers has answered, or if the node is the only member.
+    bool knows_earlier_endings() const { return m_recovery.complete(); }
     /// Number of messages dropped because they exceeded a limit.
     std::uint64_t refused_messages() const { return m_refused; }
 
@@ -88,15 +100,21 @@
     void handle(const base::node_id& from, const domain_summary& body);
     void handle(const base::node_id& from, const subscribe& body);
     void handle(const base::node_id& from, const domain_states& body);
+    void handle(const base::node_id& from, const keep_endings& body);
+    void handle(const base::node_id& from, const endings_kept& body);
+    void handle(const base::node_id& from, const endings_query& body);
+    void handle(const base::node_id& from, const endings_reply& body);
     domain_context context() const;
 
     void merge_record(const base::node_id& from, const member_record& record);
     void merge_synced_record(const base::node_id& from, const member_record& record);
     void check_own_record(const base::node_id& from, const member_record& record);
-    /// Returns to a node that has restarted what it had published before.
-    void return_endings(const member_record& earlier, const member_record& restarted);
-    /// Whether this node is an observer of the other one.
-    bool observes(const base::node_id& node) const;
+    /// Reports endings that this process of the node has not published.
+    void recover_endings(const std::vector<run_ending>& endings);
+    /// Sends the endings to observers that do not hold them, and asks those that have not said
+    /// which ones they hold.
+    void exchange_endings();
+    std::vector<endings_confirmation::holder> ending_holders() const;
     void handle_suspicion(const base::node_id& from, const observer_vote& body);
     void publish_self(base::incarnation incarnation);
     void refute();
@@ -132,6 +150,10 @@
     pending_tombstones m_pending_tombstones;
     refutation_timer m_refutation;
     domain_exchange m_domains;
+    base::incarnation m_process;
+    kept_endings m_kept_endings;
+    endings_confirmation m_confirmation;
+    endings_recovery m_recovery;
 
     base::time_point m_now{};
     /// Active time of the last message from any node.
--- a/src/membership/membership_node_test.cpp
+++ b/src/membership/membership_node_test.cpp
@@ -14,6 +14,9 @@
     base::duration killed_after;
     base::duration down;
     std::uint64_t incarnation;
+    /// Time after the restart for which all messages to the node are lost, as they are while the
+    /// other processes wait to connect again after failed attempts.
+    base::duration unreachable = 0s;
 };
 
 class restarted_nodes : public testing::TestWithParam<restart_case> {};
@@ -34,7 +37,10 @@
         fleet.kill(name);
         fleet.run(GetParam().down);
         fleet.recovered_endings.clear();
+        fleet.net.cut = [&](const auto&, const auto& to) { return to == name; };
         fleet.start(name, "d1", GetParam().incarnation);
+        fleet.run(GetParam().unreachable);
+        fleet.net.cut = nullptr;
         fleet.run(1s);
         ASSERT_FALSE(fleet.recovered_endings[name].empty()) << "seed " << seed;
         EXPECT_EQ(fleet.recovered_endings[name].front(), ending);
@@ -49,14 +55,102 @@
 
 INSTANTIATE_TEST_SUITE_P(
     table, restarted_nodes,
-    testing::Values(restart_case{"at_once", 40, 5ms, 0s, 101},
-                    restart_case{"two_nodes", 2, 5ms, 500ms, 101},
-                    restart_case{"within_the_same_second", 40, 5ms, 100ms, 100},
-                    restart_case{"with_clock_set_back", 40, 5ms, 500ms, 50},
-                    restart_case{"after_its_death_is_known", 40, 5ms, 10s, 111},
-                    restart_case{"after_its_death_is_known_with_clock_set_back", 40, 5ms, 10s, 50}),
+    testing::Values(
+        restart_case{"at_once", 40, 5ms, 0s, 101}, restart_case{"two_nodes", 2, 5ms, 500ms, 101},
+        restart_case{"within_the_same_second", 40, 5ms, 100ms, 100},
+        restart_case{"with_clock_set_back", 40, 5ms, 500ms, 50},
+        restart_case{"after_its_death_is_known", 40, 5ms, 10s, 111},
+        restart_case{"after_its_death_is_known_with_clock_set_back", 40, 5ms, 10s, 50},
+        restart_case{"first_answers_lost", 6, 300ms, 500ms, 101, 300ms},
+        restart_case{"first_answers_lost_in_a_large_group", 40, 300ms, 500ms, 101, 300ms},
+        restart_case{"first_answers_lost_with_clock_set_back", 6, 300ms, 500ms, 50, 300ms},
+        restart_case{"cut_off_until_it_is_taken_for_dead", 6, 300ms, 500ms, 101, 20s}),
     [](const auto& test) { return test.param.name; });
 
+struct confirmation_case {
+    std::string name;
+    std::size_t nodes;
+    double loss_rate;
+};
+
+class confirmed_endings : public testing::TestWithParam<confirmation_case> {};
+
+// Guards against a confirmation that nobody else holds when its node is killed, and against a
+// restarted node that offers a backend server before it knows what it has confirmed.
+TEST_P(confirmed_endings, are_known_to_the_next_process_before_it_offers_servers)
+{
+    const run_ending ending{base::instance_id("i1"), {10, 5}, true};
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        fake_fleet fleet(seed);
+        start_domain(fleet, GetParam().nodes);
+        fleet.run(5s);
+        fleet.net.loss_rate = GetParam().loss_rate;
+        const auto name = node_name(GetParam().nodes - 1);
+        fleet.perform(name, fleet.at(name).set_backends({}, fleet.now, {ending}));
+        const auto published = fleet.at(name).published_endings();
+        ASSERT_LT(fleet.at(name).confirmed_endings(), published) << "seed " << seed;
+        const auto confirmed = [&] { return fleet.at(name).confirmed_endings() == published; };
+        ASSERT_LT(fleet.run_until(confirmed, 800ms), 800ms) << "seed " << seed;
+        fleet.kill(name);
+        fleet.recovered_endings.clear();
+        fleet.start(name, "d1", 101);
+        EXPECT_FALSE(fleet.at(name).knows_earlier_endings()) << "seed " << seed;
+        const auto knows = [&] { return fleet.at(name).knows_earlier_endings(); };
+        ASSERT_LT(fleet.run_until(knows, 2s), 2s) << "seed " << seed;
+        ASSERT_FALSE(fleet.recovered_endings[name].empty()) << "seed " << seed;
+        EXPECT_EQ(fleet.recovered_endings[name].front(), ending);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(table, confirmed_endings,
+                         testing::Values(confirmation_case{"two_nodes", 2, 0},
+                                         confirmation_case{"two_nodes_with_loss", 2, 0.2},
+                                         confirmation_case{"all_observe_each_other", 6, 0},
+                                         confirmation_case{"all_observe_each_other_with_loss", 6,
+                                                           0.2},
+                                         confirmation_case{"large_group", 40, 0},
+                                         confirmation_case{"large_group_with_loss", 40, 0.2}),
+                         [](const auto& test) { return test.param.name; });
+
+struct reach_case {
+    std::string name;
+    std::size_t nodes;
+    /// Number of other nodes that hear the node when it publishes an ending.
+    std::size_t reached;
+    bool confirmed;
+};
+
+class reached_observers : public testing::TestWithParam<reach_case> {};
+
+// Guards against a confirmation by a node that is cut off from most of those that should keep it.
+TEST_P(reached_observers, decide_whether_an_ending_may_be_confirmed)
+{
+    fake_fleet fleet(1);
+    start_domain(fleet, GetParam().nodes);
+    fleet.run(5s);
+    const auto name = node_name(GetParam().nodes - 1);
+    fleet.net.cut = [&](const auto& from, const auto& to) {
+        return from == name && to >= node_name(GetParam().reached);
+    };
+    const run_ending ending{base::instance_id("i1"), {10, 5}, true};
+    fleet.perform(name, fleet.at(name).set_backends({}, fleet.now, {ending}));
+    fleet.run(1s);
+    const auto published = fleet.at(name).published_endings();
+    EXPECT_EQ(fleet.at(name).confirmed_endings() == published, GetParam().confirmed);
+    fleet.net.cut = nullptr;
+    fleet.run(1s);
+    EXPECT_EQ(fleet.at(name).confirmed_endings(), published);
+}
+
+INSTANTIATE_TEST_SUITE_P(table, reached_observers,
+                         testing::Values(reach_case{"only_node_of_the_group", 1, 0, true},
+                                         reach_case{"none_of_one", 2, 0, false},
+                                         reach_case{"one_of_one", 2, 1, true},
+                                         reach_case{"none_of_five", 6, 0, false},
+                                         reach_case{"two_of_five", 6, 2, false},
+                                         reach_case{"three_of_five", 6, 3, true}),
+                         [](const auto& test) { return test.param.name; });
+
 struct fault_case {
     std::string name;
     std::size_t nodes;
--- a/src/membership/membership_options.hpp
+++ b/src/membership/membership_options.hpp
@@ -50,6 +50,16 @@
     /// Minimum time between two rebuilds of the view.
     base::duration view_interval = std::chrono::milliseconds(100);
 
+    /// Interval at which run endings are sent, and asked for, until they are answered.
+    base::duration endings_interval = std::chrono::milliseconds(100);
+    /// Time for which a node that has started asks its observers for endings; see endings_recovery.
+    base::duration endings_query_time = std::chrono::seconds(10);
+    /// A node that has met no other member of its group for this time is taken for the only one.
+    base::duration alone_after = std::chrono::seconds(2);
+    /// Time for which endings are kept for other nodes; late messages of a run are not expected
+    /// after it.
+    base::duration endings_retention = std::chrono::minutes(2);
+
     /// Exchange between failure domains.
     domain_options domains;
 
--- a/src/membership/message_check.cpp
+++ b/src/membership/message_check.cpp
@@ -67,6 +67,16 @@
                    return valid_contact_points(state.contact_points);
                });
     }
+    bool operator()(const keep_endings& body) const
+    {
+        return valid_name(body.reply_to) && valid_endings(body.endings);
+    }
+    bool operator()(const endings_kept& body) const { return body.holder <= largest_incarnation; }
+    bool operator()(const endings_query& body) const { return valid_name(body.reply_to); }
+    bool operator()(const endings_reply& body) const
+    {
+        return body.endings.size() <= m_limits.kept_endings_per_node && valid_runs(body.endings);
+    }
 
     bool valid_record(const member_record& item) const
     {
@@ -76,12 +86,21 @@
                item.backends.size() <= m_limits.backends_per_node &&
                std::all_of(item.backends.begin(), item.backends.end(),
                            [&](const backend_server& backend) { return valid_backend(backend); }) &&
-               item.run_endings.size() <= m_limits.run_endings_per_node &&
-               std::all_of(item.run_endings.begin(), item.run_endings.end(),
-                           [&](const run_ending& ending) { return valid_name(ending.instance); });
+               valid_endings(item.run_endings);
     }
 
 private:
+    bool valid_endings(const std::vector<run_ending>& list) const
+    {
+        return list.size() <= m_limits.run_endings_per_node && valid_runs(list);
+    }
+
+    bool valid_runs(const std::vector<run_ending>& list) const
+    {
+        return std::all_of(list.begin(), list.end(),
+                           [&](const run_ending& ending) { return valid_name(ending.instance); });
+    }
+
     template <class Id>
     bool valid_name(const Id& id) const
     {
--- a/src/membership/message_size.cpp
+++ b/src/membership/message_size.cpp
@@ -45,6 +45,15 @@
            flag_size;
 }
 
+std::int64_t size_of_endings(const std::vector<run_ending>& endings)
+{
+    std::int64_t size = size_of_number(endings.size());
+    for (const run_ending& ending : endings) {
+        size += size_of_ending(ending);
+    }
+    return size;
+}
+
 std::int64_t size_of_record(const member_record& record)
 {
     std::int64_t size =
@@ -56,11 +65,7 @@
     for (const backend_server& backend : record.backends) {
         size += size_of_backend(backend);
     }
-    size += size_of_number(record.run_endings.size());
-    for (const run_ending& ending : record.run_endings) {
-        size += size_of_ending(ending);
-    }
-    return size;
+    return size + size_of_endings(record.run_endings);
 }
 
 std::int64_t size_of_records(const std::vector<member_record>& records)
@@ -163,6 +168,24 @@
         }
         return size;
     }
+    std::int64_t operator()(const keep_endings& body) const
+    {
+        return size_of_number(body.process.value()) + size_of_number(body.number.value()) +
+               size_of_endings(body.endings) + size_of_text(body.reply_to.value());
+    }
+    std::int64_t operator()(const endings_kept& body) const
+    {
+        return size_of_number(body.process.value()) + size_of_number(body.number.value()) +
+               size_of_number(body.holder.value());
+    }
+    std::int64_t operator()(const endings_query& body) const
+    {
+        return size_of_number(body.process.value()) + size_of_text(body.reply_to.value());
+    }
+    std::int64_t operator()(const endings_reply& body) const
+    {
+        return size_of_number(body.process.value()) + size_of_endings(body.endings);
+    }
 };
 
 } // namespace
--- a/src/membership/run_ending.hpp
+++ b/src/membership/run_ending.hpp
@@ -17,4 +17,11 @@
     friend bool operator==(const run_ending&, const run_ending&) = default;
 };
 
+/// Whether two entries, each with an instance id and a position, belong to one run.
+template <class First, class Second>
+bool is_same_run(const First& a, const Second& b)
+{
+    return a.instance == b.instance && a.position.started_ms == b.position.started_ms;
+}
+
 } // namespace damaskladder::membership
