Consensus: a replica that rejoins an unformed cluster votes for its bootstrap

Cause: a bootstrap needs the votes of all initial replicas, and only a replica that was forming the cluster itself granted one. The one that came back waited to be admitted by a leader that could not be elected. Ruled out: a second cluster. A candidate still needs the vote of every initial replica, one that holds an entry refuses, and a committed entry is on more disks than may be lost; wiped_after_it_formed passes before and after. Change: a replica with an empty list of initial replicas grants a bootstrap vote while its log is empty. It does not campaign. Limits: if all initial replicas restart with bootstrap false before the cluster has formed, none campaigns.

--- a/src/consensus/cluster_test.cpp
+++ b/src/consensus/cluster_test.cpp
@@ -209,6 +209,54 @@
     EXPECT_EQ(cluster.members().voter_count(), 3U);
 }
 
+// Guards against a cluster that waits for good for the vote of a replica that rejoins.
+void restarted_before_it_formed(test_cluster& cluster)
+{
+    cluster.set_rejoins(1);
+    cluster.crash(1, unsynced_data::lost);
+    cluster.start(1);
+    wait_for_leader(cluster);
+    EXPECT_TRUE(cluster.converges(10s));
+    EXPECT_EQ(cluster.members().voter_count(), 3U);
+}
+
+void wiped_before_it_formed(test_cluster& cluster)
+{
+    cluster.set_rejoins(1);
+    cluster.run(100ms);
+    cluster.wipe(1);
+    wait_for_leader(cluster);
+    EXPECT_TRUE(cluster.converges(10s));
+    EXPECT_TRUE(cluster.members().is_voter(cluster.status(1).identity));
+}
+
+// Guards against a second cluster that a wiped replica helps to form while the only holder of the
+// first one's entries is down.
+void wiped_after_it_formed(test_cluster& cluster)
+{
+    cluster.on_elected = [&](std::size_t number) {
+        cluster.set_group(number == 2 ? 0 : 2, 1);
+    };
+    ASSERT_TRUE(cluster.run_until([&] { return cluster.leader().has_value(); }, 10s));
+    cluster.on_elected = nullptr;
+    const std::size_t leader = *cluster.leader();
+    const std::size_t unaware = leader == 2 ? 0 : 2;
+    cluster.propose(leader);
+    cluster.run(100ms);
+    const std::size_t committed = cluster.committed();
+    EXPECT_GT(committed, 0U);
+    ASSERT_EQ(cluster.status(unaware).last_index, log_index());
+    cluster.crash(leader, unsynced_data::lost);
+    cluster.set_rejoins(1 == leader ? 0 : 1);
+    cluster.wipe(1 == leader ? 0 : 1);
+    cluster.heal();
+    cluster.run(10s);
+    EXPECT_FALSE(cluster.leader());
+    cluster.start(leader);
+    cluster.run(10s);
+    EXPECT_GE(cluster.committed(), committed);
+}
+
 void restart_after_hundreds(test_cluster& cluster)
 {
     wait_for_leader(cluster);
@@ -372,6 +420,9 @@
                     scenario{"second_lost_after_repair", 3, second_lost_after_repair},
                     scenario{"wiped_may_not_vote", 3, wiped_may_not_vote},
                     scenario{"bootstrap_needs_all", 3, bootstrap_needs_all},
+                    scenario{"restarted_before_it_formed", 3, restarted_before_it_formed},
+                    scenario{"wiped_before_it_formed", 3, wiped_before_it_formed},
+                    scenario{"wiped_after_it_formed", 3, wiped_after_it_formed},
                     scenario{"entry_of_older_term", 3, entry_of_older_term},
                     scenario{"restart_after_hundreds", 3, restart_after_hundreds},
                     scenario{"far_behind", 3, far_behind}, scenario{"hand_over", 3, hand_over},
--- a/src/consensus/replica_election.cpp
+++ b/src/consensus/replica_election.cpp
@@ -38,8 +38,11 @@
         return true;
     }
     const auto& initial = m_options.initial_replicas;
-    return is_bootstrapping() &&
-           std::find(initial.begin(), initial.end(), from.id) != initial.end();
+    // A replica that was started to rejoin before the cluster had formed has nothing to rejoin. As
+    // the candidate needs the votes of all initial replicas, one that holds an entry prevents it.
+    const bool rejoins_nothing = m_log.empty() && initial.empty();
+    return rejoins_nothing || (is_bootstrapping() &&
+                               std::find(initial.begin(), initial.end(), from.id) != initial.end());
 }
 
 void replica_core::reset_election_deadline()
--- a/src/consensus/test_cluster.hpp
+++ b/src/consensus/test_cluster.hpp
@@ -43,6 +43,8 @@
     void crash(std::size_t number, unsynced_data unsynced);
     void start(std::size_t number);
     void wipe(std::size_t number);
+    /// From its next start on, the replica rejoins a cluster instead of forming it.
+    void set_rejoins(std::size_t number) { m_replicas[number].rejoins = true; }
     /// Only replicas of the same group receive each other's messages.
     void set_group(std::size_t number, int group) { m_replicas[number].group = group; }
     void heal();
@@ -98,6 +100,7 @@
         std::optional<persistence_queue> queue;
         std::optional<replica> core;
         int group = 0;
+        bool rejoins = false;
         log_index applied;
         std::uint64_t hash = 0;
         std::optional<log_index> wanted_snapshot;
--- a/src/consensus/test_cluster_test.cpp
+++ b/src/consensus/test_cluster_test.cpp
@@ -129,7 +129,11 @@
     started.applied = {};
     started.hash = 0;
     started.wanted_snapshot.reset();
-    started.core.emplace(m_options, started.storage->take_recovered_state(), random);
+    replica_options options = m_options;
+    if (started.rejoins) {
+        options.initial_replicas.clear();
+    }
+    started.core.emplace(options, started.storage->take_recovered_state(), random);
     execute_effects(number, started.core->start(m_now));
 }
 
