Entry node: late in a stop, a request that may outlast the node is refused

Cause: fit_into_serving_time() shortened the deadline of idempotent requests instead of refusing them. Change: a request from a client is passed on after stop_scheduled only if its own deadline comes before the end. It is refused as not run, so that the caller can repeat it elsewhere. Onward calls keep the shortened deadline: refusing one fails its running parent. Limits: callers that could have been answered in the rest of the grace are refused, too.

--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -203,7 +203,7 @@
         return refuse_with(refusal_reason::request_id_required);
     }
     request.deadline = ctx.now + shorter_of(route->timeout, received.constraints.timeout);
-    if (!fit_into_serving_time(request, ctx)) {
+    if (m_shared.serving_end && request.deadline > *m_shared.serving_end) {
         return refuse_with(refusal_reason::stopping);
     }
     request.context.importance =
--- a/src/node/entry_machine.hpp
+++ b/src/node/entry_machine.hpp
@@ -76,8 +76,8 @@
                event_context& ctx);
     void forward_or_request_token(entry_request& request, event_context& ctx);
     void try_forward(entry_request& request, event_context& ctx);
-    /// After stop_scheduled, makes sure that the request is answered before the node ends. Returns
-    /// false if it has to be refused.
+    /// After stop_scheduled, shortens the deadline of an onward call to the time at which the node
+    /// ends. Returns false if the call has to be refused.
     bool fit_into_serving_time(entry_request& request, const event_context& ctx) const;
     std::optional<refusal_reason> start_problem(const entry_request& request,
                                                 event_context& ctx) const;
