Log: a reader that stalls holds up no thread

Cause: lines are written by the thread that logs, with a call that waits until the pipe has room. Change: ready_line_appender writes a line only if the descriptor takes it at once, and loses it otherwise; the next line that is written is preceded by log_lines_lost with the number. Ruled out: a thread with a queue, which costs each idle node a thread and must lose lines as well; O_NONBLOCK on standard error, which other processes may share.

--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -1,11 +1,13 @@
 #include "daemon/log.hpp"
 
-#include <log4cplus/consoleappender.h>
+#include "daemon/ready_line_appender.hpp"
+
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 #include <memory>
 
@@ -76,7 +78,10 @@
     const auto* pattern = settings.json
                               ? "{\"time\":\"%D{%Y-%m-%dT%H:%M:%S.%qZ}\",\"level\":\"%p\",%m%n"
                               : "time=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n";
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender(
+        new ready_line_appender(STDERR_FILENO, [](std::size_t lost) {
+            return format("log_lines_lost", {{"count", std::to_string(lost)}});
+        }));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
     state->logger.addAppender(appender);
     state->logger.setLogLevel(
--- a/src/daemon/log.hpp
+++ b/src/daemon/log.hpp
@@ -21,7 +21,8 @@
 void start_log(const log_settings& settings, const std::string& process);
 
 /// Writes one line with time, level, process, event and fields, as key=value pairs or JSON.
-/// Thread-safe. Keys and tokens must never be passed.
+/// Thread-safe, and does not wait: lines that standard error cannot take at once are lost, and the
+/// next line says how many. Keys and tokens must never be passed.
 void log(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
 
 /// Logs a failure with its step, peer, kind and text.
