--- a/src/consensus/cluster_test.cpp
+++ b/src/consensus/cluster_test.cpp
@@ -234,9 +234,7 @@
 // first one's entries is down.
 void wiped_after_it_formed(test_cluster& cluster)
 {
-    cluster.on_elected = [&](std::size_t number) {
-        cluster.set_group(number == 2 ? 0 : 2, 1);
-    };
+    cluster.on_elected = [&](std::size_t number) { cluster.set_group(number == 2 ? 0 : 2, 1); };
     ASSERT_TRUE(cluster.run_until([&] { return cluster.leader().has_value(); }, 10s));
     cluster.on_elected = nullptr;
     const std::size_t leader = *cluster.leader();
--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -26,8 +26,8 @@
 /// refusal reports stale settings instead. Longer than two polls for newer settings.
 constexpr base::duration max_staleness_for_unknown = std::chrono::milliseconds(1500);
 
-/// An idempotent request is not passed on if the node ends sooner. Most calls are answered within
-/// this time.
+/// An idempotent onward call is not passed on if the node ends sooner. Most calls are answered
+/// within this time.
 constexpr base::duration min_serving_time = std::chrono::milliseconds(300);
 
 /// \param has_untried whether the request can be sent to a server that has not been tried yet.
