Membership: a node that restarts with a minority of its group serves it after 1 s

Cause: the commit on confirmations waits for a majority of the observers. Most of them were beyond the cut, and count as observers until they are declared dead. Change: the wait ends after 1 s of the node's active time. Such a node is not in touch, and it goes on asking: an ending that comes back later ends the run at once. Observers are asked for 2 minutes, as long as endings are kept, also those that become observers later; with the 10 s of before, a cut of half a minute lost the ending. Tests: restarts_in_a_minority, 3 rows of 10 seeds; without the limit of the wait 30 of 30 fail, and with 10 s of asking the row cut_for_half_a_minute failed for 10 of 10 seeds.

--- a/src/membership/endings_recovery.cpp
+++ b/src/membership/endings_recovery.cpp
@@ -8,7 +8,7 @@
                                                  base::time_point now)
 {
     std::vector<base::node_id> receivers;
-    if (m_complete && m_met_others_at && now - *m_met_others_at >= m_options.query_time) {
+    if (now.time_since_epoch() >= m_options.query_time) {
         return receivers;
     }
     for (const base::node_id& observer : observers) {
@@ -32,9 +32,9 @@
     const auto answers =
         std::count_if(observers.begin(), observers.end(),
                       [&](const base::node_id& observer) { return m_answered.contains(observer); });
-    const bool majority =
-        !observers.empty() && static_cast<std::size_t>(answers) > observers.size() / 2;
-    m_complete = majority || is_alone(now);
+    const bool is_majority = static_cast<std::size_t>(answers) > observers.size() / 2;
+    const bool is_cut_off = m_met_others_at && now - *m_met_others_at >= m_options.majority_wait;
+    m_complete = is_majority || is_cut_off || is_alone(now);
 }
 
 } // namespace damaskladder::membership
--- a/src/membership/endings_recovery.hpp
+++ b/src/membership/endings_recovery.hpp
@@ -11,7 +11,8 @@
 namespace damaskladder::membership {
 
 /// Decides whom a node asks after its start for the endings that it confirmed before, and when it
-/// knows them. Observers are asked until they answer, also those that become observers later.
+/// knows them. Observers are asked until they answer, also those that become observers later. Times
+/// are active times since the start, so that a node that was not running does not count as cut off.
 class endings_recovery {
 public:
     struct options {
@@ -19,12 +20,14 @@
         /// A node that has met no other member for this time after its start is taken for the only
         /// one of its group.
         base::duration alone_after;
-        /// Time after it first met another member in which observers are asked. Longer than the
-        /// members of a group take to find each other again when several of them restart together.
+        /// Time after it first met another member for which a node waits for a majority of its
+        /// observers. Without one it is cut off with a minority of its group, and serves that.
+        base::duration majority_wait;
+        /// Time after the start for which observers are asked: as long as they keep endings.
         base::duration query_time;
     };
 
-    endings_recovery(options how, base::time_point started) : m_options(how), m_started(started) {}
+    explicit endings_recovery(options how) : m_options(how) {}
 
     /// Observers to ask at this time.
     std::vector<base::node_id> due(const std::vector<base::node_id>& observers,
@@ -33,18 +36,18 @@
 
     /// Call with the current observers after each event.
     void update(const std::vector<base::node_id>& observers, base::time_point now);
-    /// Whether a majority of the observers has answered, or the node was alone. Stays true.
+    /// Whether a majority of the observers has answered, or the node was alone or cut off from them
+    /// for so long that it should go on without. Stays true.
     bool complete() const { return m_complete; }
     /// Whether the node has been without any other member since its start for so long that it is
     /// taken for the only one.
     bool is_alone(base::time_point now) const
     {
-        return !m_met_others_at && now - m_started >= m_options.alone_after;
+        return !m_met_others_at && now.time_since_epoch() >= m_options.alone_after;
     }
 
 private:
     options m_options;
-    base::time_point m_started;
     std::map<base::node_id, base::time_point> m_next_query;
     std::set<base::node_id> m_answered;
     std::optional<base::time_point> m_met_others_at;
--- a/src/membership/membership_node.cpp
+++ b/src/membership/membership_node.cpp
@@ -39,7 +39,8 @@
 
 endings_recovery::options recovery_options(const membership_options& options)
 {
-    return {options.endings_interval, options.alone_after, options.endings_query_time};
+    return {options.endings_interval, options.alone_after, options.endings_majority_wait,
+            options.endings_retention};
 }
 
 base::incarnation next_incarnation(base::incarnation earlier)
@@ -66,7 +67,7 @@
       m_kept_endings({m_options.endings_retention, m_options.limits.kept_endings,
                       m_options.limits.kept_endings_per_node}),
       m_confirmation(m_options.endings_interval),
-      m_recovery(recovery_options(m_options), {}),
+      m_recovery(recovery_options(m_options)),
       m_urgent(m_options.urgent_interval),
       m_source(m_self.node),
       m_view(std::make_shared<const service_view>())
@@ -78,7 +79,6 @@
     begin_event(now);
     const auto interval = static_cast<std::uint64_t>(m_options.heartbeat_interval.count());
     m_next_heartbeat = now + base::duration(static_cast<std::int64_t>(m_random() % interval));
-    m_recovery = endings_recovery(recovery_options(m_options), now);
     reset_members();
     try_join();
     return finish_event();
@@ -350,8 +350,9 @@
 void membership_node::exchange_endings()
 {
     const auto& observers = m_rings.observers_of(m_self.node);
-    m_recovery.update(observers, m_now);
-    for (const base::node_id& observer : m_recovery.due(observers, m_now)) {
+    const base::time_point active_time(m_active_clock.elapsed());
+    m_recovery.update(observers, active_time);
+    for (const base::node_id& observer : m_recovery.due(observers, active_time)) {
         send_to_member(observer, endings_query{m_process, m_self.messages});
     }
     if (!m_self.run_endings.empty()) {
@@ -375,7 +376,8 @@
 
 endings_number membership_node::confirmed_endings() const
 {
-    const bool nothing_to_hold = m_self.run_endings.empty() || m_recovery.is_alone(m_now);
+    const bool nothing_to_hold = m_self.run_endings.empty() ||
+                                 m_recovery.is_alone(base::time_point(m_active_clock.elapsed()));
     return nothing_to_hold ? m_confirmation.newest()
                            : m_confirmation.held_by_majority(ending_holders());
 }
--- a/src/membership/membership_node.hpp
+++ b/src/membership/membership_node.hpp
@@ -78,7 +78,8 @@
     endings_number confirmed_endings() const;
     /// Whether the node has learned after its start which endings an earlier process of it has
     /// confirmed; until then its backend servers may have left and should not be published. True
-    /// for good once a majority of the observers has answered, or if the node is the only member.
+    /// for good once a majority of the observers has answered, or when the node has waited so long
+    /// that it is the only member or cut off from most of the others; see endings_recovery.
     bool knows_earlier_endings() const { return m_recovery.complete(); }
     /// Number of messages dropped because they exceeded a limit.
     std::uint64_t refused_messages() const { return m_refused; }
--- a/src/membership/membership_node_test.cpp
+++ b/src/membership/membership_node_test.cpp
@@ -151,6 +151,55 @@
                                          reach_case{"three_of_five", 6, 3, true}),
                          [](const auto& test) { return test.param.name; });
 
+struct minority_case {
+    std::string name;
+    /// Time for which the node's side, a third of the group, is cut off from the rest.
+    base::duration cut_time;
+};
+
+class restarts_in_a_minority : public testing::TestWithParam<minority_case> {};
+
+// Guards against a node that restarts in a cut-off failure domain and serves nobody there until the
+// others are declared dead, and against one that stops asking them once it serves.
+TEST_P(restarts_in_a_minority, serve_within_seconds_and_ask_until_the_others_answer)
+{
+    const run_ending ending{base::instance_id("i1"), {10, 5}, true};
+    constexpr std::size_t first_of_side = 8;
+    constexpr std::size_t nodes = 12;
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        fake_fleet fleet(seed);
+        start_domain(fleet, nodes);
+        fleet.options.seeds.emplace_back(node_name(first_of_side).value() + ":1");
+        fleet.run(5s);
+        const auto name = node_name(nodes - 1);
+        const auto on_side = [&](const auto& node) { return node >= node_name(first_of_side); };
+        // The other members of the side do not get the ending.
+        fleet.net.cut = [&](const auto& from, const auto& to) {
+            return from != to && on_side(from) && on_side(to);
+        };
+        fleet.perform(name, fleet.at(name).set_backends({}, fleet.now, {ending}));
+        fleet.run(20ms);
+        fleet.net.cut = [&](const auto& from, const auto& to) {
+            return on_side(from) != on_side(to);
+        };
+        fleet.kill(name);
+        fleet.recovered_endings.clear();
+        fleet.start(name, "d1", 101);
+        const auto knows = [&] { return fleet.at(name).knows_earlier_endings(); };
+        EXPECT_LT(fleet.run_until(knows, 3s), 2s) << "seed " << seed;
+        fleet.run(GetParam().cut_time);
+        fleet.net.cut = nullptr;
+        const auto recovered = [&] { return !fleet.recovered_endings[name].empty(); };
+        EXPECT_LT(fleet.run_until(recovered, 10s), 10s) << "seed " << seed;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(table, restarts_in_a_minority,
+                         testing::Values(minority_case{"cut_for_a_moment", 500ms},
+                                         minority_case{"cut_for_seconds", 5s},
+                                         minority_case{"cut_for_half_a_minute", 30s}),
+                         [](const auto& test) { return test.param.name; });
+
 struct fault_case {
     std::string name;
     std::size_t nodes;
--- a/src/membership/membership_options.hpp
+++ b/src/membership/membership_options.hpp
@@ -52,9 +52,8 @@
 
     /// Interval at which run endings are sent, and asked for, until they are answered.
     base::duration endings_interval = std::chrono::milliseconds(100);
-    /// Time for which a node that has started asks its observers for endings; see endings_recovery.
-    base::duration endings_query_time = std::chrono::seconds(10);
-    /// A node that has met no other member of its group for this time is taken for the only one.
+    /// Times of a node that has started and asks its observers for endings; see endings_recovery.
+    base::duration endings_majority_wait = std::chrono::seconds(1);
     base::duration alone_after = std::chrono::seconds(2);
     /// Time for which endings are kept for other nodes; late messages of a run are not expected
     /// after it.
