Routes with large answers stream for longer than other answers

Bodies of more than 5 minutes were cut: 30 MB take 50 minutes at 10 KB/s. Change: settings field streaming of a route; the route's time-out ends with the head of the answer, and its body may take 2 hours. The call context between nodes carries the flag and the route (encoding version 4: update all VMs). Ruled out: a larger limit for all answers, which would let a stalled answer hold a slot.

--- a/src/daemon/view_builder.cpp
+++ b/src/daemon/view_builder.cpp
@@ -25,6 +25,7 @@
     route.service = from.service;
     route.open = from.open;
     route.idempotent = from.idempotent;
+    route.streaming = from.streaming;
     route.importance = from.importance;
     route.split = from.split;
     route.timeout = from.timeout;
--- a/src/node/call_context.hpp
+++ b/src/node/call_context.hpp
@@ -8,6 +8,7 @@
 #include "base/node_id.hpp"
 #include "base/request_id.hpp"
 #include "base/retry_count.hpp"
+#include "base/route_id.hpp"
 #include "base/service_id.hpp"
 #include "base/settings_version.hpp"
 #include "base/time.hpp"
@@ -37,6 +38,10 @@
     bool idempotent = true;
     /// Whether a call that is not idempotent needs a claim; see route_entry.
     bool claimed = true;
+    /// The answer may be large; see route_entry.
+    bool streaming = false;
+    /// Route by which the entry node admitted the call.
+    base::route_id route;
     /// Service of the VM that sent the original request; empty if unknown.
     base::service_id origin;
     base::node_id issuer;
--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -405,7 +405,7 @@
         budget_of(*request).on_success(ctx.now);
     }
     request->phase = entry_phase::relaying;
-    m_deadlines.set(request->exchange, ctx.now + m_shared.options.max_response_time);
+    m_deadlines.set(request->exchange, ctx.now + m_shared.response_time(request->context));
     relay_response relay;
     relay.exchange = request->exchange;
     relay.transfer = request->transfer;
@@ -571,6 +571,8 @@
     request.service = service_for(route);
     request.max_runs = route.attempts;
     request.context.claimed = route.claimed;
+    request.context.streaming = route.streaming;
+    request.context.route = route.route;
     request.open = route.open;
     request.max_staleness = route.max_staleness;
     request.context.idempotent = route.idempotent && !non_idempotent;
--- a/src/node/entry_machine_test.cpp
+++ b/src/node/entry_machine_test.cpp
@@ -110,6 +110,24 @@
                                   {601, response_finished{t1, nullptr}}},
                                  "ask-tokens e1\nforward t1 e1\nrelay e1 t1\n"}));
 
+INSTANTIATE_TEST_SUITE_P(
+    long_answers, entry_sessions,
+    testing::Values(session_case{"an answer without end is cut after 5 minutes",
+                                 {{0, request_of(e1, "/open", nullptr)},
+                                  {0, started(t1)},
+                                  {299'999, tick{}},
+                                  {300'000, tick{}}},
+                                 "forward t1 e1\nrelay e1 t1\ncut e1\ncancel t1\n"},
+                    session_case{"a large answer lasts longer, whatever the time-out of its route",
+                                 {{0, request_of(e1, "/large", nullptr)},
+                                  {900, started(t1)},
+                                  {3'000'000, tick{}},
+                                  {3'000'001, response_finished{t1, nullptr}}},
+                                 "forward t1 e1\nrelay e1 t1\n"},
+                    session_case{"the head of a large answer is due within the time-out",
+                                 {{0, request_of(e1, "/large", nullptr)}, {1'000, tick{}}},
+                                 "forward t1 e1\ncancel t1\nrefuse e1 504 not-run deadline\n"}));
+
 INSTANTIATE_TEST_SUITE_P(
     ends, entry_sessions,
     testing::Values(
--- a/src/node/gatekeeper_machine.cpp
+++ b/src/node/gatekeeper_machine.cpp
@@ -197,7 +197,7 @@
     call->response = received.response;
     call->own_latency =
         ctx.now - call->started_at - m_shared.calls.onward_time(call->context.call, ctx.now);
-    m_deadlines.set(call->exchange, ctx.now + m_shared.options.max_response_time);
+    m_deadlines.set(call->exchange, ctx.now + m_shared.response_time(call->context));
     relay_response relay;
     relay.exchange = call->exchange;
     relay.transfer = call->transfer;
--- a/src/node/route_entry.hpp
+++ b/src/node/route_entry.hpp
@@ -23,6 +23,9 @@
     /// Requests need no key and no rate token.
     bool open = false;
     bool idempotent = true;
+    /// Answers are large: once the head has arrived, the body may take traffic_options::
+    /// max_streaming_time.
+    bool streaming = false;
     base::importance importance = base::importance::normal;
     base::duration timeout{};
     /// Target for the response time; zero if none is set.
--- a/src/node/traffic_fixture.hpp
+++ b/src/node/traffic_fixture.hpp
@@ -67,13 +67,16 @@
         open = keyed;
         open.open = true;
         open.workspaces.clear();
+        large = open;
+        large.streaming = true;
         key = {base::key_id("k"), base::workspace_id("w"), true};
         other = {base::key_id("o"), base::workspace_id("other"), true};
         view.match_route = [this](std::string_view path, std::string_view) -> const route_entry* {
-            return path == "/keyed"  ? &keyed
-                   : path == "/once" ? &once
-                   : path == "/open" ? &open
-                                     : nullptr;
+            return path == "/keyed"   ? &keyed
+                   : path == "/once"  ? &once
+                   : path == "/open"  ? &open
+                   : path == "/large" ? &large
+                                      : nullptr;
         };
         view.find_key = [this](const base::key_hash& hash) -> const key_entry* {
             return hash == hash_of('k') ? &key : hash == hash_of('o') ? &other : nullptr;
@@ -140,6 +143,7 @@
     route_entry keyed;
     route_entry once;
     route_entry open;
+    route_entry large;
     key_entry key;
     key_entry other;
     forward_to_gatekeeper last_forward;
--- a/src/node/traffic_options.hpp
+++ b/src/node/traffic_options.hpp
@@ -21,6 +21,9 @@
     base::call_depth max_depth{16};
     /// Time limit for a response whose headers arrived in time; after it the response is aborted.
     base::duration max_response_time{std::chrono::minutes(5)};
+    /// The same for streaming routes: 30 MB take 50 minutes at 10 KB/s. Callers that stop reading
+    /// are disconnected earlier, by the idle time of the listener.
+    base::duration max_streaming_time{std::chrono::hours(2)};
     /// Maximum length of a request path.
     base::byte_count max_path{8192};
     admission::controller_options admission;
--- a/src/node/traffic_state.hpp
+++ b/src/node/traffic_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/cpu_load_shedder.hpp"
+#include "node/call_context.hpp"
 #include "node/running_calls.hpp"
 #include "node/traffic_options.hpp"
 #include "node/transfer_id.hpp"
@@ -24,6 +25,12 @@
     /// traffic_options::guard_processor.
     admission::cpu_load_shedder processor{admission::cpu_load_shedder_options()};
 
+    /// Time limit for the body of a call's answer.
+    base::duration response_time(const call_context& context) const
+    {
+        return context.streaming ? options.max_streaming_time : options.max_response_time;
+    }
+
     transfer_id next_transfer()
     {
         last_transfer = transfer_id(last_transfer.value() + 1);
--- a/src/settings/compiled_settings.cpp
+++ b/src/settings/compiled_settings.cpp
@@ -204,6 +204,7 @@
     read(entry, "run_once_per", parse_once_scope, route.run_once_per);
     read(entry, "open", parse_yes_no, route.open);
     read(entry, "idempotent", parse_yes_no, route.idempotent);
+    read(entry, "streaming", parse_yes_no, route.streaming);
     read(entry, "importance", parse_importance, route.importance);
     read(entry, "timeout", parse_duration, route.timeout);
     read(entry, "retries", parse_count, route.retries);
--- a/src/settings/route_settings.hpp
+++ b/src/settings/route_settings.hpp
@@ -32,6 +32,8 @@
     /// Requests need no key.
     bool open = false;
     bool idempotent = false;
+    /// Answers are large: `timeout` ends with the head of the answer, and the body may take long.
+    bool streaming = false;
     base::importance importance = base::importance::normal;
     base::duration timeout = std::chrono::seconds(2);
     /// Target latency: answers within it have their full value. Zero if not set.
--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -25,6 +25,7 @@
                "up to 20 of SERVICE:WEIGHT joined by \", \", with weights from 0 to 1000000"},
     field_rule{"open", field_kind::yes_no, false, 0, 0, "yes or no"},
     field_rule{"idempotent", field_kind::yes_no, true, 0, 0, "yes or no"},
+    field_rule{"streaming", field_kind::yes_no, false, 0, 0, "yes or no"},
     field_rule{"importance", field_kind::importance, false, 0, 0,
                "background, low, normal or critical"},
     field_rule{"timeout", field_kind::duration, false, 1 * milliseconds, 600 * seconds,
--- a/src/wire/context_encoding.cpp
+++ b/src/wire/context_encoding.cpp
@@ -12,12 +12,14 @@
 namespace {
 
 /// Must be incremented when the fields or their order change.
-constexpr std::uint8_t encoding_version = 3;
+constexpr std::uint8_t encoding_version = 4;
 /// Initial capacity in bytes, enough for a typical context without reallocation.
 constexpr std::size_t typical_size = 256;
 
 constexpr std::uint8_t idempotent_flag = 1;
 constexpr std::uint8_t claimed_flag = 2;
+constexpr std::uint8_t streaming_flag = 4;
+constexpr std::uint8_t all_flags = idempotent_flag | claimed_flag | streaming_flag;
 
 template <class Id>
 Id read_id(base::byte_reader& in)
@@ -59,7 +61,8 @@
         .u8(static_cast<std::uint8_t>(context.purpose))
         .u8(static_cast<std::uint8_t>(call.importance))
         .u8(static_cast<std::uint8_t>((call.idempotent ? idempotent_flag : 0) |
-                                      (call.claimed ? claimed_flag : 0)))
+                                      (call.claimed ? claimed_flag : 0) |
+                                      (call.streaming ? streaming_flag : 0)))
         .text(call.workspace.value())
         .text(call.key.value())
         .u64(call.settings.value())
@@ -70,6 +73,7 @@
         .u64(to_unsigned(call.budget.count()))
         .u64(to_unsigned(call.allowance.value()))
         .text(call.origin.value())
+        .text(call.route.value())
         .text(call.issuer.value())
         .text(context.content.value())
         .text(context.receiver.value())
@@ -87,9 +91,10 @@
     context.purpose = read_enum<context_purpose>(in, valid);
     call.importance = read_enum<base::importance>(in, valid);
     const auto flags = in.u8();
-    valid = valid && flags <= (idempotent_flag | claimed_flag);
+    valid = valid && flags <= all_flags;
     call.idempotent = (flags & idempotent_flag) != 0;
     call.claimed = (flags & claimed_flag) != 0;
+    call.streaming = (flags & streaming_flag) != 0;
     call.workspace = read_id<base::workspace_id>(in);
     call.key = read_id<base::key_id>(in);
     call.settings = read_id<base::settings_version>(in);
@@ -100,6 +105,7 @@
     call.budget = base::duration(to_signed(in.u64()));
     call.allowance = read_id<base::retry_count>(in);
     call.origin = read_id<base::service_id>(in);
+    call.route = read_id<base::route_id>(in);
     call.issuer = read_id<base::node_id>(in);
     context.content = read_id<base::content_hash>(in);
     context.receiver = read_id<base::node_id>(in);
