http: an answer whose status is not 100 to 599 is malformed

Cause: http_parser takes any three digits. 600 to 999 were passed on as answers; 000 to 099 were taken for interim responses, so the request waited for another head on a connection that was out of step. Change: the parser refuses such a head, on the hop between nodes and on that to the backend server; the outcome is unknown and the connection closes. Measured: the new rows of byte_streams failed before the change and pass with it; http_test passes.

--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::uint64_t no_length = ~std::uint64_t{0};
+// http_parser accepts any three digits.
+constexpr int first_status = 100;
+constexpr int last_status = 599;
 
 void trim_end(std::string& value)
 {
@@ -87,6 +90,9 @@
         }
         else {
             head.status = parser->status_code;
+            if (head.status < first_status || head.status > last_status) {
+                return -1;
+            }
         }
         head.keep_alive = http_should_keep_alive(parser) != 0;
         set_body_size(*parser, self);
