Settings files are read again on SIGHUP

Cause: SIGHUP did nothing; a process started with addresses of control VMs that have all been replaced could not learn others. Change: the file is read, checked and applied or refused as a whole, with the reason in the log. Addresses of control VMs and the log level take effect at once; other changes are named and wait for a restart.

--- a/src/cli/process_commands.cpp
+++ b/src/cli/process_commands.cpp
@@ -62,7 +62,13 @@
     }
     return base::handle_failure(
         [&]() -> base::result<exit_code> {
-            BOOST_LEAF_CHECK(daemon::run_process(*settings, make_dialect));
+            const auto read_again = [file = parser.positional().front()]()
+                -> std::optional<daemon::process_settings_document> {
+                const auto text = read_text_file(file);
+                return text ? std::optional(daemon::read_process_settings(*text, file))
+                            : std::nullopt;
+            };
+            BOOST_LEAF_CHECK(daemon::run_process(*settings, make_dialect, read_again));
             return exit_code::ok;
         },
         [](const base::failure& error) {
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -1,6 +1,7 @@
 #include "daemon/control_thread.hpp"
 
 #include "daemon/log.hpp"
+#include "daemon/settings_reload.hpp"
 
 #include <csignal>
 
@@ -43,7 +44,7 @@
       m_settings(settings),
       m_secret(secret),
       m_incarnation(incarnation),
-      m_directory(settings),
+      m_directory(m_settings),
       m_messages(m_loop, secret, settings.name, incarnation)
 {
 }
@@ -186,8 +187,10 @@
     }
 }
 
-void control_thread::run(const signal_watch& signals)
+void control_thread::run(const signal_watch& signals,
+                         std::function<std::optional<process_settings_document>()> read_again)
 {
+    m_read_again = std::move(read_again);
     m_loop.watch(signals.fd(), signal_watch::readable,
                  [this, &signals](std::uint32_t) { on_signal(signals.take()); });
     m_loop.each_round([this](base::time_point now) -> std::optional<base::time_point> {
@@ -223,6 +226,9 @@
 
 void control_thread::on_signal(int number)
 {
+    if (number == SIGHUP) {
+        return reload();
+    }
     if (number != SIGTERM && number != SIGINT) {
         return;
     }
@@ -233,6 +239,29 @@
     begin_stop();
 }
 
+void control_thread::reload()
+{
+    const auto read = m_read_again ? m_read_again() : std::nullopt;
+    if (!read) {
+        log(log_level::warn, "settings_file_refused", {{"problem", "the file cannot be read"}});
+        return;
+    }
+    auto decided = reload_settings(m_settings, *read);
+    if (!decided.in_force) {
+        log(log_level::warn, "settings_file_refused", {{"problem", decided.problem}});
+        return;
+    }
+    m_settings = std::move(*decided.in_force);
+    set_log_level(m_settings.log.level);
+    std::string sections;
+    for (const auto& section : decided.pending_restart) {
+        sections += (sections.empty() ? "" : ", ") + section;
+    }
+    log(log_level::info, "settings_file_applied",
+        {{"control_vms", std::to_string(m_settings.replicas.size())},
+         {"pending_restart", sections}});
+}
+
 void control_thread::begin_stop()
 {
     const auto now = http::event_loop::now();
--- a/src/daemon/control_thread.hpp
+++ b/src/daemon/control_thread.hpp
@@ -13,6 +13,7 @@
 #include "daemon/signal_watch.hpp"
 #include "daemon/traffic_thread.hpp"
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -30,14 +31,16 @@
     /// opened.
     base::result<void> start();
 
-    /// Runs until a signal has stopped the process.
-    void run(const signal_watch& signals);
+    /// Runs until a signal has stopped the process. `read_again` reads the settings file on SIGHUP.
+    void run(const signal_watch& signals,
+             std::function<std::optional<process_settings_document>()> read_again);
 
 private:
     void start_node_parts();
     control_requests make_requests();
     void on_settings_changed(std::shared_ptr<const settings::compiled_settings> compiled);
     void on_signal(int number);
+    void reload();
     void log_messages_sent();
     void begin_stop();
     /// Leaves the fleet, so that other nodes send no more calls to this one.
@@ -46,7 +49,9 @@
     void finish_stop(base::time_point now);
 
     dialect m_dialect;
-    const process_settings& m_settings;
+    /// Changed only by reload(), on the control thread.
+    process_settings m_settings;
+    std::function<std::optional<process_settings_document>()> m_read_again;
     const wire::cluster_secret& m_secret;
     base::incarnation m_incarnation;
     replica_directory m_directory;
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -84,11 +84,18 @@
         }));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
     state->logger.addAppender(appender);
-    state->logger.setLogLevel(
-        log4cplus::getLogLevelManager().fromString(settings.level == "debug"   ? "DEBUG"
-                                                   : settings.level == "warn"  ? "WARN"
-                                                   : settings.level == "error" ? "ERROR"
-                                                                               : "INFO"));
+    set_log_level(settings.level);
+}
+
+void set_log_level(const std::string& level)
+{
+    if (state != nullptr) {
+        state->logger.setLogLevel(
+            log4cplus::getLogLevelManager().fromString(level == "debug"   ? "DEBUG"
+                                                       : level == "warn"  ? "WARN"
+                                                       : level == "error" ? "ERROR"
+                                                                          : "INFO"));
+    }
 }
 
 void log(log_level level, std::string_view event, std::initializer_list<log_field> fields)
--- a/src/daemon/node_settings.hpp
+++ b/src/daemon/node_settings.hpp
@@ -36,6 +36,8 @@
     /// Interval between announcements of the backend server. An announcement is valid for four
     /// intervals, so that three may be late or lost.
     base::duration announce_interval = std::chrono::milliseconds(750);
+
+    friend bool operator==(const node_settings&, const node_settings&) = default;
 };
 
 } // namespace damaskladder::daemon
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -7,9 +7,12 @@
 
 #include <sodium.h>
 
+#include <utility>
+
 namespace damaskladder::daemon {
 
-base::result<void> run_process(const process_settings& settings, const dialect_maker& make_dialect)
+base::result<void> run_process(const process_settings& settings, const dialect_maker& make_dialect,
+                               settings_reader read_again)
 {
     const signal_watch signals;
     start_log(settings.log, settings.name.value());
@@ -29,7 +32,7 @@
         static_cast<std::uint64_t>(wall_clock_now().time_since_epoch().count()));
     control_thread control(settings, secret, incarnation, make_dialect(settings, secret));
     BOOST_LEAF_CHECK(control.start());
-    control.run(signals);
+    control.run(signals, std::move(read_again));
     return {};
 }
 
--- a/src/daemon/replica_settings.hpp
+++ b/src/daemon/replica_settings.hpp
@@ -24,6 +24,8 @@
     /// Number of control replicas that may be lost at once without loss of an accepted change. A
     /// voter is removed only while enough others remain to bear this.
     unsigned tolerated_losses = 1;
+
+    friend bool operator==(const replica_settings&, const replica_settings&) = default;
 };
 
 } // namespace damaskladder::daemon
--- a/src/daemon/traffic_addresses.hpp
+++ b/src/daemon/traffic_addresses.hpp
@@ -17,6 +17,8 @@
     http::address backend_server;
     /// Listener for the platform's readiness check, if it has an address of its own.
     std::optional<http::address> ready = std::nullopt;
+
+    friend bool operator==(const traffic_addresses&, const traffic_addresses&) = default;
 };
 
 } // namespace damaskladder::daemon
