Settings: an entry orders the evacuation of a failure domain

fleet/evacuations/DOMAIN with active = yes says that the backend servers of the domain get no new requests. As a setting it is distributed, aged, persisted, audited and reviewed like the others. If fleet/domains defines domains, an evacuated one must be among them and another one must remain; this also holds for ordinary changes of the tree, so that no path evacuates a whole fleet.

--- a/src/settings/checked_settings.cpp
+++ b/src/settings/checked_settings.cpp
@@ -1,6 +1,7 @@
 #include "settings/checked_settings.hpp"
 
 #include "settings/entry_kind.hpp"
+#include "settings/evacuation_entries.hpp"
 #include "settings/schema.hpp"
 #include "settings/share_sum.hpp"
 #include "settings/value_parsers.hpp"
@@ -24,6 +25,12 @@
     return root;
 }
 
+bool is_evacuation_or_domain(const setting_path& path)
+{
+    const auto kind = kind_of(path);
+    return kind == entry_kind::evacuation || kind == entry_kind::failure_domain;
+}
+
 void add_references(const entry_references& found, std::set<setting_reference>& references)
 {
     references.insert(found.defined.begin(), found.defined.end());
@@ -99,8 +106,10 @@
                                            settings_problems& problems) const
 {
     bool shares_changed = false;
+    bool evacuations_changed = false;
     for (const auto& path : changed_paths) {
         shares_changed = shares_changed || path.is_within(domains_root());
+        evacuations_changed = evacuations_changed || is_evacuation_or_domain(path);
         if (const auto* entry = m_tree.find(path)) {
             auto found = check_entry(path, *entry);
             problems.insert(problems.end(), found.begin(), found.end());
@@ -112,6 +121,9 @@
     if (shares_changed) {
         check_shares(problems);
     }
+    if (evacuations_changed) {
+        check_evacuations(m_tree, problems);
+    }
     if (m_tree.size() > setting_tree::max_entries) {
         problems.push_back({problem_kind::too_many,
                             {},
--- a/src/settings/checked_settings_test.cpp
+++ b/src/settings/checked_settings_test.cpp
@@ -105,6 +105,10 @@
         edit_case{"voters_too_many", domain, "lease_voters", "a, b, c, d, e, f, g",
                   problem_kind::out_of_range},
         edit_case{"voter_of_two", domain, "lease_voters", "n4", problem_kind::not_unique},
+        edit_case{"evacuation_of_unknown", "fleet/evacuations/fd9", "active", "yes",
+                  problem_kind::missing_reference},
+        edit_case{"evacuation_active", "fleet/evacuations/fd1", "active", "true",
+                  problem_kind::wrong_format},
         edit_case{"staleness_zero", "teams/fairs/limits", "max_staleness", "0s",
                   problem_kind::out_of_range},
         edit_case{"value_too_long", route, "service", std::string(1001, 'a'),
@@ -148,7 +152,11 @@
         tree_case{"hash_twice",
                   "[teams/grants/keys/k2]\nworkspace = w1\nstate = active\n"
                   "hash = aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\n",
-                  problem_kind::not_unique, 39}),
+                  problem_kind::not_unique, 39},
+        tree_case{"all_evacuated",
+                  "[fleet/evacuations/fd1]\nactive = yes\n"
+                  "[fleet/evacuations/fd2]\nactive = yes\n",
+                  problem_kind::contradiction, 37}),
     [](const auto& test) { return test.param.name; });
 
 // Guards against an index that becomes inconsistent with the tree: 2,000 random edits, each
@@ -159,19 +167,20 @@
     const char* names[] = {"w1", "w2", "w3"};
     const char* values[] = {"w1", "w2", "w1, w3", "10/s", "5", "/p", "/q", "yes", "no", "svc", "-"};
     const char* paths[] = {"teams/a/workspaces/", "teams/b/workspaces/", "teams/a/keys/",
-                           "teams/a/routes/",     "teams/b/routes/",     "fleet/domains/"};
-    const char* fields[] = {"rate",   "burst",   "workspace",   "prefix",
-                            "open",   "service", "workspaces",  "idempotent",
-                            "region", "share",   "lease_voters"};
+                           "teams/a/routes/",     "teams/b/routes/",     "fleet/domains/",
+                           "fleet/evacuations/"};
+    const char* fields[] = {"rate",   "burst",   "workspace",    "prefix",
+                            "open",   "service", "workspaces",   "idempotent",
+                            "region", "share",   "lease_voters", "active"};
     auto checked = checked_sample();
     int accepted = 0;
     for (int round = 0; round < 2'000; ++round) {
         auto tree = checked.tree();
         auto edits = 1 + random() % 4;
-        auto path = std::string(paths[random() % 6]) + names[random() % 3];
+        auto path = std::string(paths[random() % 7]) + names[random() % 3];
         for (std::size_t i = 0; i < edits; ++i) {
             tree = apply_edit(tree,
-                              {"", path.c_str(), fields[random() % 11], values[random() % 11], {}});
+                              {"", path.c_str(), fields[random() % 12], values[random() % 11], {}});
         }
         checked_settings reference;
         bool valid = reference.apply(difference({}, tree)).empty();
--- a/src/settings/compiled_settings.cpp
+++ b/src/settings/compiled_settings.cpp
@@ -148,6 +148,11 @@
     return found == m_domain_by_id.end() ? nullptr : found->second;
 }
 
+bool compiled_settings::is_evacuated(const base::failure_domain_id& domain) const
+{
+    return m_evacuated.contains(domain);
+}
+
 const team_limits& compiled_settings::limits_of(const base::team_id& team) const
 {
     auto found = m_limits.find(team);
@@ -185,6 +190,9 @@
     case entry_kind::failure_domain:
         add_domain(path, entry);
         break;
+    case entry_kind::evacuation:
+        add_evacuation(path, entry);
+        break;
     }
 }
 
@@ -265,6 +273,15 @@
     m_domains.push_back(std::move(domain));
 }
 
+void compiled_settings::add_evacuation(const setting_path& path, const setting_entry& entry)
+{
+    bool active = false;
+    read(entry, "active", parse_yes_no, active);
+    if (active) {
+        m_evacuated.insert(base::failure_domain_id(std::string(path.part(2))));
+    }
+}
+
 void compiled_settings::set_default_shares()
 {
     for (const auto& domain : m_domains) {
--- a/src/settings/compiled_settings.hpp
+++ b/src/settings/compiled_settings.hpp
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -44,6 +45,8 @@
     const key_settings* find_key(const base::key_id& id) const;
     const workspace_settings* find_workspace(const base::workspace_id& id) const;
     const domain_settings* find_domain(const base::failure_domain_id& id) const;
+    /// Whether the backend servers of the failure domain get no new requests.
+    bool is_evacuated(const base::failure_domain_id& domain) const;
     /// Default limits if the team has none.
     const team_limits& limits_of(const base::team_id& team) const;
     policy_revision policy_of(const base::team_id& team) const;
@@ -53,6 +56,7 @@
     const std::vector<workspace_settings>& workspaces() const { return m_workspaces; }
     const std::vector<key_settings>& keys() const { return m_keys; }
     const std::vector<domain_settings>& domains() const { return m_domains; }
+    const std::set<base::failure_domain_id>& evacuated_domains() const { return m_evacuated; }
 
 private:
     compiled_settings() = default;
@@ -64,6 +68,7 @@
     void add_key(const setting_path& path, const setting_entry& entry);
     void add_limits(const setting_path& path, const setting_entry& entry);
     void add_domain(const setting_path& path, const setting_entry& entry);
+    void add_evacuation(const setting_path& path, const setting_entry& entry);
     void set_default_shares();
     void build_indexes();
 
@@ -72,6 +77,7 @@
     std::vector<workspace_settings> m_workspaces;
     std::vector<key_settings> m_keys;
     std::vector<domain_settings> m_domains;
+    std::set<base::failure_domain_id> m_evacuated;
     std::unordered_map<base::team_id, team_limits> m_limits;
     std::unordered_map<base::team_id, policy_revision> m_policies;
     team_limits m_default_limits;
--- a/src/settings/compiled_settings_test.cpp
+++ b/src/settings/compiled_settings_test.cpp
@@ -117,6 +117,33 @@
     EXPECT_EQ(domain->lease_voters, std::vector{base::node_id("n4")});
 }
 
+struct evacuation_case {
+    const char* name;
+    const char* active;
+    bool evacuated;
+};
+
+class evacuation_entry : public testing::TestWithParam<evacuation_case> {};
+
+// Guards against a node that evacuates a domain without an order in force, or ignores the order.
+TEST_P(evacuation_entry, names_evacuated_domains)
+{
+    setting_tree tree;
+    if (GetParam().active != nullptr) {
+        tree.set(*setting_path::parse("fleet/evacuations/fd1"), field_name("active"),
+                 field_value(GetParam().active));
+    }
+    const auto compiled = compiled_settings::compile(tree);
+    EXPECT_EQ(compiled->is_evacuated(base::failure_domain_id("fd1")), GetParam().evacuated);
+    EXPECT_FALSE(compiled->is_evacuated(base::failure_domain_id("fd2")));
+}
+
+INSTANTIATE_TEST_SUITE_P(table, evacuation_entry,
+                         testing::Values(evacuation_case{"ordered", "yes", true},
+                                         evacuation_case{"not_in_force", "no", false},
+                                         evacuation_case{"no_entry", nullptr, false}),
+                         [](const auto& test) { return test.param.name; });
+
 std::string random_path(std::mt19937_64& random)
 {
     std::string path;
--- a/src/settings/entry_kind.hpp
+++ b/src/settings/entry_kind.hpp
@@ -8,7 +8,15 @@
 namespace damaskladder::settings {
 
 /// Kind of the entry at a path.
-enum class entry_kind : std::uint8_t { route, workspace, key, limits, policy, failure_domain };
+enum class entry_kind : std::uint8_t {
+    route,
+    workspace,
+    key,
+    limits,
+    policy,
+    failure_domain,
+    evacuation
+};
 
 /// Kind of the entry at the path; none if the path cannot hold an entry.
 inline std::optional<entry_kind> kind_of(const setting_path& path)
@@ -17,6 +25,9 @@
     if (path.part(0) == "fleet" && path.part(1) == "domains" && depth == 3) {
         return entry_kind::failure_domain;
     }
+    if (path.part(0) == "fleet" && path.part(1) == "evacuations" && depth == 3) {
+        return entry_kind::evacuation;
+    }
     if (path.part(0) != "teams" || depth < 3) {
         return std::nullopt;
     }
--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -73,6 +73,9 @@
     field_rule{"lease_voters", field_kind::names, true, 1, 5,
                "1, 3 or 5 names of nodes joined by \", \""}};
 
+constexpr std::array evacuation_rules = {
+    field_rule{"active", field_kind::yes_no, true, 0, 0, "yes or no"}};
+
 bool in_range(const field_rule& rule, std::int64_t amount)
 {
     return amount >= rule.minimum && amount <= rule.maximum;
@@ -250,6 +253,8 @@
         return policy_rules;
     case entry_kind::failure_domain:
         return failure_domain_rules;
+    case entry_kind::evacuation:
+        return evacuation_rules;
     }
     return {};
 }
@@ -264,8 +269,9 @@
                             {},
                             path,
                             {},
-                            "teams/TEAM/{routes,workspaces,keys}/NAME, teams/TEAM/{limits,policy} "
-                            "or fleet/domains/NAME"});
+                            "teams/TEAM/{routes,workspaces,keys}/NAME, "
+                            "teams/TEAM/{limits,policy}, fleet/domains/NAME "
+                            "or fleet/evacuations/DOMAIN"});
         return problems;
     }
     check_fields(path, entry, rules_of(*kind), problems);
