Control: an order evacuates a failure domain

The new command set_evacuation starts or ends an evacuation. It needs no base version, since a repeat has no effect, and is appended to the command variant, whose order is a stored format. The decider checks the author, the domain (fleet/domains, or the list in the command if it is not empty), that another domain remains, and whether a reviewer must approve. A separate table in the replicated state was ruled out: it needs a second protocol for deltas and freshness.

--- a/src/control/change_decider.cpp
+++ b/src/control/change_decider.cpp
@@ -1,7 +1,9 @@
 #include "control/change_decider.hpp"
 
 #include "control/command_bounds.hpp"
+#include "control/evacuation_plan.hpp"
 #include "control/row_size.hpp"
+#include "settings/evacuation_entries.hpp"
 #include "settings/value_parsers.hpp"
 
 #include <algorithm>
@@ -276,6 +278,39 @@
     return decision;
 }
 
+change_decision change_decider::decide(const set_evacuation& request)
+{
+    const auto path = settings::evacuation_path(request.domain);
+    if (!path || !is_well_formed(request)) {
+        return make_refusal(change_verdict::malformed);
+    }
+    change_decision decision;
+    decision.subject = *path;
+    auto& reply = decision.reply;
+    if (!may_change(m_state.credentials.find(request.header.author), *path)) {
+        reply.verdict = change_verdict::permission_denied;
+        return decision;
+    }
+    auto planned = plan_evacuation(m_state.settings.tree(), *path, request);
+    reply.verdict = planned.verdict;
+    reply.problems = std::move(planned.problems);
+    if (reply.verdict != change_verdict::accepted) {
+        return decision;
+    }
+    if (requires_review(planned.diff)) {
+        reply.verdict = change_verdict::review_required;
+        return decision;
+    }
+    reply.problems = m_state.settings.check(planned.diff);
+    if (!reply.problems.empty()) {
+        reply.verdict = change_verdict::invalid;
+        return decision;
+    }
+    decision.effects.emplace_back(apply_diff_effect{path->versioned_root(), request.header,
+                                                    proposal_id(), std::move(planned.diff)});
+    return decision;
+}
+
 change_decider::evaluated_edit change_decider::evaluate_edit(const command_header& header,
                                                              const settings::setting_path& subtree,
                                                              base::settings_version based_on,
--- a/src/control/change_decider.hpp
+++ b/src/control/change_decider.hpp
@@ -9,6 +9,7 @@
 #include "control/propose_settings.hpp"
 #include "control/refuse_proposal.hpp"
 #include "control/remove_credential.hpp"
+#include "control/set_evacuation.hpp"
 #include "control/withdraw_key.hpp"
 
 namespace damaskladder::control {
@@ -27,6 +28,7 @@
     change_decision decide(const withdraw_key& request);
     change_decision decide(const create_credential& request);
     change_decision decide(const remove_credential& request);
+    change_decision decide(const set_evacuation& request);
 
 private:
     /// Result of the checks shared by direct changes and proposals.
--- a/src/control/change_verdict.hpp
+++ b/src/control/change_verdict.hpp
@@ -36,9 +36,11 @@
     change_id_reused,
     /// The log position has already been applied.
     out_of_order,
+    /// No failure domain would remain that is not evacuated.
+    last_domain,
 };
 
-inline constexpr std::uint8_t change_verdict_count = 15;
+inline constexpr std::uint8_t change_verdict_count = 16;
 
 /// Stable lower-case name.
 std::string_view to_string(change_verdict verdict);
--- a/src/control/command.hpp
+++ b/src/control/command.hpp
@@ -10,6 +10,7 @@
 #include "control/refuse_proposal.hpp"
 #include "control/release_claim.hpp"
 #include "control/remove_credential.hpp"
+#include "control/set_evacuation.hpp"
 #include "control/withdraw_key.hpp"
 
 #include <variant>
@@ -20,7 +21,7 @@
 /// only.
 using command = std::variant<advance_time, change_settings, propose_settings, approve_proposal,
                              refuse_proposal, withdraw_key, create_credential, remove_credential,
-                             claim_request, release_claim, complete_claim>;
+                             claim_request, release_claim, complete_claim, set_evacuation>;
 
 /// Header of an operator's command; null for other commands.
 const command_header* header_of(const command& entry);
--- a/src/control/command_bounds.cpp
+++ b/src/control/command_bounds.cpp
@@ -20,4 +20,14 @@
            is_operator_name(header.author);
 }
 
+bool is_well_formed(const set_evacuation& order)
+{
+    const auto is_domain = [](const base::failure_domain_id& domain) {
+        return settings::is_name(domain.value());
+    };
+    const auto& known = order.known_domains;
+    return is_domain(order.domain) && known.size() <= max_known_domains &&
+           std::all_of(known.begin(), known.end(), is_domain);
+}
+
 } // namespace damaskladder::control
--- a/src/control/command_codec_test.cpp
+++ b/src/control/command_codec_test.cpp
@@ -81,7 +81,11 @@
             claim_request{key, base::attempt_id(UINT64_MAX), base::node_id("n"),
                           content_hash(digest_of("c"))},
             release_claim{key, base::attempt_id(9)},
-            complete_claim{key, base::attempt_id(9)}};
+            complete_claim{key, base::attempt_id(9)},
+            set_evacuation{header(),
+                           base::failure_domain_id("fd1"),
+                           true,
+                           {base::failure_domain_id("fd1"), base::failure_domain_id("fd2")}}};
 }
 
 class command_round_trip : public testing::TestWithParam<command> {};
--- a/src/control/session_runner_test.cpp
+++ b/src/control/session_runner_test.cpp
@@ -102,6 +102,15 @@
     if (verb == "withdraw") {
         return withdraw_key{header, base::key_id(rest_of(in))};
     }
+    if (verb == "evacuate" || verb == "end-evacuation") {
+        std::string domain;
+        in >> domain;
+        set_evacuation order{header, base::failure_domain_id(domain), verb == "evacuate", {}};
+        for (std::string known; in >> known;) {
+            order.known_domains.emplace_back(known);
+        }
+        return order;
+    }
     if (verb == "grant") {
         std::string name, role;
         in >> name >> role;
--- a/src/control/session_test.cpp
+++ b/src/control/session_test.cpp
@@ -36,7 +36,9 @@
                                          session_case{"review.session", false},
                                          session_case{"review.session", true},
                                          session_case{"races.session", false},
-                                         session_case{"races.session", true}));
+                                         session_case{"races.session", true},
+                                         session_case{"evacuation.session", false},
+                                         session_case{"evacuation.session", true}));
 
 } // namespace
 } // namespace damaskladder::control
--- a/src/control/state_machine_test.cpp
+++ b/src/control/state_machine_test.cpp
@@ -186,6 +186,18 @@
         malformed_command_case{"long_name",
                                grant("c", std::string(33, 'n'), credential_role::team, "teams/a")},
         malformed_command_case{"key_is_path", withdraw_key{header("c"), base::key_id("a/b")}},
+        malformed_command_case{
+            "evacuated_domain_is_path",
+            set_evacuation{header("c"), base::failure_domain_id("a/b"), true, {}}},
+        malformed_command_case{"no_evacuated_domain",
+                               set_evacuation{header("c"), base::failure_domain_id(""), true, {}}},
+        malformed_command_case{
+            "known_domain_is_path",
+            set_evacuation{
+                header("c"), base::failure_domain_id("a"), true, {base::failure_domain_id("a/b")}}},
+        malformed_command_case{"too_many_known_domains",
+                               set_evacuation{header("c"), base::failure_domain_id("a"), true,
+                                              std::vector(101, base::failure_domain_id("a"))}},
         malformed_command_case{
             "long_reason", refuse_proposal{header("c"), proposal_id(1), std::string(501, 'r')}}),
     [](const auto& test) { return test.param.name; });
--- a/src/control/visit_fields.hpp
+++ b/src/control/visit_fields.hpp
@@ -78,6 +78,12 @@
     visit(value.header, value.key);
 }
 
+template <class V>
+void visit_fields(V& visit, maybe_const<set_evacuation> auto& value)
+{
+    visit(value.header, value.domain, value.evacuated, value.known_domains);
+}
+
 template <class V>
 void visit_fields(V& visit, maybe_const<credential> auto& value)
 {
