Gatekeeper: an evacuated backend server accepts no new calls

While its failure domain is evacuated, a gatekeeper refuses new and queued calls with the reason evacuated (503, not run), and calls whose claim is granted later; running ones end normally, and it accepts calls again when the evacuation ends. A server that drains as well is refused as draining, which lasts longer. The entry node tries another server at once and does not choose the refusing one for 500 ms. The 5 s of a drain were ruled out: no new incarnation shows the end of an evacuation.

--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -47,6 +47,7 @@
                    ? failure_class::not_run_elsewhere
                    : failure_class::not_run_shed;
     case refusal_reason::draining:
+    case refusal_reason::evacuated:
     case refusal_reason::stopping:
     case refusal_reason::unreachable:
     case refusal_reason::no_backend_server:
@@ -73,6 +74,8 @@
     case refusal_reason::stopping:
     case refusal_reason::no_backend_server:
         return attempt_result::draining;
+    case refusal_reason::evacuated:
+        return attempt_result::evacuated;
     case refusal_reason::unreachable:
     case refusal_reason::backend_failed:
         return attempt_result::failed;
--- a/src/node/gatekeeper_machine.cpp
+++ b/src/node/gatekeeper_machine.cpp
@@ -57,6 +57,17 @@
     return service.drained_run != base::instance_id() && server.instance != service.drained_run;
 }
 
+/// Reason for which the gatekeeper accepts no new calls; none if it accepts them. Draining is named
+/// first, since it lasts until the server has been replaced.
+std::optional<refusal_reason> reason_to_close(const gatekeeper_service& service,
+                                              const local_backend_server* server)
+{
+    if (server == nullptr || server->draining || service.drain_requested) {
+        return refusal_reason::draining;
+    }
+    return server->evacuated ? std::optional(refusal_reason::evacuated) : std::nullopt;
+}
+
 refuse refusal_of(exchange_id exchange, outcome reported_outcome, refusal_reason reason)
 {
     refuse refusal;
@@ -115,8 +126,11 @@
     if (call == nullptr || call->phase != gatekeeper_phase::claiming) {
         return;
     }
-    const auto problem = call->deadline <= ctx.now ? std::optional(refusal_reason::deadline)
-                                                   : key_problem(*call, ctx);
+    auto problem = call->deadline <= ctx.now ? std::optional(refusal_reason::deadline)
+                                             : key_problem(*call, ctx);
+    if (!problem && service_of(call->service).closed_reason == refusal_reason::evacuated) {
+        problem = refusal_reason::evacuated;
+    }
     if (problem) {
         refuse_call(*call, outcome::not_run, *problem, admission::call_outcome::cancelled, ctx);
         return;
@@ -353,8 +367,8 @@
         return refusal_reason::no_backend_server;
     }
     const auto& service = m_services.at(received.service);
-    if (service.closed) {
-        return refusal_reason::draining;
+    if (service.closed_reason) {
+        return service.closed_reason;
     }
     if (!service.rate.allows(received.context.importance, ctx.now)) {
         return refusal_reason::backend_limit;
@@ -389,16 +403,16 @@
         service.drain_requested = false;
     }
     std::vector<admission::verdict> verdicts;
-    const bool closed = !announced || service.drain_requested;
-    if (closed && !service.closed) {
+    const auto closed_reason = reason_to_close(service, server);
+    if (closed_reason && !service.closed_reason) {
         service.control.close(verdicts);
     }
-    if (!closed && service.closed) {
+    if (!closed_reason && service.closed_reason) {
         service.control.reopen();
         service.drain_seen = false;
     }
-    service.closed = closed;
-    if (!closed) {
+    service.closed_reason = closed_reason;
+    if (!closed_reason) {
         service.control.announce(server->slots, server->cold, ctx.now, verdicts);
     }
     apply_verdicts(verdicts, ctx);
@@ -426,7 +440,10 @@
     case admission::verdict_kind::deadline:
         return refuse_call(*call, outcome::not_run, refusal_reason::deadline, std::nullopt, ctx);
     case admission::verdict_kind::closed:
-        return refuse_call(*call, outcome::not_run, refusal_reason::draining, std::nullopt, ctx);
+        return refuse_call(
+            *call, outcome::not_run,
+            service_of(call->service).closed_reason.value_or(refusal_reason::draining),
+            std::nullopt, ctx);
     }
 }
 
--- a/src/node/gatekeeper_machine_test.cpp
+++ b/src/node/gatekeeper_machine_test.cpp
@@ -35,6 +35,7 @@
     connect_failed,
     connection_lost,
     drain,
+    evacuation,
     held,
     answered_before,
     unavailable,
@@ -91,6 +92,9 @@
             return fixture.handle(transfer_failed{t1}, 10);
         case interruption_kind::drain:
             return fixture.handle(drain_requested{base::service_id("s")}, 10);
+        case interruption_kind::evacuation:
+            fixture.view.local.front().evacuated = true;
+            return fixture.handle(tick{}, 10);
         case interruption_kind::held:
             return fixture.handle(claim_denied{attempt(), claim_denial::held}, 10);
         case interruption_kind::answered_before:
@@ -134,7 +138,7 @@
     call_driver path(row.idempotent);
     path.advance(row.point);
     EXPECT_EQ(path.interrupt(row.kind), row.effects);
-    if (row.kind == interruption_kind::drain) {
+    if (row.kind == interruption_kind::drain || row.kind == interruption_kind::evacuation) {
         return;
     }
     const auto* control = path.fixture.machine.control_of(base::service_id("s"));
@@ -151,6 +155,11 @@
                           interruption_kind::caller_disconnected, ""},
         interruption_case{"queued, drain", true, call_stage::queued, interruption_kind::drain,
                           "refuse e1 503 not-run draining left 2\n"},
+        interruption_case{"queued, evacuation", true, call_stage::queued,
+                          interruption_kind::evacuation,
+                          "refuse e1 503 not-run evacuated left 2\n"},
+        interruption_case{"sent, evacuation", true, call_stage::sent, interruption_kind::evacuation,
+                          ""},
         interruption_case{"claiming, caller disconnected", false, call_stage::claiming,
                           interruption_kind::caller_disconnected, "release-claim\n"},
         interruption_case{"claiming, deadline", false, call_stage::claiming,
@@ -294,6 +303,23 @@
         arrival_case{"draining",
                      [](auto& path, auto&) { path.fixture.view.local.front().draining = true; },
                      "refuse e1 503 not-run draining left 2\n"},
+        arrival_case{"evacuated",
+                     [](auto& path, auto&) { path.fixture.view.local.front().evacuated = true; },
+                     "refuse e1 503 not-run evacuated left 2\n"},
+        arrival_case{"evacuation ended",
+                     [](auto& path, auto&) {
+                         path.fixture.view.local.front().evacuated = true;
+                         path.handle(tick{}, 0);
+                         path.handle(call_of(e2, true), 0);
+                         path.fixture.view.local.front().evacuated = false;
+                     },
+                     "start t1 e1\n"},
+        arrival_case{"draining and evacuated",
+                     [](auto& path, auto&) {
+                         path.fixture.view.local.front().evacuated = true;
+                         path.fixture.view.local.front().draining = true;
+                     },
+                     "refuse e1 503 not-run draining left 2\n"},
         arrival_case{
             "drain requested, view not yet changed",
             [](auto& path, auto&) { path.handle(drain_requested{base::service_id("s")}, 0); },
@@ -425,6 +451,29 @@
     EXPECT_GT(offer_calls(path, 100).first, 0);
 }
 
+// Guards against starting a call whose claim is granted after its domain has been evacuated, and
+// against keeping the claim.
+TEST(gatekeeper, claim_granted_during_an_evacuation_is_released)
+{
+    call_driver path(false);
+    path.advance(call_stage::claiming);
+    path.fixture.view.local.front().evacuated = true;
+    path.handle(tick{}, 5);
+    EXPECT_EQ(path.fixture.handle(claim_granted{path.attempt()}, 10),
+              "refuse e1 503 not-run evacuated left 2\nrelease-claim\n");
+}
+
+// Guards against a running call that an evacuation interrupts.
+TEST(gatekeeper, running_calls_end_normally_during_an_evacuation)
+{
+    call_driver path(true);
+    path.advance(call_stage::sent);
+    EXPECT_EQ(path.interrupt(interruption_kind::evacuation), "");
+    EXPECT_EQ(path.fixture.handle(response_started{t1, response_class::served, {}, {}}, 20),
+              "relay e1 t1 left 2\n");
+    EXPECT_EQ(path.fixture.handle(response_finished{t1, nullptr}, 21), "");
+}
+
 // Guards against starting a call whose key was withdrawn while the call was queued.
 TEST(gatekeeper, key_withdrawn_in_the_queue_never_starts)
 {
--- a/src/node/gatekeeper_service.hpp
+++ b/src/node/gatekeeper_service.hpp
@@ -4,6 +4,9 @@
 #include "admission/rate_limit.hpp"
 #include "base/instance_id.hpp"
 #include "base/service_id.hpp"
+#include "node/refusal_reason.hpp"
+
+#include <optional>
 
 namespace damaskladder::node {
 
@@ -18,7 +21,8 @@
     bool drain_seen = false;
     /// Run that requested the drain; empty if it is not known.
     base::instance_id drained_run;
-    bool closed = false;
+    /// Reason for which new calls are refused; none if they are accepted.
+    std::optional<refusal_reason> closed_reason;
     /// Rate that the backend server has named in its latest answer.
     admission::rate_limit rate;
 };
--- a/src/node/local_backend_server.hpp
+++ b/src/node/local_backend_server.hpp
@@ -21,6 +21,8 @@
     base::duration max_staleness{std::chrono::seconds(10)};
     /// Instance id in the announcement; empty if it had none.
     base::instance_id instance = {};
+    /// Its failure domain is evacuated, so it gets no new calls.
+    bool evacuated = false;
 };
 
 } // namespace damaskladder::node
--- a/src/node/refusal_reason.cpp
+++ b/src/node/refusal_reason.cpp
@@ -11,7 +11,7 @@
     std::uint16_t status;
 };
 
-constexpr std::array<reason_row, 27> reason_rows{{
+constexpr std::array<reason_row, 28> reason_rows{{
     {refusal_reason::bad_request, "bad-request", 400},
     {refusal_reason::request_id_required, "request-id-required", 400},
     {refusal_reason::too_deep, "too-deep", 400},
@@ -34,6 +34,7 @@
     {refusal_reason::no_backend_server, "no-backend-server", 503},
     {refusal_reason::unreachable, "unreachable", 503},
     {refusal_reason::draining, "draining", 503},
+    {refusal_reason::evacuated, "evacuated", 503},
     {refusal_reason::stopping, "stopping", 503},
     {refusal_reason::stale_settings, "stale-settings", 503},
     {refusal_reason::claim_unavailable, "claim-unavailable", 503},
--- a/src/node/refusal_reason.hpp
+++ b/src/node/refusal_reason.hpp
@@ -54,6 +54,8 @@
     unreachable,
     /// The backend server is draining or being removed.
     draining,
+    /// The failure domain of the backend server is evacuated.
+    evacuated,
     /// The node is stopping.
     stopping,
     /// The settings are too old to validate the request.
--- a/src/node/refusal_reason_test.cpp
+++ b/src/node/refusal_reason_test.cpp
@@ -33,6 +33,7 @@
                     reason_case{refusal_reason::answer_lost, "answer-lost", 502},
                     reason_case{refusal_reason::shed, "shed", 503},
                     reason_case{refusal_reason::backend_shed, "backend-shed", 503},
+                    reason_case{refusal_reason::evacuated, "evacuated", 503},
                     reason_case{refusal_reason::caller_gone, "caller-gone", 504}));
 
 // Guards against accepting an unknown value of a peer as a reason.
--- a/src/node/traffic_machine.hpp
+++ b/src/node/traffic_machine.hpp
@@ -41,6 +41,9 @@
     /// Requests in progress; a graceful stop is complete when there are none.
     std::size_t running() const { return m_entry.size() + m_gatekeeper.size(); }
 
+    /// Calls in progress at the local backend servers.
+    std::size_t running_at_gatekeeper() const { return m_gatekeeper.size(); }
+
     /// Admission controller of a local service, for metrics; null if no call for it has arrived
     /// yet.
     const admission::controller* control_of(const base::service_id& service) const
--- a/src/routing/attempt_result.hpp
+++ b/src/routing/attempt_result.hpp
@@ -17,6 +17,8 @@
     shed,
     /// The gatekeeper reported that the server is draining or leaving.
     draining,
+    /// The gatekeeper reported that the failure domain of the server is evacuated.
+    evacuated,
     /// The attempt ended for a reason unrelated to the server.
     cancelled,
 };
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -113,6 +113,10 @@
     case attempt_result::draining:
         state.draining_until = now + m_options.drain_exclusion_duration;
         break;
+    case attempt_result::evacuated:
+        state.draining_until =
+            std::max(state.draining_until, now + m_options.evacuation_exclusion_duration);
+        break;
     case attempt_result::cancelled:
         break;
     }
--- a/src/routing/router_options.hpp
+++ b/src/routing/router_options.hpp
@@ -38,6 +38,9 @@
     /// Time for which a server gets no attempts after its gatekeeper reported draining, unless it
     /// is announced with a new incarnation earlier.
     base::duration drain_exclusion_duration{std::chrono::seconds(5)};
+    /// The same for an evacuated failure domain. Short, because the view shows the end of an
+    /// evacuation without a new incarnation of the server.
+    base::duration evacuation_exclusion_duration{std::chrono::milliseconds(500)};
 };
 
 } // namespace damaskladder::routing
--- a/src/routing/router_test.cpp
+++ b/src/routing/router_test.cpp
@@ -256,6 +256,44 @@
     EXPECT_EQ(chooser.choose(servers, from_domain("a"), at_ms(3)), base::node_id("1"));
 }
 
+struct exclusion_case {
+    const char* name;
+    std::vector<attempt_result> results;
+    std::int64_t excluded_ms;
+};
+
+void PrintTo(const exclusion_case& row, std::ostream* out)
+{
+    *out << row.name;
+}
+
+class exclusions : public testing::TestWithParam<exclusion_case> {};
+
+// Guards against attempts at an evacuated server, and against leaving it without calls long after
+// the evacuation has ended.
+TEST_P(exclusions, last_as_long_as_their_reason)
+{
+    const std::vector<backend_server> servers{server_of("1", "a")};
+    router chooser(seeded(3));
+    for (const auto result : GetParam().results) {
+        chooser.choose(servers, from_domain("a"), at_ms(0));
+        chooser.on_attempt_ended(base::node_id("1"), base::importance::background, result,
+                                 at_ms(0));
+    }
+    EXPECT_EQ(chooser.choose(servers, from_domain("a"), at_ms(GetParam().excluded_ms - 1)),
+              std::nullopt);
+    EXPECT_EQ(chooser.choose(servers, from_domain("a"), at_ms(GetParam().excluded_ms)),
+              base::node_id("1"));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, exclusions,
+    testing::Values(exclusion_case{"evacuated", {attempt_result::evacuated}, 500},
+                    exclusion_case{"draining", {attempt_result::draining}, 5'000},
+                    exclusion_case{"evacuated_after_draining",
+                                   {attempt_result::draining, attempt_result::evacuated},
+                                   5'000}));
+
 // Guards against sending all important requests to one server because others have long queues of
 // less important ones, which would not delay them.
 TEST(router, less_important_calls_do_not_count_as_load)
