Nodes choose no backend servers of an evacuated failure domain

The view marks the servers of an evacuated domain as draining for routers, and the local backend server as evacuated for the gatekeeper. evacuation_monitor logs when an evacuation comes into force or ends at a node, with the calls in progress at its backend servers, and counts the evacuated domains in a gauge. It is updated after the tick that refuses queued calls, so that these are not counted as running.

--- a/src/daemon/traffic_thread.cpp
+++ b/src/daemon/traffic_thread.cpp
@@ -47,6 +47,12 @@
     return settings.services.empty() ? base::service_id() : settings.services.front();
 }
 
+void log_evacuation(const base::failure_domain_id& domain, bool evacuated, std::size_t running)
+{
+    log(log_level::info, evacuated ? "evacuation_started" : "evacuation_ended",
+        {{"domain", domain.value()}, {"running", std::to_string(running)}});
+}
+
 } // namespace
 
 traffic_thread::traffic_thread(const wire::cluster_secret& secret, base::node_id self,
@@ -54,6 +60,7 @@
                                const dialect& http_dialect, control_requests requests)
     : m_requests(std::move(requests)),
       m_machine(make_options(settings)),
+      m_evacuations(log_evacuation),
       m_quota(std::move(self), incarnation,
               {.deliver = [this](const node::event& event) { m_frontend.deliver(event); },
                .send = m_requests.send_quota}),
@@ -61,7 +68,10 @@
                .announce = m_requests.announce,
                .ready = [this] { return m_ready.load() && m_frontend.settings_known(); },
                .metrics =
-                   [this] { return m_frontend.metrics().text() + m_requests.control_metrics(); }}),
+                   [this] {
+                       return m_frontend.metrics().text() + m_evacuations.metrics() +
+                              m_requests.control_metrics();
+                   }}),
       m_frontend(
           m_loop, secret, incarnation, make_limits(settings), http_dialect,
           {.handle = [this](const auto& event, const auto& view, auto now,
@@ -93,6 +103,7 @@
 
 base::result<void> traffic_thread::start(std::shared_ptr<const traffic_view> view)
 {
+    m_evacuations.update(view->evacuated, 0);
     m_frontend.set_view(std::move(view));
     BOOST_LEAF_CHECK(m_frontend.listen(m_addresses));
     m_ready = true;
@@ -112,6 +123,8 @@
         // Lets requests that wait for a backend server that is now leaving move to another one
         // immediately.
         m_frontend.deliver(node::tick{});
+        // After the tick, which refuses the calls that are queued at an evacuated server.
+        m_evacuations.update(view->evacuated, m_machine.running_at_gatekeeper());
     });
 }
 
--- a/src/daemon/traffic_view.hpp
+++ b/src/daemon/traffic_view.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "base/failure_domain_id.hpp"
 #include "base/node_id.hpp"
 #include "base/service_id.hpp"
 #include "http/address.hpp"
 #include "node/node_view.hpp"
 
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 namespace damaskladder::daemon {
@@ -18,6 +20,8 @@
     std::unordered_map<base::node_id, http::address> gatekeepers;
     /// Loopback address of the backend server of each service on this VM.
     std::unordered_map<base::service_id, http::address> local;
+    /// Failure domains whose backend servers get no new requests.
+    std::set<base::failure_domain_id> evacuated;
 };
 
 } // namespace damaskladder::daemon
--- a/src/daemon/view_builder.cpp
+++ b/src/daemon/view_builder.cpp
@@ -95,6 +95,7 @@
 
 void add_services(const view_sources& from, traffic_view& out, node::node_view& view)
 {
+    const auto& settings = *from.settings->settings;
     for (const auto& service : from.services->services()) {
         node::service_entry entry;
         entry.service = service;
@@ -114,7 +115,7 @@
             const auto& backend = endpoint.backend;
             entry.servers.push_back({endpoint.node, endpoint.incarnation, endpoint.domain,
                                      backend.slots, reported_slots(endpoint.load, backend.slots),
-                                     backend.draining});
+                                     backend.draining || settings.is_evacuated(endpoint.domain)});
         }
         view.services.push_back(std::move(entry));
     }
@@ -150,6 +151,7 @@
         local.cold = backend.cold;
         local.draining = backend.draining;
         local.instance = backend.instance;
+        local.evacuated = from.settings->settings->is_evacuated(from.domain);
         local.max_staleness = longest_staleness(backend.service, *from.settings->settings);
         view.local.push_back(local);
         out.local[backend.service] = {from.backend_server_host, backend.port.value()};
@@ -188,6 +190,7 @@
     set_hooks(*view, from.settings);
     add_services(from, *out, *view);
     add_local(from, *out, *view);
+    out->evacuated = from.settings->settings->evacuated_domains();
     out->node = std::move(view);
     return out;
 }
