Process settings: control replicas know the failure domains

[control] failure_domains lists the domains that an operator may evacuate, for deployments without fleet/domains. The template fills it from the zones of the deployment. The list may be empty and may contain any number of spaces, which a template section leaves behind; split_list expects exactly one and was ruled out.

The template was not rendered: no renderer is in this repository.

--- a/src/daemon/process_settings.cpp
+++ b/src/daemon/process_settings.cpp
@@ -1,12 +1,14 @@
 #include "daemon/process_settings.hpp"
 
 #include "consensus/replica_options.hpp"
+#include "control/command_bounds.hpp"
 #include "settings/section_reader.hpp"
 #include "settings/value_parsers.hpp"
 
 #include <algorithm>
 #include <functional>
 #include <set>
+#include <sstream>
 
 namespace damaskladder::daemon {
 
@@ -78,6 +80,24 @@
     };
 }
 
+/// Names separated by commas with any number of spaces, as templates write them; may be empty.
+value_reader domains_into(std::vector<base::failure_domain_id>& into)
+{
+    return [&into](const std::string& value) {
+        std::istringstream items(value);
+        for (std::string item; std::getline(items, item, ',');) {
+            const auto first = item.find_first_not_of(' ');
+            const auto last = item.find_last_not_of(' ');
+            item = first == std::string::npos ? "" : item.substr(first, last - first + 1);
+            if (!settings::is_name(item)) {
+                return false;
+            }
+            into.emplace_back(item);
+        }
+        return into.size() <= control::max_known_domains;
+    };
+}
+
 value_reader count_into(unsigned& into, unsigned highest, unsigned lowest = 1)
 {
     return [&into, highest, lowest](const std::string& value) {
@@ -246,6 +266,8 @@
                         })},
                        {"key_withdrawal", "a duration such as 5s", false,
                         duration_into(control.key_withdrawal)},
+                       {"failure_domains", "a list of at most 100 names", false,
+                        domains_into(control.failure_domains)},
                        {"tolerated_losses", "a number from 0 to 7", false,
                         count_into(control.tolerated_losses, max_tolerated_losses, 0)},
                        {"admin_token_hash", "64 hexadecimal digits, see damaskladder hash-token",
--- a/src/daemon/process_settings.hpp
+++ b/src/daemon/process_settings.hpp
@@ -34,7 +34,8 @@
 ///     [announce]      credential, services (what the backend server on this VM may announce),
 ///                     host (its IP address), interval (between announcements),
 ///                     exact_slots (yes, no)
-///     [control]       operators (IP:PORT), data (folder), admin, admin_token_hash
+///     [control]       operators (IP:PORT), data (folder), admin, admin_token_hash,
+///                     failure_domains (list of names, may be empty)
 ///     [log]           level (debug, info, warn, error), format (text, json)
 ///
 /// At least one of [node] and [control] is required. [discovery] replaces [seeds] and [replicas]: a
--- a/src/daemon/process_settings_test.cpp
+++ b/src/daemon/process_settings_test.cpp
@@ -110,6 +110,36 @@
                                        "control replicas (out_of_range)"}),
     [](const auto& tested) { return tested.param.name; });
 
+struct domain_list_case {
+    std::string name;
+    std::string value;
+    std::vector<base::failure_domain_id> domains;
+};
+
+class domain_lists : public testing::TestWithParam<domain_list_case> {};
+
+// Guards against a replica that does not start, or knows no failure domain, because of the spaces
+// that a settings template leaves in the list.
+TEST_P(domain_lists, are_read)
+{
+    const auto document =
+        read_process_settings(good + "failure_domains =" + GetParam().value + "\n", "vm1.ini");
+    ASSERT_TRUE(document.problems.empty()) << to_string(document.problems.front());
+    EXPECT_EQ(document.settings.replica->failure_domains, GetParam().domains);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, domain_lists,
+    testing::Values(domain_list_case{"none", "", {}}, domain_list_case{"blank", " ", {}},
+                    domain_list_case{"one", " a", {base::failure_domain_id("a")}},
+                    domain_list_case{"two",
+                                     " a,b",
+                                     {base::failure_domain_id("a"), base::failure_domain_id("b")}},
+                    domain_list_case{"spaces",
+                                     " a,  b ",
+                                     {base::failure_domain_id("a"), base::failure_domain_id("b")}}),
+    [](const auto& tested) { return tested.param.name; });
+
 INSTANTIATE_TEST_SUITE_P(
     table, process_problems,
     testing::Values(
@@ -120,6 +150,12 @@
                      "vm1.ini:9: [node] callers: expected IP:PORT"},
         problem_case{"too_many_losses", "data = data\n", "data = data\ntolerated_losses = 8\n",
                      "vm1.ini:16: [control] tolerated_losses: expected a number from 0 to 7"},
+        problem_case{"failure_domain_is_path", "data = data\n",
+                     "data = data\nfailure_domains = a, b/c\n",
+                     "vm1.ini:16: [control] failure_domains: expected a list"},
+        problem_case{"failure_domain_missing", "data = data\n",
+                     "data = data\nfailure_domains = a,, b\n",
+                     "vm1.ini:16: [control] failure_domains: expected a list"},
         problem_case{"no_unit", "5s", "5", "vm1.ini:12: [node] stop_limit: expected a duration"},
         problem_case{"unknown_section", "[control]", "[controll]", "vm1.ini:13: [controll]"},
         problem_case{"twice", "peers = ", "callers = ", "vm1.ini:10: [node] callers: "},
--- a/src/daemon/replica_settings.hpp
+++ b/src/daemon/replica_settings.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "base/failure_domain_id.hpp"
 #include "base/key_hash.hpp"
 #include "base/operator_id.hpp"
 #include "http/address.hpp"
 
 #include <string>
+#include <vector>
 
 namespace damaskladder::daemon {
 
@@ -24,6 +26,9 @@
     /// Number of control replicas that may be lost at once without loss of an accepted change. A
     /// voter is removed only while enough others remain to bear this.
     unsigned tolerated_losses = 1;
+    /// Failure domains of the fleet, which an operator may evacuate; if empty, those of
+    /// fleet/domains.
+    std::vector<base::failure_domain_id> failure_domains;
 
     friend bool operator==(const replica_settings&, const replica_settings&) = default;
 };
