Operators start, end and list evacuations

Own API: verbs evacuate and end-evacuation, query /v1/evacuations. Platform: POST /damaskladder/evacuations/ZONE/start and .../end, without an id, so each call gets a new change id; the author is the first admin. 200 for repeats, 404 for an unknown zone, 400 for a name that no zone can have, 409 for the last zone, 307 to the leader, and 503 while the cluster has no admin yet.

--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -5,6 +5,7 @@
 #include "daemon/operator_answer.hpp"
 #include "daemon/operator_command.hpp"
 #include "daemon/operator_query.hpp"
+#include "daemon/secure_random.hpp"
 #include "daemon/wall_clock_now.hpp"
 
 namespace damaskladder::daemon {
@@ -18,6 +19,7 @@
 constexpr int unauthorized = 401;
 constexpr int forbidden = 403;
 constexpr int not_found = 404;
+constexpr int conflict = 409;
 constexpr int precondition_failed = 412;
 constexpr int unavailable = 503;
 // Large enough for a subtree as INI text escaped as JSON.
@@ -63,6 +65,17 @@
                            control::to_hex(control::digest_of(text)).substr(0, id_hex_digits));
 }
 
+base::change_id evacuation_change_id(const base::random_source& random)
+{
+    return base::change_id("evacuation-" + std::to_string(random()) + "-" +
+                           std::to_string(random()));
+}
+
+std::string first_problem(const control::change_reply& reply)
+{
+    return reply.problems.empty() ? std::string() : to_string(reply.problems.front());
+}
+
 int status_of(control::change_verdict verdict)
 {
     switch (verdict) {
@@ -71,6 +84,10 @@
         return ok;
     case control::change_verdict::conflict:
         return precondition_failed;
+    case control::change_verdict::not_found:
+        return not_found;
+    case control::change_verdict::last_domain:
+        return conflict;
     case control::change_verdict::permission_denied:
         // The author is the first admin, which is created only after the cluster has formed.
         return unavailable;
@@ -96,6 +113,7 @@
       m_settings(settings),
       m_dialect(http_dialect),
       m_tokens(secret, wire::key_usage::tokens),
+      m_random(secure_random()),
       m_bodies(max_bodies_in_progress),
       m_server(loop, operator_limits(), [this](const exchange_ptr& e) { on_request(e); })
 {
@@ -132,6 +150,9 @@
         return put_document(exchange, call);
     case operator_call::kind::read_document:
         return read_document(exchange);
+    case operator_call::kind::start_evacuation:
+    case operator_call::kind::end_evacuation:
+        return order_evacuation(exchange, call);
     case operator_call::kind::malformed:
         log(log_level::warn, "document_refused", {{"expected", call.problem}});
         return respond(*exchange, bad_request, call.problem + "\n");
@@ -142,10 +163,8 @@
 
 void operator_api::put_document(const exchange_ptr& exchange, const operator_call& call)
 {
-    const bool may_change =
-        m_host.replica().state().credentials().find(m_settings.replica->admin) != nullptr;
-    if (m_host.leads() && !may_change) {
-        return respond(*exchange, unavailable, "the cluster has just formed\n");
+    if (refuse_before_first_admin(*exchange)) {
+        return;
     }
     control::change_settings command;
     command.header = {document_change_id(call.change), m_settings.replica->admin, wall_clock_now()};
@@ -158,15 +177,11 @@
                 return redirect(exchange, *refused);
             }
             const auto& reply = std::get<control::change_reply>(std::get<control::reply>(result));
-            std::string problem;
-            if (!reply.problems.empty()) {
-                problem = to_string(reply.problems.front());
-            }
             log(log_level::info, "document_judged",
                 {{"document", std::to_string(version.value())},
                  {"verdict", std::string(to_string(reply.verdict))},
                  {"version", std::to_string(reply.version.value())},
-                 {"problem", problem}});
+                 {"problem", first_problem(reply)}});
             respond_json(*exchange, status_of(reply.verdict), "{}");
         });
 }
@@ -185,6 +200,47 @@
     });
 }
 
+bool operator_api::refuse_before_first_admin(http::exchange& exchange)
+{
+    const bool exists =
+        m_host.replica().state().credentials().find(m_settings.replica->admin) != nullptr;
+    if (exists || !m_host.leads()) {
+        return false;
+    }
+    respond(exchange, unavailable, "the cluster has just formed\n");
+    return true;
+}
+
+void operator_api::order_evacuation(const exchange_ptr& exchange, const operator_call& call)
+{
+    if (refuse_before_first_admin(*exchange)) {
+        return;
+    }
+    control::set_evacuation order;
+    order.header = {evacuation_change_id(m_random), m_settings.replica->admin, wall_clock_now()};
+    order.domain = call.domain;
+    order.evacuated = call.what == operator_call::kind::start_evacuation;
+    order.known_domains = m_settings.replica->failure_domains;
+    m_host.submit(order, [this, exchange, order](const auto& result) {
+        if (const auto* refused = std::get_if<control::submission_refused>(&result)) {
+            return redirect(exchange, *refused);
+        }
+        const auto& reply = std::get<control::change_reply>(std::get<control::reply>(result));
+        const auto problem = first_problem(reply);
+        log(log_level::info, "evacuation_judged",
+            {{"domain", order.domain.value()},
+             {"order", order.evacuated ? "start" : "end"},
+             {"verdict", std::string(to_string(reply.verdict))},
+             {"version", std::to_string(reply.version.value())},
+             {"problem", problem}});
+        const auto status = status_of(reply.verdict);
+        if (status == ok) {
+            return respond_json(*exchange, ok, "{}");
+        }
+        respond(*exchange, status, std::string(to_string(reply.verdict)) + ": " + problem + "\n");
+    });
+}
+
 void operator_api::redirect(const exchange_ptr& exchange,
                             const control::submission_refused& refused)
 {
@@ -236,6 +292,9 @@
         [&]() -> base::result<void> {
             BOOST_LEAF_AUTO(command,
                             parse_operator_command(exchange->body(), author, wall_clock_now()));
+            if (auto* order = std::get_if<control::set_evacuation>(&command)) {
+                order->known_domains = m_settings.replica->failure_domains;
+            }
             m_host.submit(command, [this, exchange, author](const auto& result) {
                 answer(exchange, author, result);
             });
--- a/src/daemon/operator_api.hpp
+++ b/src/daemon/operator_api.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/random_source.hpp"
 #include "daemon/body_budget.hpp"
 #include "daemon/dialect.hpp"
 #include "daemon/process_settings.hpp"
@@ -30,6 +31,12 @@
     void run_document_call(const exchange_ptr& exchange, const operator_call& call);
     void put_document(const exchange_ptr& exchange, const operator_call& call);
     void read_document(const exchange_ptr& exchange);
+    /// Starts or ends an evacuation as the first admin. The call has no id of its own, and repeats
+    /// have no effect, so each gets a new change id.
+    void order_evacuation(const exchange_ptr& exchange, const operator_call& call);
+    /// Responds with 503 and returns true if this replica leads a cluster in which the first admin
+    /// does not exist yet.
+    bool refuse_before_first_admin(http::exchange& exchange);
     /// Redirects to the leader, or reports that it is unknown.
     void redirect(const exchange_ptr& exchange, const control::submission_refused& refused);
     void run_own_call(const exchange_ptr& exchange);
@@ -48,6 +55,7 @@
     const process_settings& m_settings;
     const dialect& m_dialect;
     wire::key_hasher m_tokens;
+    base::random_source m_random;
     /// Bodies that are being received.
     body_budget m_bodies;
     http::server m_server;
--- a/src/daemon/operator_command.cpp
+++ b/src/daemon/operator_command.cpp
@@ -140,11 +140,17 @@
         BOOST_LEAF_AUTO(key, text_of(from, "key"));
         return control::command(control::withdraw_key{header, base::key_id(key)});
     }
+    if (verb == "evacuate" || verb == "end-evacuation") {
+        BOOST_LEAF_AUTO(domain, text_of(from, "domain"));
+        return control::command(control::set_evacuation{
+            header, base::failure_domain_id(domain), verb == "evacuate", {}});
+    }
     if (verb == "create-credential" || verb == "remove-credential") {
         return read_credential(from, verb, header);
     }
-    return invalid("verb", "apply, propose, approve, refuse, withdraw-key, create-credential or "
-                           "remove-credential");
+    return invalid("verb",
+                   "apply, propose, approve, refuse, withdraw-key, evacuate, end-evacuation, "
+                   "create-credential or remove-credential");
 }
 
 base::result<consensus::membership_change> parse_replica_change(std::string_view text)
--- a/src/daemon/operator_query.cpp
+++ b/src/daemon/operator_query.cpp
@@ -4,6 +4,7 @@
 #include "control/timestamp_text.hpp"
 #include "daemon/member_list.hpp"
 #include "daemon/operator_answer.hpp"
+#include "settings/evacuation_entries.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -143,6 +144,15 @@
     return json.dump() + "\n";
 }
 
+std::string show_evacuations(const settings::setting_tree& tree)
+{
+    std::string text;
+    for (const auto& domain : settings::evacuated_domains(tree)) {
+        text += domain.value() + "\n";
+    }
+    return text;
+}
+
 base::result<std::string> show_audit(const query_target& query, const settings::setting_path& root,
                                      const control::state_machine& state)
 {
@@ -170,6 +180,9 @@
     if (name == "/v1/export") {
         return state.export_ini(root);
     }
+    if (name == "/v1/evacuations") {
+        return show_evacuations(state.tree());
+    }
     if (name == "/v1/list") {
         return list_paths(state.list(root));
     }
--- a/src/daemon/operator_query.hpp
+++ b/src/daemon/operator_query.hpp
@@ -13,6 +13,7 @@
 ///
 ///     /v1/export?path=P            INI text
 ///     /v1/list?path=P              paths, one per line
+///     /v1/evacuations?path=fleet/evacuations   evacuated failure domains, one per line
 ///     /v1/version?path=P           version that a change of the path must be based on
 ///     /v1/diff?path=P&from=V&to=V  one change per line
 ///     /v1/history?path=P           accepted changes, newest first, as JSON lines
