--- a/src/cli/operator_commands.cpp
+++ b/src/cli/operator_commands.cpp
@@ -252,6 +252,25 @@
         {{"verb", "withdraw-key"}, {"change", change}, {"key", withdraw.positional().front()}});
 }
 
+exit_code run_evacuation(const std::string& verb, const std::vector<std::string>& arguments)
+{
+    std::string change = make_change_id();
+    operator_command order(verb, "DOMAIN");
+    order.parser().add("id", change, "change id", "ID");
+    if (!order.parse(arguments, 1)) {
+        return exit_code::usage;
+    }
+    return order.run_command(
+        {{"verb", verb}, {"change", change}, {"domain", order.positional().front()}});
+}
+
+exit_code run_evacuations(const std::vector<std::string>& arguments)
+{
+    operator_command lookup("evacuations", "");
+    return lookup.parse(arguments, 0) ? lookup.run_query("/v1/evacuations?path=fleet/evacuations")
+                                      : exit_code::usage;
+}
+
 exit_code run_create_credential(const std::vector<std::string>& arguments)
 {
     std::string change = make_change_id();
@@ -446,6 +465,11 @@
         {"approve", "approve and apply a proposal", run_approve},
         {"refuse", "reject a proposal", run_refuse},
         {"withdraw-key", "withdraw a workspace's key", run_withdraw},
+        {"evacuate", "send no new requests to the servers of a failure domain",
+         [](const auto& arguments) { return run_evacuation("evacuate", arguments); }},
+        {"end-evacuation", "send requests to a failure domain again",
+         [](const auto& arguments) { return run_evacuation("end-evacuation", arguments); }},
+        {"evacuations", "list evacuated failure domains", run_evacuations},
         {"create-credential", "create an operator's credential", run_create_credential},
         {"remove-credential", "remove an operator's credential", run_remove_credential},
         {"export", "print a subtree as INI, with its version", run_export},
--- a/src/cli/operator_commands.hpp
+++ b/src/cli/operator_commands.hpp
@@ -7,8 +7,8 @@
 namespace damaskladder::cli {
 
 /// Returns the operators' sub-commands: apply, propose, approve, refuse, withdraw-key,
-/// create-credential, remove-credential, get, list, export, diff, history, pending, answer, audit,
-/// status, watch.
+/// evacuate, end-evacuation, evacuations, create-credential, remove-credential, get, list, export,
+/// diff, history, pending, answer, audit, status, watch.
 std::vector<sub_command> operator_commands();
 
 } // namespace damaskladder::cli
