Node: requests are shed at the root of their call tree

A gatekeeper adds the pressure of the route to its answers and refusals, in Damaskladder-Pressure: the highest of its backend server and of the routes that runs of this route call. The entry node sheds requests with a key by it, before the rate token and after the search for repeats, so that a repeat of a request that is running is not refused as not run.

--- a/src/daemon/node_settings.hpp
+++ b/src/daemon/node_settings.hpp
@@ -24,6 +24,9 @@
     double retry_budget = 0;
     /// Refuse requests with a key while the processor is saturated.
     bool guard_processor = false;
+    /// Refuse requests with a key at the root while their call tree leads to a service that is
+    /// short of capacity.
+    bool admit_by_call_tree = false;
     /// Credential of the backend server on this VM, and the services that it may announce.
     std::string credential;
     std::vector<base::service_id> services;
--- a/src/daemon/process_settings.cpp
+++ b/src/daemon/process_settings.cpp
@@ -215,6 +215,7 @@
                   return part.has_value();
               }},
              {"guard_processor", "yes or no", false, flag_into(node.guard_processor)},
+             {"admit_by_call_tree", "yes or no", false, flag_into(node.admit_by_call_tree)},
              {"serve_while_stopping", "yes or no", false, flag_into(node.serve_while_stopping)},
              {"ready", "IP:PORT", false, [&node](const std::string& value) {
                   node.listen.ready = read_address(value);
--- a/src/daemon/traffic_frontend.cpp
+++ b/src/daemon/traffic_frontend.cpp
@@ -6,6 +6,7 @@
 #include "daemon/log.hpp"
 #include "daemon/outcome_name.hpp"
 #include "daemon/own_dialect.hpp"
+#include "daemon/pressure_field.hpp"
 #include "http/header_names.hpp"
 #include "settings/value_parsers.hpp"
 
@@ -124,6 +125,9 @@
                                                         "/" +
                                                         std::to_string(answer.load->limit.value()));
     }
+    if (answer.pressure) {
+        headers.add(name(http::header_names::pressure), write_pressure(*answer.pressure));
+    }
     if (allowance) {
         headers.add(name(http::header_names::allowance_left), std::to_string(allowance->value()));
     }
@@ -586,6 +590,7 @@
         event.allowance_left = read_allowance(out->head->headers);
         event.shed = read_shed(out->head->headers);
         event.load = read_load(out->head->headers);
+        event.pressure = read_pressure(out->head->headers.find(http::header_names::pressure));
     }
     deliver(event);
 }
@@ -664,6 +669,7 @@
     event.allowance_left = read_allowance(headers);
     event.shed = read_shed(headers);
     event.load = read_load(headers);
+    event.pressure = read_pressure(headers.find(http::header_names::pressure));
     out->settled = true;
     deliver(event);
 }
--- a/src/daemon/traffic_thread.cpp
+++ b/src/daemon/traffic_thread.cpp
@@ -1,7 +1,9 @@
 #include "daemon/traffic_thread.hpp"
 
 #include "daemon/log.hpp"
+#include "daemon/pressure_metrics.hpp"
 #include "daemon/secure_random.hpp"
+#include "daemon/shedding_log.hpp"
 
 namespace damaskladder::daemon {
 
@@ -22,6 +24,8 @@
         options.min_retries_per_second = floor;
     }
     options.guard_processor = settings.guard_processor;
+    options.admit_by_call_tree = settings.admit_by_call_tree;
+    options.on_shedding = shedding_log();
     if (settings.exact_slots) {
         // Many backend servers slow down for all requests when 0.95 or more of the slots are used.
         // This factor stays below that, also with few slots.
@@ -61,7 +65,12 @@
                .announce = m_requests.announce,
                .ready = [this] { return m_ready.load() && m_frontend.settings_known(); },
                .metrics =
-                   [this] { return m_frontend.metrics().text() + m_requests.control_metrics(); }}),
+                   [this] {
+                       return m_frontend.metrics().text() +
+                              pressure_text(m_machine.highest_pressures(max_shown_routes,
+                                                                        http::event_loop::now())) +
+                              m_requests.control_metrics();
+                   }}),
       m_frontend(
           m_loop, secret, incarnation, make_limits(settings), http_dialect,
           {.handle = [this](const auto& event, const auto& view, auto now,
--- a/src/http/header_names.hpp
+++ b/src/http/header_names.hpp
@@ -20,6 +20,7 @@
 inline constexpr std::string_view allowance_left = "Damaskladder-Allowance-Left";
 inline constexpr std::string_view shed = "Damaskladder-Shed";
 inline constexpr std::string_view load = "Damaskladder-Load";
+inline constexpr std::string_view pressure = "Damaskladder-Pressure";
 inline constexpr std::string_view retry_after = "Retry-After";
 } // namespace header_names
 
--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -148,6 +148,12 @@
     }
 }
 
+/// Whether the request has a key and comes from outside the call trees of the fleet.
+bool is_root(const entry_request& request)
+{
+    return !request.open && !request.parent;
+}
+
 refuse refusal_of(exchange_id exchange, outcome reported_outcome, refusal_reason reason)
 {
     refuse refusal;
@@ -215,6 +221,9 @@
         ctx.out.emplace_back(refusal);
         return;
     }
+    if (key == nullptr) {
+        m_shared.trees.call_made(route->route, ctx.now);
+    }
     request.context.origin = received.origin;
     request.context.chain = base::chain_id(m_shared.options.random());
     request.context.call = random_call_id();
@@ -290,6 +299,7 @@
     m_shared.ledger.open(request.context.call,
                          m_shared.ledger.delegate(*request.parent, request.context.call));
     m_shared.calls.onward_started(*request.parent, request.exchange, ctx.now);
+    m_shared.trees.call_made(parent->context.route, route->route, ctx.now);
     admit(std::move(request), received.content, ctx);
 }
 
@@ -324,6 +334,7 @@
                                       *received.allowance_left);
     }
     request->may_have_run = request->may_have_run || received.reported_outcome != outcome::not_run;
+    m_shared.trees.on_report(request->context.route, is_root(*request), received.pressure, ctx.now);
     const base::node_id gatekeeper = request->gatekeeper;
     const base::service_id service = request->service;
     const auto kind =
@@ -387,6 +398,7 @@
     if (received.load) {
         router_of(request->service).on_load_report(request->gatekeeper, *received.load, ctx.now);
     }
+    m_shared.trees.on_report(request->context.route, is_root(*request), received.pressure, ctx.now);
     request->response_result = result_of(received.response);
     if (m_shared.options.pass_through && received.response != response_class::served &&
         request->context.idempotent && request->attempts < pass_through_attempts) {
@@ -618,6 +630,11 @@
     if (request.open || request.parent) {
         return try_forward(request, ctx);
     }
+    // After the search for repeats, so that a repeat of a request that is running or answered is
+    // not refused as not run.
+    if (const auto wait = m_shared.trees.shed(request.context, ctx.now)) {
+        return refuse_request(request, refusal_reason::shed, ctx, *wait);
+    }
     request.phase = entry_phase::waiting_for_token;
     ctx.out.emplace_back(
         request_token{request.exchange, request.context.workspace, request.deadline});
--- a/src/node/gatekeeper_machine.cpp
+++ b/src/node/gatekeeper_machine.cpp
@@ -80,6 +80,7 @@
         refuse refusal = refusal_of(received.exchange, outcome::not_run, *reason);
         refusal.allowance_left = received.context.allowance;
         refusal.load = load_of(received.service, ctx);
+        refusal.pressure = pressure_of(received.service, received.context.route, ctx);
         ctx.out.emplace_back(refusal);
         return;
     }
@@ -107,6 +108,7 @@
     std::vector<admission::verdict> verdicts;
     service.control.offer(request, ctx.now, verdicts);
     apply_verdicts(verdicts, ctx);
+    m_shared.trees.observe(received.service, load_of(received.service, ctx), ctx.now);
 }
 
 void gatekeeper_machine::on(const claim_granted& received, event_context& ctx)
@@ -204,6 +206,7 @@
     relay.allowance_left = m_shared.ledger.close(call->context.call);
     relay.shed = shed_level(call->service, ctx);
     relay.load = load_of(call->service, ctx);
+    relay.pressure = pressure_of(call->service, call->context.route, ctx);
     ctx.out.emplace_back(relay);
 }
 
@@ -459,6 +462,7 @@
     }
     rate.take(ctx.now);
     m_shared.ledger.open(call.context.call, call.context.allowance);
+    m_shared.trees.run_started(call.context, ctx.now);
     call.phase = gatekeeper_phase::connecting;
     call.transfer = m_shared.next_transfer();
     call.started_at = ctx.now;
@@ -480,6 +484,7 @@
         dispatched ? m_shared.ledger.close(call.context.call) : call.context.allowance;
     refusal.shed = shed_level(call.service, ctx);
     refusal.load = load_of(call.service, ctx);
+    refusal.pressure = pressure_of(call.service, call.context.route, ctx);
     refusal.service = call.service;
     ctx.out.emplace_back(refusal);
     end_call(call, ended, ctx);
@@ -504,6 +509,7 @@
                             ended_call.phase != gatekeeper_phase::claiming;
     if (dispatched) {
         m_shared.ledger.close(ended_call.context.call);
+        m_shared.trees.run_ended(ended_call.context, ctx.now);
         const bool answered = ended_call.phase == gatekeeper_phase::responding;
         for (const auto& onward : m_shared.calls.remove(ended_call.context.call)) {
             if (!answered) {
@@ -519,6 +525,7 @@
             .control.finished(ticket_of(ended_call.exchange), *ended, latency, ctx.now, verdicts);
         apply_verdicts(verdicts, ctx);
     }
+    m_shared.trees.observe(ended_call.service, load_of(ended_call.service, ctx), ctx.now);
 }
 
 void gatekeeper_machine::handle_deadline(gatekeeper_call& call, event_context& ctx)
@@ -561,6 +568,14 @@
     return routing::load_report{std::max(busy, by_rate), control.limit()};
 }
 
+std::optional<base::load_fraction> gatekeeper_machine::pressure_of(const base::service_id& service,
+                                                                   const base::route_id& route,
+                                                                   event_context& ctx)
+{
+    m_shared.trees.observe(service, load_of(service, ctx), ctx.now);
+    return m_shared.trees.pressure_of(service, route, ctx.now);
+}
+
 std::optional<base::importance> gatekeeper_machine::shed_level(const base::service_id& service,
                                                                event_context& ctx) const
 {
--- a/src/node/gatekeeper_machine.hpp
+++ b/src/node/gatekeeper_machine.hpp
@@ -79,6 +79,9 @@
     void handle_deadline(gatekeeper_call& call, event_context& ctx);
     std::optional<routing::load_report> load_of(const base::service_id& service,
                                                 event_context& ctx) const;
+    /// Pressure of the route of a call, for the response to it.
+    std::optional<base::load_fraction> pressure_of(const base::service_id& service,
+                                                   const base::route_id& route, event_context& ctx);
     /// Refuses new calls to a run of a backend server; to any run if it is not known which.
     void drain(const base::service_id& id, const base::instance_id& run, event_context& ctx);
     std::optional<base::importance> shed_level(const base::service_id& service,
--- a/src/node/gatekeeper_refused.hpp
+++ b/src/node/gatekeeper_refused.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/importance.hpp"
+#include "base/load_fraction.hpp"
 #include "base/retry_count.hpp"
 #include "node/outcome.hpp"
 #include "node/refusal_reason.hpp"
@@ -22,6 +23,8 @@
     std::optional<base::importance> shed;
     /// Load of the backend server; empty if the response does not state it.
     std::optional<routing::load_report> load = std::nullopt;
+    /// Pressure of the route of the call; empty if the response does not state it.
+    std::optional<base::load_fraction> pressure = std::nullopt;
 };
 
 } // namespace damaskladder::node
--- a/src/node/refuse.hpp
+++ b/src/node/refuse.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/importance.hpp"
+#include "base/load_fraction.hpp"
 #include "base/node_id.hpp"
 #include "base/retry_count.hpp"
 #include "base/service_id.hpp"
@@ -33,6 +34,8 @@
     std::optional<base::importance> shed;
     /// Load of the backend server, for responses between nodes.
     std::optional<routing::load_report> load = std::nullopt;
+    /// Pressure of the route of the call, for responses between nodes.
+    std::optional<base::load_fraction> pressure = std::nullopt;
 };
 
 } // namespace damaskladder::node
--- a/src/node/relay_response.hpp
+++ b/src/node/relay_response.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/importance.hpp"
+#include "base/load_fraction.hpp"
 #include "base/retry_count.hpp"
 #include "node/exchange_id.hpp"
 #include "node/transfer_id.hpp"
@@ -23,6 +24,8 @@
     std::optional<base::importance> shed;
     /// Load of the backend server, for responses between nodes.
     std::optional<routing::load_report> load = std::nullopt;
+    /// Pressure of the route of the call, for responses between nodes.
+    std::optional<base::load_fraction> pressure = std::nullopt;
 };
 
 } // namespace damaskladder::node
--- a/src/node/response_started.hpp
+++ b/src/node/response_started.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/importance.hpp"
+#include "base/load_fraction.hpp"
 #include "base/retry_count.hpp"
 #include "node/response_class.hpp"
 #include "node/transfer_id.hpp"
@@ -21,6 +22,8 @@
     std::optional<base::importance> shed;
     /// Load of the backend server; empty at the gatekeeper itself.
     std::optional<routing::load_report> load = std::nullopt;
+    /// Pressure of the route of the call; empty at the gatekeeper itself.
+    std::optional<base::load_fraction> pressure = std::nullopt;
 };
 
 } // namespace damaskladder::node
--- a/src/node/traffic_machine.hpp
+++ b/src/node/traffic_machine.hpp
@@ -48,6 +48,13 @@
         return m_gatekeeper.control_of(service);
     }
 
+    /// Root routes with the highest pressure of their call tree, for metrics.
+    std::vector<admission::route_pressure> highest_pressures(std::size_t count,
+                                                             base::time_point now) const
+    {
+        return m_shared.trees.highest(count, now);
+    }
+
 private:
     traffic_state m_shared;
     entry_machine m_entry;
--- a/src/node/traffic_options.hpp
+++ b/src/node/traffic_options.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/controller_options.hpp"
+#include "admission/tree_throttle.hpp"
 #include "base/byte_count.hpp"
 #include "base/call_depth.hpp"
 #include "base/random_source.hpp"
@@ -34,6 +35,11 @@
     /// Shed requests with a key while the processor is saturated. Calls of backend servers are not
     /// shed, because that would waste the work already done by their callers.
     bool guard_processor = false;
+    /// Shed requests with a key at the root of their call tree while a service that the tree leads
+    /// to is short of capacity. Answers between nodes then state the pressure of their route.
+    bool admit_by_call_tree = false;
+    /// Called when shedding at the root begins or ends for a route; may be unset.
+    admission::tree_throttle::shedding_hook on_shedding = {};
     /// Baseline for comparison: random choice among the announced backend servers, no admission
     /// control, no early shedding, and three attempts at every level without allowance or budget.
     bool pass_through = false;
--- a/src/node/traffic_state.hpp
+++ b/src/node/traffic_state.hpp
@@ -5,6 +5,7 @@
 #include "node/running_calls.hpp"
 #include "node/traffic_options.hpp"
 #include "node/transfer_id.hpp"
+#include "node/tree_admission.hpp"
 #include "retry/allowance_ledger.hpp"
 
 #include <optional>
@@ -24,6 +25,7 @@
     /// Observes the thread that serves the requests. It sheds only with
     /// traffic_options::guard_processor.
     admission::cpu_load_shedder processor{admission::cpu_load_shedder_options()};
+    tree_admission trees{options};
 
     /// Time limit for the body of a call's answer.
     base::duration response_time(const call_context& context) const
