--- a/include/damaskladder/admission.hpp
+++ b/include/damaskladder/admission.hpp
@@ -19,6 +19,9 @@
 /// entry_throttle runs in the entry node. It stores the importance level that each gatekeeper
 /// reports as shed and refuses requests at or below that level locally, which saves the round trip.
 ///
+/// cold_limit runs in the gatekeeper. It bounds the requests that a cold backend server gets in any
+/// one second.
+///
 /// cpu_load_shedder runs in the entry node. It refuses requests while the serving thread has no
 /// idle time.
 ///
@@ -33,6 +36,7 @@
 /// Limits: 250 ms queueing time and 4096 queued calls (controller_options). A call that exceeds a
 /// limit gets the verdict shed; this is not an error.
 
+#include "admission/cold_limit.hpp"
 #include "admission/controller.hpp"
 #include "admission/cpu_load_shedder.hpp"
 #include "admission/entry_throttle.hpp"
--- a/include/damaskladder/base.hpp
+++ b/include/damaskladder/base.hpp
@@ -33,6 +33,7 @@
 #include "base/port_number.hpp"
 #include "base/quantity.hpp"
 #include "base/random_source.hpp"
+#include "base/request_count.hpp"
 #include "base/request_id.hpp"
 #include "base/result.hpp"
 #include "base/retry_count.hpp"
