Settings: services have a rate for cold backend servers

New entries teams/TEAM/services/NAME with cold_rate and cold_burst. A service has at most one such entry in the whole tree, since its backend servers have one limit. Routes may name services that have none.

--- a/include/damaskladder/settings.hpp
+++ b/include/damaskladder/settings.hpp
@@ -26,14 +26,15 @@
 ///     [teams/TEAM/workspaces/NAME]  rate (100/s), burst (tokens), weight
 ///     [teams/TEAM/keys/NAME]        workspace, hash (64 hexadecimal digits), state (active,
 ///                                   withdrawn)
+///     [teams/TEAM/services/NAME]    cold_rate (9.6/s), cold_burst (requests)
 ///     [teams/TEAM/limits]           max_staleness, max_queue, slow_start, ejection,
 ///                                   max_ejected_percent
 ///     [teams/TEAM/policy]           revision
 ///     [fleet/domains/NAME]          region, lease_voters (1, 3 or 5 nodes), share (1/3, 0.25)
 ///
-/// Names of workspaces and keys, hashes of keys, prefixes of routes and lease voters are unique in
-/// the whole tree. A key names a workspace of its own team; a route may name workspaces of any
-/// team. Shares sum to exactly 1, or none is given and all are equal.
+/// Names of workspaces, keys and services, hashes of keys, prefixes of routes and lease voters are
+/// unique in the whole tree. A key names a workspace of its own team; a route may name workspaces
+/// of any team. Shares sum to exactly 1, or none is given and all are equal.
 ///
 /// Units
 ///
@@ -76,6 +77,7 @@
 #include "settings/region_name.hpp"
 #include "settings/request_path.hpp"
 #include "settings/route_settings.hpp"
+#include "settings/service_settings.hpp"
 #include "settings/setting_change.hpp"
 #include "settings/setting_diff.hpp"
 #include "settings/setting_entry.hpp"
--- a/src/settings/checked_settings_test.cpp
+++ b/src/settings/checked_settings_test.cpp
@@ -59,6 +59,7 @@
 constexpr const char* open_route = "teams/fairs/routes/calendar";
 constexpr const char* key = "teams/grants/keys/k1";
 constexpr const char* workspace = "teams/grants/workspaces/w1";
+constexpr const char* service = "teams/grants/services/treasury";
 constexpr const char* domain = "fleet/domains/fd1";
 
 INSTANTIATE_TEST_SUITE_P(
@@ -95,6 +96,9 @@
         edit_case{"rate_zero", workspace, "rate", "0/s", problem_kind::out_of_range},
         edit_case{"rate_too_fine", workspace, "rate", "0.0001/s", problem_kind::wrong_format},
         edit_case{"burst_zero", workspace, "burst", "0", problem_kind::out_of_range},
+        edit_case{"cold_rate_without_unit", service, "cold_rate", "9.6",
+                  problem_kind::wrong_format},
+        edit_case{"cold_burst_zero", service, "cold_burst", "0", problem_kind::out_of_range},
         edit_case{"key_of_nobody", key, "workspace", "w9", problem_kind::missing_reference},
         edit_case{"hash_short", key, "hash", "abc", problem_kind::wrong_format},
         edit_case{"key_state", key, "state", "gone", problem_kind::wrong_format},
@@ -141,6 +145,10 @@
     testing::Values(
         tree_case{"workspace_twice", "[teams/z/workspaces/w1]\nrate = 1/s\nburst = 1\n",
                   problem_kind::not_unique, 36},
+        tree_case{"service_twice",
+                  "[teams/a/services/s]\ncold_rate = 1/s\n"
+                  "[teams/z/services/s]\ncold_rate = 1/s\n",
+                  problem_kind::not_unique, 38},
         tree_case{"key_of_other_team",
                   "[teams/z/keys/kz]\nworkspace = w1\nstate = active\n"
                   "hash = bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb\n",
--- a/src/settings/compiled_settings.cpp
+++ b/src/settings/compiled_settings.cpp
@@ -142,6 +142,12 @@
     return found == m_workspace_by_id.end() ? nullptr : found->second;
 }
 
+const service_settings* compiled_settings::find_service(const base::service_id& id) const
+{
+    auto found = m_services.find(id);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
 const domain_settings* compiled_settings::find_domain(const base::failure_domain_id& id) const
 {
     auto found = m_domain_by_id.find(id);
@@ -185,6 +191,9 @@
     case entry_kind::failure_domain:
         add_domain(path, entry);
         break;
+    case entry_kind::service:
+        add_service(path, entry);
+        break;
     }
 }
 
@@ -245,6 +254,22 @@
     m_keys.push_back(std::move(key));
 }
 
+void compiled_settings::add_service(const setting_path& path, const setting_entry& entry)
+{
+    service_settings service;
+    service.id = base::service_id(std::string(path.part(3)));
+    service.team = team_of(path);
+    service.cold_rate = parse_rate(text_of(entry, "cold_rate"));
+    if (service.cold_rate) {
+        constexpr std::int64_t thousandths_per_request = 1'000;
+        const std::int64_t thousandths = service.cold_rate->value();
+        service.cold_burst =
+            base::request_count(std::max<std::int64_t>(1, thousandths / thousandths_per_request));
+    }
+    read(entry, "cold_burst", parse_count, service.cold_burst);
+    m_services.emplace(service.id, std::move(service));
+}
+
 void compiled_settings::add_limits(const setting_path& path, const setting_entry& entry)
 {
     auto& limits = m_limits[team_of(path)];
--- a/src/settings/compiled_settings.hpp
+++ b/src/settings/compiled_settings.hpp
@@ -5,6 +5,7 @@
 #include "settings/key_settings.hpp"
 #include "settings/policy_revision.hpp"
 #include "settings/route_settings.hpp"
+#include "settings/service_settings.hpp"
 #include "settings/setting_tree.hpp"
 #include "settings/team_limits.hpp"
 #include "settings/workspace_settings.hpp"
@@ -43,6 +44,8 @@
     const key_settings* find_key(const base::key_hash& hash) const;
     const key_settings* find_key(const base::key_id& id) const;
     const workspace_settings* find_workspace(const base::workspace_id& id) const;
+    /// Null if the service has no settings of its own.
+    const service_settings* find_service(const base::service_id& id) const;
     const domain_settings* find_domain(const base::failure_domain_id& id) const;
     /// Default limits if the team has none.
     const team_limits& limits_of(const base::team_id& team) const;
@@ -62,6 +65,7 @@
     void add_route(const setting_path& path, const setting_entry& entry);
     void add_workspace(const setting_path& path, const setting_entry& entry);
     void add_key(const setting_path& path, const setting_entry& entry);
+    void add_service(const setting_path& path, const setting_entry& entry);
     void add_limits(const setting_path& path, const setting_entry& entry);
     void add_domain(const setting_path& path, const setting_entry& entry);
     void set_default_shares();
@@ -72,6 +76,7 @@
     std::vector<workspace_settings> m_workspaces;
     std::vector<key_settings> m_keys;
     std::vector<domain_settings> m_domains;
+    std::unordered_map<base::service_id, service_settings> m_services;
     std::unordered_map<base::team_id, team_limits> m_limits;
     std::unordered_map<base::team_id, policy_revision> m_policies;
     team_limits m_default_limits;
--- a/src/settings/compiled_settings_test.cpp
+++ b/src/settings/compiled_settings_test.cpp
@@ -50,6 +50,38 @@
         match_case{"/payments/calendar/%2f..%2f1", ""}, match_case{"/payments/calendar\\..\\1", ""},
         match_case{"/payments/calendar/...", calendar}));
 
+struct cold_case {
+    const char* fields;
+    const char* service;
+    std::optional<std::int64_t> rate;
+    std::int64_t burst;
+};
+
+class cold_settings : public testing::TestWithParam<cold_case> {};
+
+// Guards against a cold backend server without a limit, or with one that nobody has set.
+TEST_P(cold_settings, apply_to_the_named_service)
+{
+    const auto& row = GetParam();
+    const auto tree = read_ini(std::string("[teams/t/services/s]\n") + row.fields, "x.ini").tree;
+    const auto compiled = compiled_settings::compile(tree);
+    const auto* found = compiled->find_service(base::service_id(row.service));
+    const auto rate = found == nullptr ? std::nullopt : found->cold_rate;
+    ASSERT_EQ(rate.has_value(), row.rate.has_value());
+    if (rate) {
+        EXPECT_EQ(rate->value(), *row.rate);
+        EXPECT_EQ(found->cold_burst, base::request_count(row.burst));
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, cold_settings,
+    testing::Values(cold_case{"cold_rate = 9.6/s\ncold_burst = 22\n", "s", 9'600, 22},
+                    cold_case{"cold_rate = 9.6/s\n", "s", 9'600, 9},
+                    cold_case{"cold_rate = 0.2/s\n", "s", 200, 1},
+                    cold_case{"cold_burst = 22\n", "s", std::nullopt, 0},
+                    cold_case{"cold_rate = 9.6/s\n", "other", std::nullopt, 0}));
+
 struct slash_case {
     const char* path;
     /// Prefix of the route; null if no route matches.
--- a/src/settings/entry_kind.hpp
+++ b/src/settings/entry_kind.hpp
@@ -8,7 +8,15 @@
 namespace damaskladder::settings {
 
 /// Kind of the entry at a path.
-enum class entry_kind : std::uint8_t { route, workspace, key, limits, policy, failure_domain };
+enum class entry_kind : std::uint8_t {
+    route,
+    workspace,
+    key,
+    limits,
+    policy,
+    failure_domain,
+    service,
+};
 
 /// Kind of the entry at the path; none if the path cannot hold an entry.
 inline std::optional<entry_kind> kind_of(const setting_path& path)
@@ -29,6 +37,7 @@
     return group == "routes"       ? std::optional(entry_kind::route)
            : group == "workspaces" ? std::optional(entry_kind::workspace)
            : group == "keys"       ? std::optional(entry_kind::key)
+           : group == "services"   ? std::optional(entry_kind::service)
                                    : std::nullopt;
 }
 
--- a/src/settings/entry_references.cpp
+++ b/src/settings/entry_references.cpp
@@ -52,6 +52,9 @@
         }
         add_names(entry, "workspaces", reference_kind::workspace, references.used);
     }
+    else if (kind == entry_kind::service) {
+        references.defined.push_back({reference_kind::service, std::string(path.part(3))});
+    }
     else if (kind == entry_kind::failure_domain) {
         add_names(entry, "lease_voters", reference_kind::lease_voter, references.defined);
     }
--- a/src/settings/reference_index.cpp
+++ b/src/settings/reference_index.cpp
@@ -41,6 +41,7 @@
         return field_name("lease_voters");
     case reference_kind::workspace:
     case reference_kind::key:
+    case reference_kind::service:
         break;
     }
     return {};
@@ -60,6 +61,8 @@
     case reference_kind::lease_voter:
         return "node " + reference.name + " as lease voter of one failure domain, not also of " +
                other.text();
+    case reference_kind::service:
+        return "a service name that is not used at " + other.text();
     }
     return {};
 }
--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -66,6 +66,12 @@
 constexpr std::array policy_rules = {
     field_rule{"revision", field_kind::count, true, 1, 1'000, "a number from 1 to 1000"}};
 
+constexpr std::array service_rules = {field_rule{"cold_rate", field_kind::rate, false, 1,
+                                                 1'000'000'000,
+                                                 "a rate from 0.001/s to 1000000/s, with \"/s\""},
+                                      field_rule{"cold_burst", field_kind::count, false, 1,
+                                                 10'000'000, "a number from 1 to 10000000"}};
+
 constexpr std::array failure_domain_rules = {
     field_rule{"share", field_kind::share, false, 0, 0,
                "a fraction above 0 and at most 1, for example 1/3 or 0.25"},
@@ -250,6 +256,8 @@
         return policy_rules;
     case entry_kind::failure_domain:
         return failure_domain_rules;
+    case entry_kind::service:
+        return service_rules;
     }
     return {};
 }
@@ -264,8 +272,8 @@
                             {},
                             path,
                             {},
-                            "teams/TEAM/{routes,workspaces,keys}/NAME, teams/TEAM/{limits,policy} "
-                            "or fleet/domains/NAME"});
+                            "teams/TEAM/{routes,workspaces,keys,services}/NAME, "
+                            "teams/TEAM/{limits,policy} or fleet/domains/NAME"});
         return problems;
     }
     check_fields(path, entry, rules_of(*kind), problems);
