--- a/src/settings/compiled_settings.hpp
+++ b/src/settings/compiled_settings.hpp
@@ -5,6 +5,7 @@
 #include "settings/key_settings.hpp"
 #include "settings/policy_revision.hpp"
 #include "settings/route_settings.hpp"
+#include "settings/service_settings.hpp"
 #include "settings/setting_tree.hpp"
 #include "settings/team_limits.hpp"
 #include "settings/workspace_settings.hpp"
@@ -44,6 +45,8 @@
     const key_settings* find_key(const base::key_hash& hash) const;
     const key_settings* find_key(const base::key_id& id) const;
     const workspace_settings* find_workspace(const base::workspace_id& id) const;
+    /// Null if the service has no settings of its own.
+    const service_settings* find_service(const base::service_id& id) const;
     const domain_settings* find_domain(const base::failure_domain_id& id) const;
     /// Whether the backend servers of the failure domain get no new requests.
     bool is_evacuated(const base::failure_domain_id& domain) const;
@@ -66,6 +69,7 @@
     void add_route(const setting_path& path, const setting_entry& entry);
     void add_workspace(const setting_path& path, const setting_entry& entry);
     void add_key(const setting_path& path, const setting_entry& entry);
+    void add_service(const setting_path& path, const setting_entry& entry);
     void add_limits(const setting_path& path, const setting_entry& entry);
     void add_domain(const setting_path& path, const setting_entry& entry);
     void add_evacuation(const setting_path& path, const setting_entry& entry);
@@ -78,6 +82,7 @@
     std::vector<key_settings> m_keys;
     std::vector<domain_settings> m_domains;
     std::set<base::failure_domain_id> m_evacuated;
+    std::unordered_map<base::service_id, service_settings> m_services;
     std::unordered_map<base::team_id, team_limits> m_limits;
     std::unordered_map<base::team_id, policy_revision> m_policies;
     team_limits m_default_limits;
--- a/src/settings/entry_kind.hpp
+++ b/src/settings/entry_kind.hpp
@@ -15,7 +15,8 @@
     limits,
     policy,
     failure_domain,
-    evacuation
+    evacuation,
+    service,
 };
 
 /// Kind of the entry at the path; none if the path cannot hold an entry.
@@ -40,6 +41,7 @@
     return group == "routes"       ? std::optional(entry_kind::route)
            : group == "workspaces" ? std::optional(entry_kind::workspace)
            : group == "keys"       ? std::optional(entry_kind::key)
+           : group == "services"   ? std::optional(entry_kind::service)
                                    : std::nullopt;
 }
 
