http: requests of one connection are served concurrently

A connection read the next request only after the response to the one before, so requests sent ahead spent much of their objective in the receive buffer. With server_limits::requests_ahead above 1, several exchanges of a connection are open at once and are answered in order: output behind the first is buffered until its turn. Reading stops at that count and while waiting bodies and responses hold waiting_size bytes. The default stays 1. exchange_queue holds the order and response_output the framing of one response; both were part of server_connection.

A response that closes the connection disconnects the requests behind it. An aborted response behind others resets the connection only after the peer has acknowledged the earlier responses, because a reset discards what is not acknowledged. While the server drains, nothing more is read behind open requests and only the last response closes.

Ruled out: a deque in each connection, which allocates 512 bytes also for one request.

--- a/src/http/raw_socket_fake.hpp
+++ b/src/http/raw_socket_fake.hpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <atomic>
+#include <cerrno>
 #include <string>
 #include <thread>
 #include <utility>
@@ -108,16 +109,19 @@
         for (;;) {
             const auto got = read(m_socket.get(), data.data(), data.size());
             if (got <= 0) {
+                m_was_reset = m_was_reset || (got < 0 && errno == ECONNRESET);
                 return got == 0 || errno != EAGAIN;
             }
             m_received.append(data.data(), static_cast<std::size_t>(got));
         }
     }
     const std::string& received() const { return m_received; }
+    bool was_reset() const { return m_was_reset; }
 
 private:
     base::file_descriptor m_socket;
     std::string m_received;
+    bool m_was_reset = false;
 };
 
 } // namespace damaskladder::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -85,6 +85,24 @@
     m_acceptor.drain();
 }
 
+std::size_t server::waiting_requests() const
+{
+    std::size_t count = 0;
+    for (const auto& item : m_connections) {
+        count += item.second->waiting_requests();
+    }
+    return count;
+}
+
+std::size_t server::waiting_bytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto& item : m_connections) {
+        bytes += item.second->waiting_bytes();
+    }
+    return bytes;
+}
+
 void server::close_idle_connections()
 {
     m_closes_idle = true;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -45,6 +45,10 @@
     std::uint16_t port() const { return m_port; }
     const server_limits& limits() const { return m_limits; }
     std::size_t open_exchanges() const { return m_open; }
+    /// Requests that wait behind others on their connection, and the bytes of their bodies and
+    /// responses. Both iterate over all connections.
+    std::size_t waiting_requests() const;
+    std::size_t waiting_bytes() const;
 
 private:
     friend class server_connection;
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -6,6 +6,7 @@
 
 #include <sys/epoll.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace damaskladder::http {
@@ -16,6 +17,8 @@
 constexpr std::size_t max_body_discarded = std::size_t{1024} * 1024;
 /// Time for the peer to read the response and close its side after the sending side is shut down.
 constexpr base::duration drain_timeout = std::chrono::seconds(2);
+/// Interval between checks whether the peer has acknowledged the responses before an aborted one.
+constexpr base::duration acknowledgement_interval = std::chrono::milliseconds(2);
 constexpr int bad_request = 400;
 constexpr int target_too_long = 414;
 constexpr int fields_too_long = 431;
@@ -33,6 +36,16 @@
     }
 }
 
+std::vector<std::uint64_t> tags_of(const std::vector<std::shared_ptr<exchange>>& exchanges)
+{
+    std::vector<std::uint64_t> tags;
+    tags.reserve(exchanges.size());
+    for (const auto& each : exchanges) {
+        tags.push_back(each->tag());
+    }
+    return tags;
+}
+
 } // namespace
 
 server_connection::server_connection(server& owner, stream_socket socket, base::time_point now)
@@ -40,6 +53,7 @@
       m_socket(std::move(socket)),
       m_parser(message_parser::direction::requests,
                static_cast<std::size_t>(owner.limits().header_size.value())),
+      m_read_at(now),
       m_last_active(now)
 {
     m_parser.on_body([this](std::string_view data) { body_received(data); });
@@ -65,7 +79,13 @@
 
 bool server_connection::caller_disconnected() const
 {
-    return m_socket.peer_closed() && m_exchange != nullptr && !m_exchange->m_finished;
+    if (!m_socket.peer_closed() || m_queue.empty()) {
+        return false;
+    }
+    const auto& behind = m_queue.behind_front();
+    return !m_queue.front()->m_finished ||
+           std::any_of(behind.begin(), behind.end(),
+                       [](const auto& open) { return !open->m_finished; });
 }
 
 bool server_connection::wants_input() const
@@ -73,14 +93,27 @@
     if (m_closed) {
         return false;
     }
-    if (m_draining || m_exchange == nullptr) {
+    if (m_draining || m_queue.empty()) {
         return true;
     }
-    if (m_request_received) {
-        return false;
+    const auto& last = *m_queue.back();
+    if (last.m_body_complete) {
+        return wants_request();
+    }
+    if (last.m_finished) {
+        return !last.m_closes || is_front(last);
     }
-    const auto room = static_cast<std::size_t>(m_owner.limits().buffer_size.value());
-    return m_exchange->m_finished || m_exchange->m_body.size() < room;
+    const auto& limits = m_owner.limits();
+    return last.m_body.size() < static_cast<std::size_t>(limits.buffer_size.value()) &&
+           m_queue.waiting_bytes() < static_cast<std::size_t>(limits.waiting_size.value());
+}
+
+bool server_connection::wants_request() const
+{
+    const auto& limits = m_owner.limits();
+    return m_queue.size() < limits.requests_ahead && !m_queue.back()->m_closes &&
+           !m_owner.m_draining &&
+           m_queue.waiting_bytes() < static_cast<std::size_t>(limits.waiting_size.value());
 }
 
 void server_connection::read_input()
@@ -104,15 +137,18 @@
         switch (got.what) {
         case stream_socket::io_result::status::transferred:
             turn.add(got.size);
+            m_read_at = m_owner.loop().woken_at();
             if (!m_draining) {
                 // A caller that sends on does not keep a connection open that is closing.
-                m_last_active = m_owner.loop().woken_at();
+                m_last_active = m_read_at;
             }
             parse_input({buffer.data(), got.size});
             break;
         case stream_socket::io_result::status::blocked:
             return;
         case stream_socket::io_result::status::ended:
+            input_ended();
+            return;
         case stream_socket::io_result::status::failed:
             close();
             return;
@@ -120,6 +156,16 @@
     }
 }
 
+void server_connection::input_ended()
+{
+    const bool responses_ready =
+        !m_queue.empty() && m_queue.back()->m_body_complete && !caller_disconnected();
+    if (!responses_ready) {
+        close();
+    }
+    // Otherwise the end is read again after the responses have been sent.
+}
+
 void server_connection::close_if_idle()
 {
     const auto keep = shared_from_this();
@@ -168,41 +214,49 @@
     head.target = std::move(parsed.target);
     head.headers = std::move(parsed.headers);
     head.body_size = parsed.body_size;
-    m_close_after_response = !parsed.keep_alive;
-    m_request_received = false;
-    m_discarded = 0;
     if (parsed.is_http_1_1 && head.headers.find("Host") == nullptr) {
         reject_input(bad_request);
         return;
     }
-    m_exchange = std::make_shared<exchange>(*this, std::move(head));
+    const auto handled = std::make_shared<exchange>(*this, std::move(head));
+    handled->m_is_http_1_1 = parsed.is_http_1_1;
+    handled->m_closes = !parsed.keep_alive;
+    handled->m_received_at = m_read_at;
+    m_queue.push(handled);
     ++m_owner.m_open;
-    const auto handled = m_exchange;
     m_owner.m_handler(handled);
-    if (m_exchange == handled && !handled->m_started && expects_interim_response()) {
-        m_out.bytes() += interim_response;
-        schedule_flush();
+    if (is_front(*handled)) {
+        send_interim_response();
     }
 }
 
-bool server_connection::expects_interim_response() const
+void server_connection::send_interim_response()
 {
-    const auto* expected = m_exchange->head().headers.find("Expect");
-    return expected != nullptr && same_name(*expected, "100-continue");
+    const auto& first = *m_queue.front();
+    if (first.m_started || first.m_body_complete || !first.m_body.empty()) {
+        return;
+    }
+    const auto* expected = first.head().headers.find("Expect");
+    if (expected != nullptr && same_name(*expected, "100-continue")) {
+        m_out.bytes() += interim_response;
+        schedule_flush();
+    }
 }
 
 void server_connection::body_received(std::string_view data)
 {
-    if (m_exchange == nullptr) {
+    // Body bytes of a request whose exchange was removed are no part of the one before it.
+    if (m_queue.empty() || m_queue.back()->m_body_complete) {
         return;
     }
-    if (m_exchange->m_finished) {
-        m_discarded += data.size();
-        m_close_after_response = m_close_after_response || m_discarded > max_body_discarded;
+    const auto receiving = m_queue.back();
+    if (receiving->m_finished) {
+        receiving->m_discarded += data.size();
+        receiving->m_closes = receiving->m_closes || receiving->m_discarded > max_body_discarded;
         return;
     }
-    m_exchange->m_body.append(data);
-    const auto receiving = m_exchange;
+    receiving->m_body.append(data);
+    receiving->m_received_at = m_read_at;
     if (receiving->m_on_body) {
         receiving->m_on_body();
     }
@@ -210,33 +264,43 @@
 
 void server_connection::request_received()
 {
-    if (m_exchange == nullptr) {
+    if (m_queue.empty() || m_queue.back()->m_body_complete) {
         return;
     }
-    m_request_received = true;
-    const auto complete = m_exchange;
+    const auto complete = m_queue.back();
     complete->m_body_complete = true;
     if (complete->m_on_body) {
         complete->m_on_body();
     }
-    if (m_exchange == complete && complete->m_finished) {
+    if (complete->m_connection != nullptr && complete->m_finished) {
         schedule_flush();
     }
 }
 
 void server_connection::reject_input(int status)
 {
-    if (m_exchange != nullptr) {
+    if (!m_queue.empty() && !m_queue.back()->m_body_complete) {
         // The body cannot be parsed any further, so the request can never be completed.
-        close();
-        return;
+        const auto broken = m_queue.back();
+        if (is_front(*broken)) {
+            close();
+            return;
+        }
+        if (broken->m_finished) {
+            broken->m_closes = true;
+            return;
+        }
+        const auto before = m_queue.ahead_of(*broken).back();
+        disconnect(m_queue.remove_behind(*before));
     }
+    const auto rejected = std::make_shared<exchange>(*this, request_head());
+    rejected->m_body_complete = true;
+    m_queue.push(rejected);
+    ++m_owner.m_open;
+    rejected->m_closes = true;
     response_head refusal;
     refusal.status = status;
-    refusal.body_size = base::byte_count(0);
-    append_response_head(m_out.bytes(), refusal, body_framing::sized, connection_option::close);
-    start_draining();
-    schedule_flush();
+    rejected->respond(std::move(refusal), {});
 }
 
 void server_connection::continue_reading()
@@ -251,86 +315,81 @@
     });
 }
 
-void server_connection::begin_response(const response_head& head)
+std::vector<std::uint64_t> server_connection::tags_ahead(const exchange& of) const
 {
-    const auto& request = m_exchange->head();
-    const bool http_1_1 = m_parser.head().is_http_1_1;
-    if (request.method == "HEAD" || !has_body(head.status)) {
-        m_framing = body_framing::none;
-    }
-    else if (head.body_size) {
-        m_framing = body_framing::sized;
-        m_response_remaining = head.body_size->value();
-    }
-    else {
-        m_framing = http_1_1 ? body_framing::chunked : body_framing::until_close;
-    }
-    m_close_after_response =
-        m_close_after_response || m_owner.m_draining || m_framing == body_framing::until_close;
-    auto option = connection_option::none;
-    if (m_close_after_response) {
-        option = connection_option::close;
-    }
-    else if (!http_1_1) {
-        option = connection_option::keep_alive;
-    }
-    append_response_head(m_out.bytes(), head, m_framing, option);
+    return tags_of(m_queue.ahead_of(of));
+}
+
+std::vector<std::uint64_t> server_connection::tags_behind(const exchange& of) const
+{
+    return tags_of(m_queue.behind(of));
+}
+
+void server_connection::begin_response(exchange& of, const response_head& head)
+{
+    const bool is_last = &of == m_queue.back().get();
+    of.m_output = response_output(of.head(), of.m_is_http_1_1, head);
+    of.m_closes = of.m_closes || (m_owner.m_draining && is_last) || of.m_output.ends_connection();
+    of.m_output.append_head(buffer_of(of), head, of.m_closes);
     schedule_flush();
+    if (of.m_closes && !is_last) {
+        disconnect(m_queue.remove_behind(of));
+    }
 }
 
-void server_connection::write_response(std::string_view data)
+void server_connection::write_response(exchange& of, std::string_view data)
 {
-    switch (m_framing) {
-    case body_framing::none:
-        return;
-    case body_framing::sized:
-        m_response_remaining -= static_cast<std::int64_t>(data.size());
-        if (m_response_remaining < 0) {
-            // The caller would parse bytes beyond Content-Length as the next response.
-            m_exchange->abort();
-            return;
-        }
-        m_out.bytes() += data;
-        break;
-    case body_framing::chunked:
-        append_chunk(m_out.bytes(), data);
-        break;
-    case body_framing::until_close:
-        m_out.bytes() += data;
-        break;
+    if (of.m_output.append_body(buffer_of(of), data)) {
+        schedule_flush();
+    }
+    else {
+        of.abort();
     }
-    schedule_flush();
 }
 
-void server_connection::end_response()
+void server_connection::end_response(exchange& of)
 {
-    if (m_framing == body_framing::sized && m_response_remaining != 0) {
-        abort_response();
+    if (!of.m_output.append_end(buffer_of(of))) {
+        abort_response(of);
         return;
     }
-    if (m_framing == body_framing::chunked) {
-        append_last_chunk(m_out.bytes());
-    }
-    m_exchange->clear_hooks();
-    if (!m_request_received) {
-        const auto& size = m_exchange->head().body_size;
+    of.clear_hooks();
+    if (!of.m_body_complete) {
+        const auto& size = of.head().body_size;
         const bool large = !size || *size > m_owner.limits().buffer_size;
-        m_close_after_response = m_close_after_response || large;
+        of.m_closes = of.m_closes || large;
         continue_reading();
     }
     schedule_flush();
 }
 
-void server_connection::abort_response()
+void server_connection::abort_response(exchange& of)
 {
-    m_socket.reset_on_close();
-    m_exchange->m_finished = true;
-    close();
+    const auto keep = shared_from_this();
+    of.m_finished = true;
+    of.m_aborted = true;
+    of.m_closes = true;
+    of.m_waiting_output = {};
+    of.clear_hooks();
+    disconnect(m_queue.remove_behind(of));
+    if (is_front(of) && !m_earlier_output) {
+        m_socket.reset_on_close();
+        close();
+        return;
+    }
+    // The responses before it are sent first.
+    schedule_flush();
 }
 
-bool server_connection::has_output_space() const
+bool server_connection::has_output_space(const exchange& of) const
 {
-    return m_out.pending_size() < static_cast<std::size_t>(m_owner.limits().buffer_size.value());
+    const auto& limits = m_owner.limits();
+    const auto room = static_cast<std::size_t>(limits.buffer_size.value());
+    if (is_front(of)) {
+        return m_out.pending_size() < room;
+    }
+    return of.m_waiting_output.size() < room &&
+           m_queue.waiting_bytes() < static_cast<std::size_t>(limits.waiting_size.value());
 }
 
 void server_connection::schedule_flush()
@@ -349,7 +408,8 @@
     if (m_closed) {
         return;
     }
-    const bool was_full = !has_output_space();
+    const bool was_full = !m_queue.empty() && !has_output_space(*m_queue.front());
+    const bool advanced = end_complete_exchanges();
     const auto sent = m_out.send(m_socket);
     if (sent.what == stream_socket::io_result::status::failed) {
         close();
@@ -359,29 +419,83 @@
         m_last_active = m_owner.loop().woken_at();
     }
     if (m_out.pending_size() == 0) {
-        response_sent();
+        output_sent();
+    }
+    if (m_closed || m_queue.empty()) {
+        return;
+    }
+    if (was_full || advanced) {
+        notify_writable(m_queue.front());
+    }
+    if (advanced) {
+        // The end of an exchange makes room within the limit of waiting bytes.
+        const auto waiting = m_queue.behind_front();
+        for (const auto& each : waiting) {
+            notify_writable(each);
+        }
+        read_input();
     }
-    const auto writing = m_exchange;
-    if (was_full && has_output_space() && writing != nullptr && writing->m_on_writable) {
-        writing->m_on_writable();
+}
+
+bool server_connection::end_complete_exchanges()
+{
+    bool advanced = false;
+    while (m_queue.size() > 1 && m_queue.front()->m_finished && !m_queue.front()->m_closes) {
+        end_exchange(*m_queue.pop_front());
+        m_earlier_output = m_out.pending_size() > 0;
+        auto& next = *m_queue.front();
+        m_out.bytes() += std::exchange(next.m_waiting_output, {});
+        send_interim_response();
+        advanced = true;
+    }
+    return advanced;
+}
+
+void server_connection::notify_writable(std::shared_ptr<exchange> to)
+{
+    if (to->m_connection != nullptr && to->m_on_writable && has_output_space(*to)) {
+        // A copy, because the hook may complete the exchange, which releases its hooks.
+        const auto hook = to->m_on_writable;
+        hook();
     }
 }
 
-void server_connection::response_sent()
+void server_connection::output_sent()
 {
+    m_earlier_output = false;
     if (m_draining) {
         m_socket.shut_down_sending();
         return;
     }
-    if (m_exchange == nullptr || !m_exchange->m_finished) {
+    if (m_queue.empty()) {
+        return;
+    }
+    const auto first = m_queue.front();
+    if (first->m_finished) {
+        front_complete();
+    }
+    else if (const auto on_turn = std::exchange(first->m_on_turn, nullptr)) {
+        on_turn();
+    }
+}
+
+void server_connection::front_complete()
+{
+    const auto& first = *m_queue.front();
+    if (first.m_aborted) {
+        reset_when_acknowledged();
         return;
     }
-    if (!m_request_received && !m_close_after_response) {
+    const bool closes = first.m_closes;
+    if (!first.m_body_complete && !closes) {
         // The remaining body must be read before the connection is reused.
         return;
     }
-    end_exchange();
-    if (m_close_after_response) {
+    if (closes) {
+        disconnect(m_queue.remove_behind(first));
+    }
+    end_exchange(*m_queue.pop_front());
+    if (closes) {
         start_draining();
         m_socket.shut_down_sending();
     }
@@ -396,15 +510,42 @@
     }
 }
 
-void server_connection::end_exchange()
+void server_connection::reset_when_acknowledged()
 {
-    const auto ended = std::exchange(m_exchange, nullptr);
-    if (ended == nullptr) {
+    // A reset discards what the peer has not acknowledged, and with it the responses before the
+    // aborted one.
+    if (m_socket.has_unacknowledged_output()) {
+        m_owner.loop().call_at(event_loop::now() + acknowledgement_interval,
+                               [self = shared_from_this()] { self->flush(); });
         return;
     }
+    m_socket.reset_on_close();
+    close();
+}
+
+void server_connection::end_exchange(exchange& ended)
+{
     --m_owner.m_open;
-    ended->m_connection = nullptr;
-    ended->clear_hooks();
+    ended.m_connection = nullptr;
+    ended.clear_hooks();
+}
+
+void server_connection::disconnect(std::vector<std::shared_ptr<exchange>> open)
+{
+    std::vector<std::function<void()>> hooks;
+    for (const auto& each : open) {
+        if (!each->m_finished) {
+            each->m_disconnected = true;
+            each->m_finished = true;
+            if (each->m_on_disconnect) {
+                hooks.push_back(std::move(each->m_on_disconnect));
+            }
+        }
+        end_exchange(*each);
+    }
+    for (const auto& hook : hooks) {
+        hook();
+    }
 }
 
 void server_connection::start_draining()
@@ -417,8 +558,10 @@
 void server_connection::check_idle(base::time_point now)
 {
     const auto quiet = now - m_last_active;
-    const bool callers_turn =
-        m_exchange == nullptr || !m_request_received || m_out.pending_size() > 0;
+    // Behind other exchanges, the caller may be waiting for them before it sends its body.
+    const bool callers_turn = m_queue.empty() || m_out.pending_size() > 0 ||
+                              m_queue.front()->m_aborted ||
+                              (m_queue.size() == 1 && !m_queue.front()->m_body_complete);
     if ((m_draining && quiet > drain_timeout) ||
         (callers_turn && quiet > m_owner.limits().idle_time)) {
         close();
@@ -428,7 +571,7 @@
 void server_connection::abandon()
 {
     m_closed = true;
-    if (const auto left = std::exchange(m_exchange, nullptr)) {
+    for (const auto& left : m_queue.clear()) {
         left->m_connection = nullptr;
         left->clear_hooks();
     }
@@ -441,16 +584,7 @@
     }
     const auto keep = shared_from_this();
     m_closed = true;
-    std::function<void()> on_disconnect;
-    if (m_exchange != nullptr && !m_exchange->m_finished) {
-        m_exchange->m_disconnected = true;
-        m_exchange->m_finished = true;
-        on_disconnect = std::exchange(m_exchange->m_on_disconnect, nullptr);
-    }
-    end_exchange();
-    if (on_disconnect) {
-        on_disconnect();
-    }
+    disconnect(m_queue.clear());
     m_owner.remove(m_socket.descriptor());
 }
 
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "http/exchange.hpp"
-#include "http/head_writer.hpp"
+#include "http/exchange_queue.hpp"
 #include "http/message_parser.hpp"
 #include "http/output_buffer.hpp"
 #include "http/stream_socket.hpp"
@@ -10,16 +10,18 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace damaskladder::http {
 
 class server;
 
-/// A caller's connection: reads requests one at a time and sends their responses.
+/// A caller's connection: reads requests and sends their responses in the order of the requests.
 ///
-/// A request is passed to the handler when its head has arrived. Nothing is read while its body
-/// buffer is full, and while the response is pending the connection is only watched for the caller
-/// disconnecting. Output written within one round of the loop is sent together.
+/// A request is passed to the handler when its head has arrived, also while earlier ones are open,
+/// up to the limits of server_limits. Nothing is read while the body buffer of the last request is
+/// full, and at those limits the connection is only watched for the caller disconnecting. Output
+/// written within one round of the loop is sent together.
 class server_connection : public std::enable_shared_from_this<server_connection> {
 public:
     server_connection(server& owner, stream_socket socket, base::time_point now);
@@ -35,46 +37,73 @@
     void check_idle(base::time_point now);
 
     /// Whether no request is in progress.
-    bool is_idle() const { return m_exchange == nullptr; }
+    bool is_idle() const { return m_queue.empty(); }
 
     /// Closes the connection unless a request is in progress. What has arrived is read first; a
     /// request in it is passed to the handler.
     void close_if_idle();
 
-    /// Closes the connection. A request in progress is notified that its caller has disconnected.
+    /// Closes the connection. Requests in progress are notified that their caller has disconnected.
     void close();
 
     /// Detaches from a server that is being destroyed. Hooks no longer run, and calls on the
-    /// exchange have no effect.
+    /// exchanges have no effect.
     void abandon();
 
+    /// Requests that wait behind others, and the bytes of their bodies and responses.
+    std::size_t waiting_requests() const { return m_queue.behind_front().size(); }
+    std::size_t waiting_bytes() const { return m_queue.waiting_bytes(); }
+
 private:
     friend class exchange;
 
-    // Called by the exchange in progress.
+    // Called by the open exchanges.
     /// Reads in a later round of the loop.
     void continue_reading();
-    void begin_response(const response_head& head);
-    void write_response(std::string_view data);
-    void end_response();
-    void abort_response();
-    bool has_output_space() const;
-
-    /// The caller has closed its sending side before the response was complete.
+    void begin_response(exchange& of, const response_head& head);
+    void write_response(exchange& of, std::string_view data);
+    void end_response(exchange& of);
+    void abort_response(exchange& of);
+    bool has_output_space(const exchange& of) const;
+    std::size_t position(const exchange& of) const { return m_queue.position(of); }
+    std::vector<std::uint64_t> tags_ahead(const exchange& of) const;
+    std::vector<std::uint64_t> tags_behind(const exchange& of) const;
+
+    bool is_front(const exchange& of) const { return &of == m_queue.front().get(); }
+    /// The buffer for output of an exchange: that of the connection if its turn has come.
+    std::string& buffer_of(exchange& of)
+    {
+        return is_front(of) ? m_out.bytes() : of.m_waiting_output;
+    }
+
+    /// The caller has closed its sending side before all responses were complete.
     bool caller_disconnected() const;
     bool wants_input() const;
+    /// Whether another request may be read behind the open ones.
+    bool wants_request() const;
     /// Reads until nothing is left or wanted, or the turn has ended.
     void read_input();
+    void input_ended();
     void parse_input(std::string_view data);
     void head_received();
     void body_received(std::string_view data);
     void request_received();
     void reject_input(int status);
-    bool expects_interim_response() const;
+    /// Asks for the body of the first request if its caller waits to be asked.
+    void send_interim_response();
     void schedule_flush();
     void flush();
-    void response_sent();
-    void end_exchange();
+    /// Ends the exchanges at the front that are complete while others wait behind them. Returns
+    /// whether there were any.
+    bool end_complete_exchanges();
+    /// Called when all output has been passed to the operating system.
+    void output_sent();
+    void front_complete();
+    /// Resets the connection once the responses before an aborted one have arrived.
+    void reset_when_acknowledged();
+    void notify_writable(std::shared_ptr<exchange> to);
+    void end_exchange(exchange& ended);
+    void disconnect(std::vector<std::shared_ptr<exchange>> open);
     void start_draining();
 
     server& m_owner;
@@ -82,20 +111,14 @@
     message_parser m_parser;
     /// Received bytes that are not parsed yet.
     std::string m_unparsed;
-    std::shared_ptr<exchange> m_exchange;
-    bool m_reading_scheduled = false;
-    bool m_request_received = false;
-    /// Body bytes discarded because the response is already complete.
-    std::size_t m_discarded = 0;
-
+    base::time_point m_read_at;
+    exchange_queue m_queue;
     output_buffer m_out;
-    body_framing m_framing = body_framing::none;
-    /// Bytes still to be written of a response of known size.
-    std::int64_t m_response_remaining = 0;
-    bool m_flush_scheduled = false;
 
-    /// The connection closes after the current response.
-    bool m_close_after_response = false;
+    bool m_reading_scheduled = false;
+    bool m_flush_scheduled = false;
+    /// The output buffer holds bytes of responses before that of the first exchange.
+    bool m_earlier_output = false;
     /// The sending side is shut down or about to be; further input is discarded.
     bool m_draining = false;
     bool m_closed = false;
--- a/src/http/server_limits.hpp
+++ b/src/http/server_limits.hpp
@@ -16,6 +16,13 @@
     base::duration idle_time = std::chrono::seconds(30);
     /// Maximum body bytes buffered per request and direction; beyond it the sender has to wait.
     base::byte_count buffer_size{64 * 1024};
+    /// Maximum requests of one connection that are open at once. With 1, the next request is read
+    /// only after the response.
+    unsigned requests_ahead = 1;
+    /// While the bodies and responses of one connection that wait for earlier responses hold at
+    /// least this many bytes, no further request is read and no further output is accepted for
+    /// them.
+    base::byte_count waiting_size{256 * 1024};
 };
 
 } // namespace damaskladder::http
--- a/src/http/stream_socket.cpp
+++ b/src/http/stream_socket.cpp
@@ -1,9 +1,11 @@
 #include "http/stream_socket.hpp"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -117,6 +119,12 @@
     return sent;
 }
 
+bool stream_socket::has_unacknowledged_output() const
+{
+    int size = 0;
+    return ioctl(descriptor(), SIOCOUTQ, &size) == 0 && size > 0;
+}
+
 void stream_socket::shut_down_sending() const
 {
     shutdown(descriptor(), SHUT_WR);
--- a/src/http/stream_socket.hpp
+++ b/src/http/stream_socket.hpp
@@ -59,6 +59,9 @@
     io_result read(char* out, std::size_t size);
     io_result write(std::string_view data);
 
+    /// Whether the peer has not yet acknowledged all bytes that were written.
+    bool has_unacknowledged_output() const;
+
     /// Shuts down the sending side. The peer reads the remaining bytes and then the end of the
     /// stream.
     void shut_down_sending() const;
