Routing: load reports contain the run time of the server

A router cannot tell a slow server from a busy one by the calls in progress alone. The gatekeeper averages the time for which answered calls occupy a slot, over about the last 300 ms, and sends it as an optional third part of Damaskladder-Load. Nodes that send or expect two parts still interoperate in one direction only: an older node ignores a report with three parts, so all nodes of a fleet are to be updated together. Numbers out of range are refused (slots above 1,000,000, run times above 1 h).

The typical latency of the concurrency limit was ruled out: it excludes the time of onward calls, although they occupy the slot, and it moves only once per window of at least 50 calls.

--- a/src/daemon/traffic_frontend.cpp
+++ b/src/daemon/traffic_frontend.cpp
@@ -3,6 +3,7 @@
 #include "daemon/content_hasher.hpp"
 #include "daemon/importance_name.hpp"
 #include "daemon/key_filter.hpp"
+#include "daemon/load_field.hpp"
 #include "daemon/log.hpp"
 #include "daemon/outcome_name.hpp"
 #include "daemon/own_dialect.hpp"
@@ -57,27 +58,6 @@
     return value == nullptr ? std::nullopt : settings::parse_importance(*value);
 }
 
-/// Parses "busy/limit", the load of the backend server behind a gatekeeper.
-std::optional<routing::load_report> read_load(const http::header_list& headers)
-{
-    const auto* value = headers.find(http::header_names::load);
-    if (value == nullptr) {
-        return std::nullopt;
-    }
-    std::int64_t busy = 0;
-    std::int64_t limit = 0;
-    const char* end = value->data() + value->size();
-    const auto first = std::from_chars(value->data(), end, busy);
-    if (first.ec != std::errc() || first.ptr == end || *first.ptr != '/') {
-        return std::nullopt;
-    }
-    const auto second = std::from_chars(first.ptr + 1, end, limit);
-    if (second.ec != std::errc() || second.ptr != end || busy < 0 || limit <= 0) {
-        return std::nullopt;
-    }
-    return routing::load_report{base::slot_count(busy), base::slot_count(limit)};
-}
-
 // Enough to find the cause of a surge of refusals, at a few kilobytes of log per second.
 constexpr std::int64_t backend_lines_per_second = 1;
 constexpr std::int64_t refusal_lines_per_second = 10;
@@ -120,9 +100,7 @@
     const auto& allowance = answer.allowance_left;
     const auto& shed = answer.shed;
     if (answer.load) {
-        headers.add(name(http::header_names::load), std::to_string(answer.load->busy.value()) +
-                                                        "/" +
-                                                        std::to_string(answer.load->limit.value()));
+        headers.add(name(http::header_names::load), load_field(*answer.load));
     }
     if (allowance) {
         headers.add(name(http::header_names::allowance_left), std::to_string(allowance->value()));
--- a/src/node/gatekeeper_machine.cpp
+++ b/src/node/gatekeeper_machine.cpp
@@ -515,8 +515,12 @@
         std::vector<admission::verdict> verdicts;
         const bool answered = ended_call.phase == gatekeeper_phase::responding;
         const auto latency = answered ? ended_call.own_latency : ctx.now - ended_call.started_at;
-        service_of(ended_call.service)
-            .control.finished(ticket_of(ended_call.exchange), *ended, latency, ctx.now, verdicts);
+        gatekeeper_service& service = service_of(ended_call.service);
+        if (answered) {
+            service.run_time.add(ctx.now - ended_call.started_at, ctx.now);
+        }
+        service.control.finished(ticket_of(ended_call.exchange), *ended, latency, ctx.now,
+                                 verdicts);
         apply_verdicts(verdicts, ctx);
     }
 }
@@ -558,7 +562,8 @@
     const auto limit = static_cast<double>(control.limit().value());
     const base::slot_count by_rate(
         static_cast<std::int64_t>(limit * found->second.rate.used_share(ctx.now)));
-    return routing::load_report{std::max(busy, by_rate), control.limit()};
+    return routing::load_report{std::max(busy, by_rate), control.limit(),
+                                found->second.run_time.typical()};
 }
 
 std::optional<base::importance> gatekeeper_machine::shed_level(const base::service_id& service,
--- a/src/node/gatekeeper_service.hpp
+++ b/src/node/gatekeeper_service.hpp
@@ -4,6 +4,7 @@
 #include "admission/rate_limit.hpp"
 #include "base/instance_id.hpp"
 #include "base/service_id.hpp"
+#include "routing/run_time_average.hpp"
 
 namespace damaskladder::node {
 
@@ -21,6 +22,8 @@
     bool closed = false;
     /// Rate that the backend server has named in its latest answer.
     admission::rate_limit rate;
+    /// Time for which calls occupy a slot, for load reports.
+    routing::run_time_average run_time;
 };
 
 } // namespace damaskladder::node
--- a/src/routing/load_report.hpp
+++ b/src/routing/load_report.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/slot_count.hpp"
+#include "base/time.hpp"
 
 namespace damaskladder::routing {
 
@@ -10,6 +11,9 @@
     base::slot_count busy;
     /// Maximum number of concurrent calls.
     base::slot_count limit;
+    /// Typical time for which a call occupies a slot, without waiting at the gatekeeper; zero if
+    /// unknown.
+    base::duration run_time{};
 
     friend bool operator==(const load_report&, const load_report&) = default;
 };
