--- a/src/node/gatekeeper_service.hpp
+++ b/src/node/gatekeeper_service.hpp
@@ -5,6 +5,7 @@
 #include "base/instance_id.hpp"
 #include "base/service_id.hpp"
 #include "node/refusal_reason.hpp"
+#include "routing/run_time_average.hpp"
 
 #include <optional>
 
@@ -25,6 +26,8 @@
     std::optional<refusal_reason> closed_reason;
     /// Rate that the backend server has named in its latest answer.
     admission::rate_limit rate;
+    /// Time for which calls occupy a slot, for load reports.
+    routing::run_time_average run_time;
 };
 
 } // namespace damaskladder::node
