Admission: the shed fraction allows for changes that are still on their way

Cause: in a replay of the surge (60 entry nodes, leaf of 4 x 54 slots, feedback after 300 ms), fixed steps by the excess of the pressure overshot at 2.6 times the capacity: 0.52 to 1.14 of the capacity completed per second, critical requests down to 0.25, and 0.19 of the capacity in the second after the surge.

--- a/src/admission/tree_throttle.cpp
+++ b/src/admission/tree_throttle.cpp
@@ -1,6 +1,7 @@
 #include "admission/tree_throttle.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace damaskladder::admission {
@@ -113,18 +114,28 @@
 
 void tree_throttle::adjust(route_state& state, double pressure) const
 {
-    double change = 0;
-    if (pressure > m_options.target) {
-        change =
-            std::min(m_options.max_raise, m_options.raise_gain * (pressure - m_options.target));
+    // The pressure was measured under the fraction of some steps ago; the changes made since then
+    // are on their way and must not be made again.
+    const double admitted = 1 - state.shed;
+    const double measured_under = state.admitted.empty() ? admitted : state.admitted.front();
+    const double expected =
+        std::clamp(pressure, m_options.min_used, m_options.max_used) * admitted / measured_under;
+    state.admitted.push_back(admitted);
+    if (state.admitted.size() > m_options.feedback_steps) {
+        state.admitted.pop_front();
     }
-    else if (pressure < m_options.low_water) {
-        change = -m_options.lower - m_options.lower_gain * (m_options.low_water - pressure);
+    const bool excess = expected > m_options.target;
+    if (state.critical > 0 || (state.shed >= m_options.cap && excess)) {
+        state.critical = std::clamp(
+            state.critical + (excess ? m_options.critical_raise : -m_options.critical_lower), 0.0,
+            m_options.cap);
+        return;
+    }
+    double moved = admitted * std::pow(m_options.target / expected, m_options.gain);
+    if (pressure < m_options.low_water) {
+        moved = std::max(moved, admitted + m_options.lower);
     }
-    const bool others_at_cap = state.shed >= m_options.cap;
-    double& fraction =
-        others_at_cap && (state.critical > 0 || change > 0) ? state.critical : state.shed;
-    fraction = std::clamp(fraction * (1 - m_options.leak) + change, 0.0, m_options.cap);
+    state.shed = std::clamp((1 - moved) * (1 - m_options.leak), 0.0, m_options.cap);
 }
 
 double tree_throttle::fraction(const route_state& state, base::importance level) const
--- a/src/admission/tree_throttle.hpp
+++ b/src/admission/tree_throttle.hpp
@@ -9,6 +9,7 @@
 #include "base/route_id.hpp"
 #include "base/time.hpp"
 
+#include <deque>
 #include <functional>
 #include <optional>
 #include <unordered_map>
@@ -50,6 +51,8 @@
         double shed = 0;
         /// Of critical requests; above 0 only while `shed` is at the cap.
         double critical = 0;
+        /// Admitted fractions of the last steps, oldest first; at most feedback_steps.
+        std::deque<double> admitted;
         base::time_point adjusted_at;
         bool shedding = false;
     };
--- a/src/node/traffic_fixture.hpp
+++ b/src/node/traffic_fixture.hpp
@@ -9,6 +9,7 @@
 #include <sstream>
 #include <string>
 #include <type_traits>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -17,7 +18,10 @@
 /// For tests: a traffic machine with a small fixed view, which prints each effect as a line of
 /// text.
 struct traffic_fixture {
-    traffic_fixture() : machine(options()) { fill_view(); }
+    explicit traffic_fixture(traffic_options chosen = options()) : machine(std::move(chosen))
+    {
+        fill_view();
+    }
 
     static traffic_options options()
     {
