--- a/src/daemon/process_settings.cpp
+++ b/src/daemon/process_settings.cpp
@@ -5,6 +5,7 @@
 #include "settings/value_parsers.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <functional>
 #include <set>
 
@@ -90,6 +91,17 @@
     };
 }
 
+/// Reads a decimal number from 0 to 1000.
+std::optional<double> read_decimal(const std::string& value)
+{
+    constexpr double highest = 1'000;
+    double number = 0;
+    const char* end = value.data() + value.size();
+    const auto parsed = std::from_chars(value.data(), end, number, std::chars_format::fixed);
+    const bool valid = parsed.ec == std::errc() && parsed.ptr == end && number >= 0;
+    return valid && number <= highest ? std::optional(number) : std::nullopt;
+}
+
 value_reader flag_into(bool& into)
 {
     return [&into](const std::string& value) {
@@ -248,6 +260,17 @@
                         duration_into(control.key_withdrawal)},
                        {"tolerated_losses", "a number from 0 to 7", false,
                         count_into(control.tolerated_losses, max_tolerated_losses, 0)},
+                       {"cold_rate_factor", "a number from 0 to 1000", false,
+                        [&control](const std::string& value) {
+                            control.cold_rate_factor = read_decimal(value);
+                            return control.cold_rate_factor.has_value();
+                        }},
+                       {"cold_rate_slack", "a number from 0 to 1000", false,
+                        [&control](const std::string& value) {
+                            const auto slack = read_decimal(value);
+                            control.cold_rate_slack = slack.value_or(0);
+                            return slack.has_value();
+                        }},
                        {"admin_token_hash", "64 hexadecimal digits, see damaskladder hash-token",
                         false, [&control](const std::string& value) {
                             const auto hash = settings::parse_key_hash(value);
--- a/src/daemon/process_settings_test.cpp
+++ b/src/daemon/process_settings_test.cpp
@@ -23,7 +23,8 @@
 
 TEST(process_settings, are_read)
 {
-    const auto document = read_process_settings(good, "vm1.ini");
+    const auto document =
+        read_process_settings(good + "cold_rate_factor = 1.5\ncold_rate_slack = 8\n", "vm1.ini");
     ASSERT_TRUE(document.problems.empty()) << to_string(document.problems.front());
     const auto& settings = document.settings;
     EXPECT_EQ(settings.name, base::node_id("vm1"));
@@ -32,6 +33,8 @@
     EXPECT_EQ(settings.node->listen.peers.port, 7111);
     EXPECT_EQ(settings.node->stop_limit, base::duration(std::chrono::seconds(5)));
     EXPECT_EQ(settings.replica->data, "data");
+    EXPECT_EQ(settings.replica->cold_rate_factor, 1.5);
+    EXPECT_EQ(settings.replica->cold_rate_slack, 8);
 }
 
 struct problem_case {
@@ -120,6 +123,10 @@
                      "vm1.ini:9: [node] callers: expected IP:PORT"},
         problem_case{"too_many_losses", "data = data\n", "data = data\ntolerated_losses = 8\n",
                      "vm1.ini:16: [control] tolerated_losses: expected a number from 0 to 7"},
+        problem_case{"cold_rate_factor", "data = data\n", "data = data\ncold_rate_factor = 1.5x\n",
+                     "vm1.ini:16: [control] cold_rate_factor: expected a number from 0 to 1000"},
+        problem_case{"cold_rate_slack", "data = data\n", "data = data\ncold_rate_slack = -1\n",
+                     "vm1.ini:16: [control] cold_rate_slack: expected a number from 0 to 1000"},
         problem_case{"no_unit", "5s", "5", "vm1.ini:12: [node] stop_limit: expected a duration"},
         problem_case{"unknown_section", "[control]", "[controll]", "vm1.ini:13: [controll]"},
         problem_case{"twice", "peers = ", "callers = ", "vm1.ini:10: [node] callers: "},
--- a/src/daemon/replica_settings.hpp
+++ b/src/daemon/replica_settings.hpp
@@ -4,6 +4,7 @@
 #include "base/operator_id.hpp"
 #include "http/address.hpp"
 
+#include <optional>
 #include <string>
 
 namespace damaskladder::daemon {
@@ -24,6 +25,10 @@
     /// Number of control replicas that may be lost at once without loss of an accepted change. A
     /// voter is removed only while enough others remain to bear this.
     unsigned tolerated_losses = 1;
+    /// A cold backend server gets at most rate x factor + slack requests in any one second, where
+    /// the rate is that of its service. Without a factor, cold backend servers have no limit.
+    std::optional<double> cold_rate_factor;
+    double cold_rate_slack = 0;
 
     friend bool operator==(const replica_settings&, const replica_settings&) = default;
 };
