Membership: announcements say how long a backend server is cold

cold_left_s was read as a flag, so a server stayed cold until its next heartbeat, and the node did not know since when. The registry keeps the end of the cold time and the arrival of the last announcement for this node only; the record for the fleet keeps its flag, which now ends with the cold time.

--- a/src/membership/announcement.hpp
+++ b/src/membership/announcement.hpp
@@ -4,6 +4,7 @@
 #include "base/port_number.hpp"
 #include "base/service_id.hpp"
 #include "base/slot_count.hpp"
+#include "base/time.hpp"
 #include "membership/connection_count.hpp"
 #include "membership/credential_text.hpp"
 #include "membership/run_position.hpp"
@@ -16,6 +17,7 @@
     base::port_number port;
     base::slot_count slots;
     connection_count connections;
+    /// Cold now; until the next announcement if cold_left is zero.
     bool cold = false;
     credential_text credential;
     /// The server asks not to receive new requests.
@@ -24,6 +26,8 @@
     /// messages; see announcement_registry.
     base::instance_id instance = {};
     run_position position = {};
+    /// Time that the server remains cold after this message; zero if it is not known or not cold.
+    base::duration cold_left{};
 };
 
 } // namespace damaskladder::membership
--- a/src/membership/announcement_registry.cpp
+++ b/src/membership/announcement_registry.cpp
@@ -46,11 +46,18 @@
     const bool draining = request.draining || (same_run && found->backend.draining) ||
                           (before != nullptr && before->draining);
     const bool drained_before = same_run && found->backend.draining;
+    const bool has_cold_time = request.cold_left > base::duration::zero();
+    const auto cold_for = has_cold_time  ? request.cold_left
+                          : request.cold ? m_options.lease
+                                         : base::duration::zero();
+    const auto cold_until = now + cold_for;
     const lease renewed{{request.service, request.port, request.slots, request.connections,
-                         request.cold, draining, request.instance},
+                         cold_until > now, draining, request.instance},
                         now + m_options.lease,
                         request.position,
-                        drained_before ? found->drains_from : request.position};
+                        drained_before ? found->drains_from : request.position,
+                        cold_until,
+                        now};
     if (found != m_leases.end()) {
         *found = renewed;
     }
@@ -167,7 +174,13 @@
                      now);
         }
     }
-    return std::erase_if(m_leases, [&](const lease& held) { return held.ends <= now; }) > 0;
+    bool changed = std::erase_if(m_leases, [&](const lease& held) { return held.ends <= now; }) > 0;
+    for (lease& held : m_leases) {
+        if (held.cold_until <= now) {
+            changed = std::exchange(held.backend.cold, false) || changed;
+        }
+    }
+    return changed;
 }
 
 std::vector<run_ending> announcement_registry::endings(base::time_point now) const
@@ -242,11 +255,22 @@
 {
     std::vector<backend_server> all;
     all.reserve(m_leases.size());
+    for (auto& server : announced()) {
+        all.push_back(std::move(server.backend));
+    }
+    return all;
+}
+
+std::vector<local_announcement> announcement_registry::announced() const
+{
+    std::vector<local_announcement> all;
+    all.reserve(m_leases.size());
     for (const lease& held : m_leases) {
-        all.push_back(held.backend);
+        all.push_back({held.backend, held.cold_until, held.announced_at});
     }
-    std::sort(all.begin(), all.end(), [](const backend_server& a, const backend_server& b) {
-        return std::pair(a.service, a.port) < std::pair(b.service, b.port);
+    std::sort(all.begin(), all.end(), [](const local_announcement& a, const local_announcement& b) {
+        return std::pair(a.backend.service, a.backend.port) <
+               std::pair(b.backend.service, b.backend.port);
     });
     return all;
 }
--- a/src/membership/announcement_registry.hpp
+++ b/src/membership/announcement_registry.hpp
@@ -7,6 +7,7 @@
 #include "membership/announcement.hpp"
 #include "membership/announcement_options.hpp"
 #include "membership/backend_server.hpp"
+#include "membership/local_announcement.hpp"
 #include "membership/remembered_run.hpp"
 #include "membership/run_ending.hpp"
 
@@ -44,7 +45,8 @@
     /// Marks all backend servers as draining, because the node itself stops.
     void drain_all();
 
-    /// Removes expired leases. Returns true if there was one.
+    /// Removes expired leases, and marks servers as warm whose cold time has passed. Returns true
+    /// if there was one.
     bool expire(base::time_point now);
 
     /// Runs that were withdrawn or drain, newest last, for `recover` after a restart.
@@ -55,6 +57,8 @@
 
     /// Announced backend servers, ordered by service and port.
     std::vector<backend_server> backends() const;
+    /// The same servers, in the same order, with the times of their announcements.
+    std::vector<local_announcement> announced() const;
 
 private:
     struct lease {
@@ -64,6 +68,8 @@
         /// Position from which the run drains; not updated by later messages, so that what other
         /// nodes keep does not change with each of them.
         run_position drains_from = {};
+        base::time_point cold_until = {};
+        base::time_point announced_at = {};
 
         run_ending run() const { return {backend.instance, position, false}; }
     };
--- a/src/membership/announcement_registry_test.cpp
+++ b/src/membership/announcement_registry_test.cpp
@@ -121,6 +121,45 @@
                    announce_verdict::accepted, 1, false}),
     [](const auto& tested) { return tested.param.name; });
 
+struct cold_case {
+    std::string name;
+    bool cold;
+    base::duration cold_left;
+    /// Time after the announcement at which the server becomes warm.
+    base::duration warm_after;
+};
+
+class cold_announcements : public testing::TestWithParam<cold_case> {};
+
+// Guards against a server that counts as warm before its cold time has passed, and against one that
+// the fleet takes for cold until its next announcement.
+TEST_P(cold_announcements, last_for_the_cold_time)
+{
+    const auto& row = GetParam();
+    announcement_registry leases(options());
+    const auto begin = base::time_point(10s);
+    auto cold = offer("orders");
+    cold.cold = row.cold;
+    cold.cold_left = row.cold_left;
+    leases.announce(cold, begin);
+    const auto announced = leases.announced().front();
+    EXPECT_EQ(announced.announced_at, begin);
+    EXPECT_EQ(announced.cold_until, begin + row.warm_after);
+    EXPECT_EQ(announced.backend.cold, row.warm_after > 0s);
+    if (row.warm_after > 0s && row.warm_after < 3s) {
+        EXPECT_FALSE(leases.expire(announced.cold_until - 1us));
+        EXPECT_TRUE(leases.expire(announced.cold_until));
+        EXPECT_FALSE(leases.backends().front().cold);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(table, cold_announcements,
+                         testing::Values(cold_case{"warm", false, 0s, 0s},
+                                         cold_case{"short", true, 1500ms, 1500ms},
+                                         cold_case{"longer_than_the_lease", true, 20s, 20s},
+                                         cold_case{"time_unknown", true, 0s, 3s}),
+                         [](const auto& tested) { return tested.param.name; });
+
 // Guards against leases that expire too early or too late.
 TEST(announcement_registry, ends_exactly_after_the_lease)
 {
