--- a/src/daemon/replica_settings.hpp
+++ b/src/daemon/replica_settings.hpp
@@ -5,6 +5,7 @@
 #include "base/operator_id.hpp"
 #include "http/address.hpp"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,10 @@
     /// Failure domains of the fleet, which an operator may evacuate; if empty, those of
     /// fleet/domains.
     std::vector<base::failure_domain_id> failure_domains;
+    /// A cold backend server gets at most rate x factor + slack requests in any one second, where
+    /// the rate is that of its service. Without a factor, cold backend servers have no limit.
+    std::optional<double> cold_rate_factor;
+    double cold_rate_slack = 0;
 
     friend bool operator==(const replica_settings&, const replica_settings&) = default;
 };
