--- a/src/daemon/node_settings.hpp
+++ b/src/daemon/node_settings.hpp
@@ -24,6 +24,10 @@
     double retry_budget = 0;
     /// Refuse requests with a key while the processor is saturated.
     bool guard_processor = false;
+    /// Choose backend servers by expected completion, and leave the own failure domain only if that
+    /// gains more than crossing_cost.
+    bool place_by_completion = false;
+    base::duration crossing_cost = std::chrono::milliseconds(10);
     /// Credential of the backend server on this VM, and the services that it may announce.
     std::string credential;
     std::vector<base::service_id> services;
--- a/src/daemon/process_settings.cpp
+++ b/src/daemon/process_settings.cpp
@@ -215,6 +215,8 @@
                   return part.has_value();
               }},
              {"guard_processor", "yes or no", false, flag_into(node.guard_processor)},
+             {"place_by_completion", "yes or no", false, flag_into(node.place_by_completion)},
+             {"crossing_cost", "a duration such as 10ms", false, duration_into(node.crossing_cost)},
              {"serve_while_stopping", "yes or no", false, flag_into(node.serve_while_stopping)},
              {"ready", "IP:PORT", false, [&node](const std::string& value) {
                   node.listen.ready = read_address(value);
--- a/src/daemon/process_settings.hpp
+++ b/src/daemon/process_settings.hpp
@@ -30,7 +30,8 @@
 ///                     the whole system), membership (failure_domains, fleet)
 ///     [node]          callers, peers, backend_server (IP:PORT each), connections, stop_limit,
 ///                     ready (IP:PORT of a readiness check), serve_while_stopping (yes, no),
-///                     retry_budget (a fraction), guard_processor (yes, no)
+///                     retry_budget (a fraction), guard_processor (yes, no),
+///                     place_by_completion (yes, no), crossing_cost (a duration)
 ///     [announce]      credential, services (what the backend server on this VM may announce),
 ///                     host (its IP address), interval (between announcements),
 ///                     exact_slots (yes, no)
--- a/src/daemon/traffic_thread.cpp
+++ b/src/daemon/traffic_thread.cpp
@@ -22,6 +22,8 @@
         options.min_retries_per_second = floor;
     }
     options.guard_processor = settings.guard_processor;
+    options.placement.by_completion = settings.place_by_completion;
+    options.placement.spill.crossing_cost = settings.crossing_cost;
     if (settings.exact_slots) {
         // Many backend servers slow down for all requests when 0.95 or more of the slots are used.
         // This factor stays below that, also with few slots.
