--- a/src/daemon/node_settings.hpp
+++ b/src/daemon/node_settings.hpp
@@ -27,6 +27,10 @@
     /// Refuse requests with a key at the root while their call tree leads to a service that is
     /// short of capacity.
     bool admit_by_call_tree = false;
+    /// Choose backend servers by expected completion, and leave the own failure domain only if that
+    /// gains more than crossing_cost.
+    bool place_by_completion = false;
+    base::duration crossing_cost = std::chrono::milliseconds(10);
     /// Credential of the backend server on this VM, and the services that it may announce.
     std::string credential;
     std::vector<base::service_id> services;
--- a/src/node/traffic_options.hpp
+++ b/src/node/traffic_options.hpp
@@ -6,6 +6,7 @@
 #include "base/call_depth.hpp"
 #include "base/random_source.hpp"
 #include "base/time.hpp"
+#include "routing/placement_options.hpp"
 
 #include <chrono>
 
@@ -40,6 +41,8 @@
     bool admit_by_call_tree = false;
     /// Called when shedding at the root begins or ends for a route; may be unset.
     admission::tree_throttle::shedding_hook on_shedding = {};
+    /// How the routers choose backend servers.
+    routing::placement_options placement;
     /// Baseline for comparison: random choice among the announced backend servers, no admission
     /// control, no early shedding, and three attempts at every level without allowance or budget.
     bool pass_through = false;
