--- a/include/damaskladder/admission.hpp
+++ b/include/damaskladder/admission.hpp
@@ -22,6 +22,11 @@
 /// cpu_load_shedder runs in the entry node. It refuses requests while the serving thread has no
 /// idle time.
 ///
+/// tree_throttle runs in the entry node. It sheds requests at the root of their call tree while a
+/// service that the tree leads to is short of capacity. pressure_meter and call_tree_model supply
+/// the pressure that it uses: the load of a backend server over time, and the downstream routes
+/// that the runs of a route call.
+///
 /// Contract. Each offered call gets exactly one verdict, appended to the vector passed to the
 /// function that makes the decision, unless caller_gone() removes the call first. Timestamps must
 /// not decrease. Unknown tickets are ignored. The owner calls expire() at or soon after
@@ -33,6 +38,9 @@
 /// Limits: 250 ms queueing time and 4096 queued calls (controller_options). A call that exceeds a
 /// limit gets the verdict shed; this is not an error.
 
+#include "admission/call_tree_model.hpp"
 #include "admission/controller.hpp"
 #include "admission/cpu_load_shedder.hpp"
 #include "admission/entry_throttle.hpp"
+#include "admission/pressure_meter.hpp"
+#include "admission/tree_throttle.hpp"
--- a/src/daemon/traffic_frontend_test.cpp
+++ b/src/daemon/traffic_frontend_test.cpp
@@ -21,11 +21,11 @@
 public:
     using backend = std::function<void(const std::shared_ptr<http::exchange>&)>;
 
-    explicit frontend_fixture(backend serve)
+    explicit frontend_fixture(backend serve, bool admit_by_call_tree = false)
         : m_secret(wire::cluster_secret::parse(std::string(64, 'a')).value()),
           m_backend(m_loop, {}, std::move(serve)),
           m_client(m_loop),
-          m_machine(make_options()),
+          m_machine(make_options(admit_by_call_tree)),
           m_frontend(m_loop, m_secret, base::incarnation(1), {}, make_dialect(), make_logic(),
                      make_hooks())
     {
@@ -38,6 +38,7 @@
     /// Runs of the backend server that were reported as leaving.
     const std::vector<base::instance_id>& leaving() const { return m_leaving; }
     traffic_frontend& frontend() { return m_frontend; }
+    const node::traffic_machine& machine() const { return m_machine; }
 
     struct answer {
         http::response_head head;
@@ -89,10 +90,11 @@
     }
 
 private:
-    static node::traffic_options make_options()
+    static node::traffic_options make_options(bool admit_by_call_tree)
     {
         node::traffic_options options;
         options.random = secure_random();
+        options.admit_by_call_tree = admit_by_call_tree;
         return options;
     }
 
@@ -444,5 +446,20 @@
     EXPECT_EQ(got.head.status, 403);
 }
 
+// Guards against pressure that does not pass between nodes, that is sent without the setting, or
+// that reaches callers.
+TEST(tree_pressure, passes_between_nodes_and_not_to_callers)
+{
+    for (const bool enabled : {false, true}) {
+        frontend_fixture node([](const auto& request) { request->respond({}, "done"); }, enabled);
+        const auto answer = node.call(node.frontend().callers_port(),
+                                      request_for("/files", {{"Damaskladder-Key", key}}));
+        EXPECT_EQ(answer.field("Damaskladder-Pressure"), "");
+        const auto highest = node.machine().highest_pressures(2, http::event_loop::now());
+        ASSERT_EQ(highest.size(), enabled ? 1 : 0);
+        EXPECT_EQ(enabled, !highest.empty() && highest.front().pressure.value() > 0);
+    }
+}
+
 } // namespace
 } // namespace damaskladder::daemon
