--- a/src/admission/tree_throttle.cpp
+++ b/src/admission/tree_throttle.cpp
@@ -7,8 +7,7 @@
 namespace damaskladder::admission {
 namespace {
 
-/// Bounds the work after a long pause. Twenty steps with the pressure of today lower any fraction
-/// to 0.
+/// Bounds the work after a long pause. Enough steps to lower any fraction to 0.
 constexpr int max_steps = 40;
 /// Smaller fractions are not reported as shedding, since they come and go with single bursts.
 constexpr double reported_fraction = 0.05;
