--- a/src/daemon/process_settings_test.cpp
+++ b/src/daemon/process_settings_test.cpp
@@ -34,6 +34,18 @@
     EXPECT_EQ(settings.replica->data, "data");
 }
 
+// Guards against a settings template that turns on admission at the root by a name that is not
+// read.
+TEST(process_settings, admission_by_call_tree_is_off_unless_set)
+{
+    auto text = good;
+    EXPECT_FALSE(read_process_settings(text, "vm1.ini").settings.node->admit_by_call_tree);
+    text.replace(text.find("stop_limit"), 0, "admit_by_call_tree = yes\n");
+    const auto document = read_process_settings(text, "vm1.ini");
+    EXPECT_TRUE(document.problems.empty());
+    EXPECT_TRUE(document.settings.node->admit_by_call_tree);
+}
+
 struct problem_case {
     std::string name;
     std::string replaced;
