--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -33,6 +33,22 @@
 expect "the same request at the other node" 409 "$(status 17210 /pay/1 "${pay[@]}")"
 expect "runs of that request" 1 "$(curl -s "http://127.0.0.1:$standin_port/-/runs?id=$id")"
 
+"$program" evacuate east
+evacuated() { [ "$(status 17110 /files/1 -H "Damaskladder-Key: $key")" = 503 ]; }
+wait_for "the evacuated failure domain still gets requests" evacuated
+wait_for "no log line of the evacuation" grep -q evacuation_started vm2.log
+curl -s http://127.0.0.1:17212/-/metrics | grep '^damaskladder_evacuated_domains'
+expect "evacuated domains" east "$("$program" evacuations)"
+"$program" evacuate east
+if "$program" evacuate west; then fail "the last failure domain was evacuated"; fi
+expect "with the only backend server evacuated" 503 \
+  "$(status 17210 /files/1 -H "Damaskladder-Key: $key")"
+"$program" end-evacuation east
+wait_for "no successful response after the evacuation" answered 17110
+wait_for "no log line of its end" grep evacuation_ended vm2.log
+grep -h evacuation_ vm2.log
+expect "evacuated domains afterwards" "" "$("$program" evacuations)"
+
 "$program" withdraw-key k1
 withdrawn() { [ "$(status 17110 /files/1 -H "Damaskladder-Key: $key")" = 403 ]; }
 wait_for "the withdrawn key is still accepted" withdrawn
