node: requests that must not run twice wait for their turn on a connection

A caller that sends requests ahead repeats those behind a response that closes the connection. A request that is not idempotent could then run twice. node::pipeline_order holds it back until nothing is ahead of it, and holds back what is behind it. request_arrived and onward_call_arrived name the exchanges ahead, and the new event turn_reached names those behind, so the machine keeps no state for each connection and a request that arrives alone costs one comparison. A request that waits is not in the table of repeats yet; otherwise two connections whose requests join each other's waiting ones would wait for ever. Deadlines count from the time at which the request was received (`waited`).

--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -162,6 +162,7 @@
 
 entry_machine::entry_machine(traffic_state& shared)
     : m_shared(shared),
+      m_order([this](exchange_id exchange) { return rule_of(exchange); }),
       m_repeats(retry::dedup_options{}),
       m_floor_budget(floor_only(shared.options)),
       m_shed_levels({}, shared.options.random)
@@ -202,7 +203,8 @@
     if (route->claimed && !request.context.idempotent && !received.request) {
         return refuse_with(refusal_reason::request_id_required);
     }
-    request.deadline = ctx.now + shorter_of(route->timeout, received.constraints.timeout);
+    request.deadline =
+        ctx.now - received.waited + shorter_of(route->timeout, received.constraints.timeout);
     if (m_shared.serving_end && request.deadline > *m_shared.serving_end) {
         return refuse_with(refusal_reason::stopping);
     }
@@ -229,7 +231,7 @@
         }
     }
     m_shared.ledger.open(request.context.call, route->retries);
-    admit(std::move(request), received.content, ctx);
+    admit(std::move(request), received.content, received.ahead, ctx);
 }
 
 void entry_machine::on(const onward_call_arrived& received, event_context& ctx)
@@ -275,7 +277,8 @@
             base::request_id(received.request->value() + "/" + route->service.value());
     }
     const auto limit = shorter_of(route->timeout, received.constraints.timeout);
-    request.deadline = std::min(ctx.now + limit, parent->deadline - m_shared.options.return_margin);
+    request.deadline = std::min(ctx.now - received.waited + limit,
+                                parent->deadline - m_shared.options.return_margin);
     if (!fit_into_serving_time(request, ctx)) {
         return refuse_with(refusal_reason::stopping);
     }
@@ -290,7 +293,7 @@
     m_shared.ledger.open(request.context.call,
                          m_shared.ledger.delegate(*request.parent, request.context.call));
     m_shared.calls.onward_started(*request.parent, request.exchange, ctx.now);
-    admit(std::move(request), received.content, ctx);
+    admit(std::move(request), received.content, received.ahead, ctx);
 }
 
 void entry_machine::on(const token_granted& received, event_context& ctx)
@@ -312,6 +315,16 @@
     }
 }
 
+void entry_machine::on(const turn_reached& received, event_context& ctx)
+{
+    for (const auto exchange : m_order.startable(received.exchange, received.behind)) {
+        entry_request* request = find(exchange);
+        if (request != nullptr && request->phase == entry_phase::waiting_for_turn) {
+            start(*request, std::exchange(request->content, std::nullopt), ctx);
+        }
+    }
+}
+
 void entry_machine::on(const gatekeeper_refused& received, event_context& ctx)
 {
     entry_request* request = find(received.transfer);
@@ -463,7 +476,8 @@
     if (request == nullptr) {
         return;
     }
-    if (request->identity) {
+    // A request that waits for its turn is not known to m_repeats yet.
+    if (request->identity && request->phase != entry_phase::waiting_for_turn) {
         const retry::waiter_id own(exchange.value());
         if (request->phase == entry_phase::relaying) {
             refuse_waiters(m_repeats.on_refused(*request->identity), refusal_reason::answer_lost,
@@ -579,7 +593,7 @@
 }
 
 void entry_machine::admit(entry_request&& request, const std::optional<base::content_hash>& content,
-                          event_context& ctx)
+                          const std::vector<exchange_id>& ahead, event_context& ctx)
 {
     const exchange_id exchange = request.exchange;
     const auto [stored, is_new] = m_requests.try_emplace(exchange, std::move(request));
@@ -588,16 +602,38 @@
     }
     entry_request& kept = stored->second;
     m_deadlines.set(exchange, kept.deadline);
-    if (!kept.identity) {
-        return forward_or_request_token(kept, ctx);
+    const auto rule = kept.context.idempotent ? run_rule::repeatable : run_rule::once;
+    if (m_order.must_wait(rule, ahead)) {
+        kept.phase = entry_phase::waiting_for_turn;
+        kept.content = content;
+        return;
+    }
+    start(kept, content, ctx);
+}
+
+std::optional<run_rule> entry_machine::rule_of(exchange_id exchange) const
+{
+    const auto found = m_requests.find(exchange);
+    if (found == m_requests.end()) {
+        return std::nullopt;
     }
-    const auto result =
-        m_repeats.on_request(*kept.identity, *content, retry::waiter_id(exchange.value()), ctx.now);
+    return found->second.context.idempotent ? run_rule::repeatable : run_rule::once;
+}
+
+void entry_machine::start(entry_request& request, const std::optional<base::content_hash>& content,
+                          event_context& ctx)
+{
+    if (!request.identity) {
+        return forward_or_request_token(request, ctx);
+    }
+    const exchange_id exchange = request.exchange;
+    const auto result = m_repeats.on_request(*request.identity, *content,
+                                             retry::waiter_id(exchange.value()), ctx.now);
     switch (result.verdict) {
     case retry::dedup_verdict::run:
-        return forward_or_request_token(kept, ctx);
+        return forward_or_request_token(request, ctx);
     case retry::dedup_verdict::joined:
-        kept.phase = entry_phase::joined;
+        request.phase = entry_phase::joined;
         return;
     case retry::dedup_verdict::replay:
         ctx.out.emplace_back(replay_response{exchange, result.answer});
@@ -609,7 +645,7 @@
         ctx.out.emplace_back(refusal_of(exchange, outcome::unknown, refusal_reason::shed));
         break;
     }
-    kept.identity.reset();
+    request.identity.reset();
     erase(exchange, ctx);
 }
 
@@ -936,6 +972,10 @@
         ctx.out.emplace_back(abort_response{exchange});
         return cancel(exchange, ctx);
     }
+    case entry_phase::waiting_for_turn:
+        // Not known to m_repeats yet.
+        request.identity.reset();
+        break;
     case entry_phase::waiting_for_token:
         break;
     }
--- a/src/node/entry_machine.hpp
+++ b/src/node/entry_machine.hpp
@@ -6,6 +6,7 @@
 #include "node/entry_request.hpp"
 #include "node/event.hpp"
 #include "node/node_view.hpp"
+#include "node/pipeline_order.hpp"
 #include "node/traffic_state.hpp"
 #include "retry/budget.hpp"
 #include "retry/decide_retry.hpp"
@@ -40,6 +41,7 @@
     void on(const onward_call_arrived& received, event_context& ctx);
     void on(const token_granted& received, event_context& ctx);
     void on(const token_refused& received, event_context& ctx);
+    void on(const turn_reached& received, event_context& ctx);
     void on(const gatekeeper_refused& received, event_context& ctx);
     void on(const transfer_connected& received, event_context& ctx);
     void on(const connect_failed& received, event_context& ctx);
@@ -72,8 +74,12 @@
     static refusal_reason unknown_or_stale(refusal_reason unknown, event_context& ctx);
     static base::importance importance_of(const route_entry& route, const key_entry* key,
                                           event_context& ctx);
+    /// Starts the request, or holds it back while requests `ahead` on its connection forbid it.
     void admit(entry_request&& request, const std::optional<base::content_hash>& content,
+               const std::vector<exchange_id>& ahead, event_context& ctx);
+    void start(entry_request& request, const std::optional<base::content_hash>& content,
                event_context& ctx);
+    std::optional<run_rule> rule_of(exchange_id exchange) const;
     void forward_or_request_token(entry_request& request, event_context& ctx);
     void try_forward(entry_request& request, event_context& ctx);
     /// After stop_scheduled, shortens the deadline of an onward call to the time at which the node
@@ -114,6 +120,7 @@
     std::unordered_map<exchange_id, entry_request> m_requests;
     std::unordered_map<transfer_id, exchange_id> m_transfers;
     deadline_set m_deadlines;
+    pipeline_order m_order;
     retry::dedup_table m_repeats;
     /// A minimum rate of retries shared by all workspaces, and a budget per workspace and service
     /// that grows with its successes. A workspace with many refusals uses up its own budget and
--- a/src/node/entry_machine_test.cpp
+++ b/src/node/entry_machine_test.cpp
@@ -110,6 +110,81 @@
                                   {601, response_finished{t1, nullptr}}},
                                  "ask-tokens e1\nforward t1 e1\nrelay e1 t1\n"}));
 
+request_arrived behind(request_arrived request, exchange_id exchange,
+                       std::vector<exchange_id> ahead, base::duration waited = {})
+{
+    request.exchange = exchange;
+    request.ahead = std::move(ahead);
+    request.waited = waited;
+    return request;
+}
+
+const request_arrived open_request = request_of(e1, "/open", nullptr);
+constexpr exchange_id e3(3);
+
+INSTANTIATE_TEST_SUITE_P(
+    behind_others, entry_sessions,
+    testing::Values(session_case{"requests that may run twice start at once",
+                                 {{0, open_request},
+                                  {0, behind(open_request, e2, {e1})},
+                                  {1, caller_disconnected{e1}},
+                                  {1, turn_reached{e2, {}}},
+                                  {2, caller_disconnected{e2}}},
+                                 "forward t1 e1\nforward t2 e2\ncancel t1\ncancel t2\n"},
+                    session_case{"one that must not run twice starts at its turn",
+                                 {{0, open_request},
+                                  {0, behind(once, e2, {e1})},
+                                  {1, started(t1)},
+                                  {2, response_finished{t1, nullptr}},
+                                  {3, turn_reached{e2, {}}},
+                                  {4, token_refused{e2, std::chrono::seconds(1)}}},
+                                 "forward t1 e1\nrelay e1 t1\nask-tokens e2\n"
+                                 "refuse e2 429 not-run rate\n"},
+                    session_case{"one that waits is never run when the connection closes",
+                                 {{0, open_request},
+                                  {0, behind(once, e2, {e1})},
+                                  {1, caller_disconnected{e2}},
+                                  {1, caller_disconnected{e1}},
+                                  {1, turn_reached{e2, {}}}},
+                                 "forward t1 e1\ncancel t1\n"},
+                    session_case{"those behind one that must not run twice start together after it",
+                                 {{0, once},
+                                  {0, behind(open_request, e2, {e1})},
+                                  {0, behind(open_request, e3, {e1, e2})},
+                                  {1, token_refused{e1, std::chrono::seconds(1)}},
+                                  {2, turn_reached{e2, {e3}}},
+                                  {3, caller_disconnected{e2}},
+                                  {3, caller_disconnected{e3}}},
+                                 "ask-tokens e1\nrefuse e1 429 not-run rate\nforward t1 e2\n"
+                                 "forward t2 e3\ncancel t1\ncancel t2\n"},
+                    session_case{"one that waits is refused at once if its path is unknown",
+                                 {{0, open_request},
+                                  {0, behind(request_of(e2, "/none"), e2, {e1})},
+                                  {1, caller_disconnected{e1}}},
+                                 "forward t1 e1\nrefuse e2 404 not-run no-route\ncancel t1\n"},
+                    session_case{"the deadline includes the wait for the turn",
+                                 {{0, open_request},
+                                  {0, behind(once, e2, {e1})},
+                                  {900, started(t1)},
+                                  {1'000, tick{}},
+                                  {1'001, turn_reached{e2, {}}},
+                                  {1'002, response_finished{t1, nullptr}}},
+                                 "forward t1 e1\nrelay e1 t1\nrefuse e2 504 not-run deadline\n"},
+                    session_case{"the deadline includes the wait before the request was read",
+                                 {{0, behind(open_request, e1, {}, std::chrono::milliseconds(600))},
+                                  {399, tick{}},
+                                  {400, tick{}}},
+                                 "forward t1 e1\ncancel t1\nrefuse e1 504 not-run deadline\n"},
+                    session_case{
+                        "a repeat on another connection does not wait for one that waits",
+                        {{0, open_request},
+                         {0, behind(once, e2, {e1})},
+                         {0, behind(once, e3, {})},
+                         {1, token_refused{e3, std::chrono::seconds(1)}},
+                         {2, caller_disconnected{e1}},
+                         {2, caller_disconnected{e2}}},
+                        "forward t1 e1\nask-tokens e3\nrefuse e3 429 not-run rate\ncancel t1\n"}));
+
 INSTANTIATE_TEST_SUITE_P(
     long_answers, entry_sessions,
     testing::Values(session_case{"an answer without end is cut after 5 minutes",
--- a/src/node/entry_request.hpp
+++ b/src/node/entry_request.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/byte_count.hpp"
+#include "base/content_hash.hpp"
 #include "base/node_id.hpp"
 #include "base/service_id.hpp"
 #include "base/time.hpp"
@@ -33,6 +34,8 @@
     bool body_can_be_resent = false;
     /// Set if repeats of the request can join it.
     std::optional<retry::request_identity> identity;
+    /// Content of the request while it waits for its turn; set if identity is.
+    std::optional<base::content_hash> content;
     /// Set for onward calls.
     std::optional<base::call_id> parent;
     std::optional<token_grant_id> grant;
--- a/src/node/event.hpp
+++ b/src/node/event.hpp
@@ -20,16 +20,18 @@
 #include "node/token_refused.hpp"
 #include "node/transfer_connected.hpp"
 #include "node/transfer_failed.hpp"
+#include "node/turn_reached.hpp"
 
 #include <variant>
 
 namespace damaskladder::node {
 
 /// The inputs of a traffic machine.
-using event = std::variant<request_arrived, onward_call_arrived, call_arrived, token_granted,
-                           token_refused, gatekeeper_refused, transfer_connected, connect_failed,
-                           transfer_failed, backend_refused, response_started, response_finished,
-                           caller_disconnected, claim_granted, claim_denied, drain_requested,
-                           backend_state_reported, stop_requested, stop_scheduled, tick>;
+using event =
+    std::variant<request_arrived, onward_call_arrived, call_arrived, token_granted, token_refused,
+                 gatekeeper_refused, transfer_connected, connect_failed, transfer_failed,
+                 backend_refused, response_started, response_finished, caller_disconnected,
+                 claim_granted, claim_denied, drain_requested, backend_state_reported,
+                 stop_requested, stop_scheduled, turn_reached, tick>;
 
 } // namespace damaskladder::node
--- a/src/node/request_arrived.hpp
+++ b/src/node/request_arrived.hpp
@@ -5,11 +5,13 @@
 #include "base/key_hash.hpp"
 #include "base/request_id.hpp"
 #include "base/service_id.hpp"
+#include "base/time.hpp"
 #include "node/exchange_id.hpp"
 #include "node/request_constraints.hpp"
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace damaskladder::node {
 
@@ -33,6 +35,10 @@
     std::optional<base::content_hash> content;
     /// The front end holds the whole body and can send it again.
     bool body_can_be_resent = false;
+    /// Exchanges ahead on the connection that are not answered yet.
+    std::vector<exchange_id> ahead{};
+    /// Time since the request was received.
+    base::duration waited{};
 };
 
 } // namespace damaskladder::node
--- a/src/node/traffic_machine.cpp
+++ b/src/node/traffic_machine.cpp
@@ -19,6 +19,7 @@
     void operator()(const onward_call_arrived& received) { entry.on(received, entry_context); }
     void operator()(const token_granted& received) { entry.on(received, entry_context); }
     void operator()(const token_refused& received) { entry.on(received, entry_context); }
+    void operator()(const turn_reached& received) { entry.on(received, entry_context); }
     void operator()(const gatekeeper_refused& received) { entry.on(received, entry_context); }
     void operator()(const call_arrived& received) { gatekeeper.on(received, gatekeeper_context); }
     void operator()(const claim_granted& received) { gatekeeper.on(received, gatekeeper_context); }
