daemon: callers and the backend server may send requests ahead

The listeners of callers and of the backend server work on up to `[node] requests_ahead` requests of a connection at once (default 16; 1 switches it off). The listener for other nodes and operators keeps one. The front end tags each exchange with its id and reports what is ahead, what is behind and when the turn is reached. Metrics: damaskladder_waiting_requests and damaskladder_waiting_bytes, computed when they are read.

--- a/src/daemon/node_settings.hpp
+++ b/src/daemon/node_settings.hpp
@@ -14,6 +14,9 @@
     traffic_addresses listen;
     /// Maximum number of concurrent connections of callers.
     unsigned connections = 2000;
+    /// Maximum requests of one connection of a caller, or of the backend server on this VM, that
+    /// are worked on at once; 1 reads the next request only after the response.
+    unsigned requests_ahead = 16;
     /// Maximum time for running requests to finish during a graceful stop.
     base::duration stop_limit = std::chrono::seconds(30);
     /// During a graceful stop, accept new requests until shortly before stop_limit, because the VM
--- a/src/daemon/process_settings.cpp
+++ b/src/daemon/process_settings.cpp
@@ -199,6 +199,8 @@
             return;
         }
         constexpr unsigned max_connections = 60000;
+        // Each open request may hold a body and a response of 64 KiB.
+        constexpr unsigned max_requests_ahead = 1000;
         auto& node = m_settings.node.emplace();
         m_reader.read(
             "node",
@@ -207,6 +209,8 @@
              {"backend_server", "IP:PORT", true, address_into(node.listen.backend_server)},
              {"connections", "a number from 1 to 60000", false,
               count_into(node.connections, max_connections)},
+             {"requests_ahead", "a number from 1 to 1000", false,
+              count_into(node.requests_ahead, max_requests_ahead)},
              {"stop_limit", "a duration such as 30s", false, duration_into(node.stop_limit)},
              {"retry_budget", "a fraction above 0 and at most 1", false,
               [&node](const std::string& value) {
--- a/src/daemon/process_settings_test.cpp
+++ b/src/daemon/process_settings_test.cpp
@@ -120,6 +120,8 @@
                      "vm1.ini:9: [node] callers: expected IP:PORT"},
         problem_case{"too_many_losses", "data = data\n", "data = data\ntolerated_losses = 8\n",
                      "vm1.ini:16: [control] tolerated_losses: expected a number from 0 to 7"},
+        problem_case{"none_ahead", "stop_limit = 5s", "requests_ahead = 0",
+                     "vm1.ini:12: [node] requests_ahead: expected a number from 1"},
         problem_case{"no_unit", "5s", "5", "vm1.ini:12: [node] stop_limit: expected a duration"},
         problem_case{"unknown_section", "[control]", "[controll]", "vm1.ini:13: [controll]"},
         problem_case{"twice", "peers = ", "callers = ", "vm1.ini:10: [node] callers: "},
--- a/src/daemon/traffic_frontend.cpp
+++ b/src/daemon/traffic_frontend.cpp
@@ -132,6 +132,27 @@
     }
 }
 
+http::server_limits one_at_a_time(http::server_limits limits)
+{
+    limits.requests_ahead = 1;
+    return limits;
+}
+
+std::vector<node::exchange_id> exchange_ids(const std::vector<std::uint64_t>& tags)
+{
+    return {tags.begin(), tags.end()};
+}
+
+/// Fills in what the exchange tells about the connection of its request.
+template <class Arrival>
+void add_position(Arrival& event, const http::exchange& exchange, base::time_point now)
+{
+    if (exchange.ahead() > 0) {
+        event.ahead = exchange_ids(exchange.tags_ahead());
+    }
+    event.waited = now - exchange.received_at();
+}
+
 /// Builds the response head of a refusal between nodes.
 http::response_head refusal_for_node(const node::refuse& wanted)
 {
@@ -156,7 +177,8 @@
       m_backend_log_limiter(backend_lines_per_second),
       m_client(loop),
       m_callers(loop, limits, [this](const auto& e) { on_request(e, inbound_listener::caller); }),
-      m_peers(loop, limits, [this](const auto& e) { on_request(e, inbound_listener::peer); }),
+      m_peers(loop, one_at_a_time(limits),
+              [this](const auto& e) { on_request(e, inbound_listener::peer); }),
       m_backend_servers(loop, limits,
                         [this](const auto& e) { on_request(e, inbound_listener::backend_server); }),
       m_ready(loop, {}, [this](const auto& e) { m_hooks.local_api(e); })
@@ -243,6 +265,10 @@
             }
         }
     });
+    exchange->set_tag(id.value());
+    if (exchange->ahead() > 0) {
+        exchange->on_turn([this, id] { on_turn(id); });
+    }
     const bool has_body = !head.body_size || head.body_size->value() > 0;
     if (has_body) {
         exchange->on_body([this, id] {
@@ -317,6 +343,7 @@
             event.body_size = head.body_size;
             event.content = request->content;
             event.body_can_be_resent = request->body_kept;
+            add_position(event, *request->exchange, m_loop.woken_at());
             deliver(std::move(event));
             return {};
         },
@@ -368,6 +395,7 @@
             event.body_size = request->exchange->head().body_size;
             event.content = request->content;
             event.body_can_be_resent = request->body_kept;
+            add_position(event, *request->exchange, m_loop.woken_at());
             deliver(std::move(event));
             return {};
         },
@@ -429,6 +457,20 @@
     end(request->id);
 }
 
+void traffic_frontend::on_turn(node::exchange_id id)
+{
+    const auto request = find(id);
+    if (request && request->submitted) {
+        deliver(node::turn_reached{id, exchange_ids(request->exchange->tags_behind())});
+    }
+}
+
+std::string traffic_frontend::metrics_text() const
+{
+    return m_metrics.text({m_callers.waiting_requests() + m_backend_servers.waiting_requests(),
+                           m_callers.waiting_bytes() + m_backend_servers.waiting_bytes()});
+}
+
 void traffic_frontend::end(node::exchange_id id)
 {
     const auto found = m_inbound.find(id);
--- a/src/daemon/traffic_frontend.hpp
+++ b/src/daemon/traffic_frontend.hpp
@@ -29,6 +29,8 @@
 /// requests, other than refusing malformed input.
 class traffic_frontend {
 public:
+    /// The limits apply to the listeners of callers and of the backend server. Other nodes and
+    /// operators are served one request at a time on each connection.
     traffic_frontend(http::event_loop& loop, const wire::cluster_secret& secret,
                      base::incarnation incarnation, http::server_limits limits,
                      dialect http_dialect, traffic_logic logic, traffic_hooks hooks);
@@ -68,7 +70,8 @@
     bool settings_known() const { return m_view && m_view->node->settings_known(); }
     std::size_t running() const { return m_inbound.size(); }
 
-    traffic_metrics& metrics() { return m_metrics; }
+    /// Returns the metrics in the Prometheus text exposition format.
+    std::string metrics_text() const;
 
 private:
     using inbound_ptr = std::shared_ptr<inbound_request>;
@@ -80,6 +83,8 @@
     void submit_caller(const inbound_ptr& request);
     void submit_onward(const inbound_ptr& request, const parsed_request& parsed);
     void submit_peer(const inbound_ptr& request);
+    /// Delivers turn_reached for a request that has arrived behind others.
+    void on_turn(node::exchange_id id);
     void end(node::exchange_id id);
 
     void perform(const node::request_token& wanted) { m_hooks.acquire_token(wanted); }
--- a/src/daemon/traffic_frontend_test.cpp
+++ b/src/daemon/traffic_frontend_test.cpp
@@ -2,12 +2,16 @@
 #include "daemon/secure_random.hpp"
 #include "daemon/traffic_frontend.hpp"
 #include "http/raw_socket_fake.hpp"
+#include "http/response_list.hpp"
 #include "http/run_until.hpp"
 #include "node/traffic_machine.hpp"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
+#include <iterator>
+#include <sstream>
 
 namespace damaskladder::daemon {
 namespace {
@@ -26,8 +30,8 @@
           m_backend(m_loop, {}, std::move(serve)),
           m_client(m_loop),
           m_machine(make_options()),
-          m_frontend(m_loop, m_secret, base::incarnation(1), {}, make_dialect(), make_logic(),
-                     make_hooks())
+          m_frontend(m_loop, m_secret, base::incarnation(1), make_limits(), make_dialect(),
+                     make_logic(), make_hooks())
     {
         EXPECT_TRUE(m_backend.listen({"127.0.0.1", 0}));
         EXPECT_TRUE(m_frontend.listen({{"127.0.0.1", 0}, {"127.0.0.1", 0}, {"127.0.0.1", 0}}));
@@ -89,6 +93,13 @@
     }
 
 private:
+    static http::server_limits make_limits()
+    {
+        http::server_limits limits;
+        limits.requests_ahead = 16;
+        return limits;
+    }
+
     static node::traffic_options make_options()
     {
         node::traffic_options options;
@@ -427,6 +438,74 @@
     EXPECT_EQ(runs, 2) << "of the callers that stayed";
 }
 
+struct ahead_case {
+    std::string name;
+    /// Targets of the requests of one connection.
+    std::vector<std::string> targets;
+    /// Runs that begin at the backend server; those of each step after the earlier ones are
+    /// answered.
+    std::vector<std::string> runs;
+};
+
+class requests_ahead : public testing::TestWithParam<ahead_case> {};
+
+// Guards against requests that wait for those ahead although they need not, and against a run of a
+// request that the caller would repeat if an earlier response closed the connection.
+TEST_P(requests_ahead, run_as_their_routes_allow)
+{
+    std::string running;
+    std::vector<std::shared_ptr<http::exchange>> open;
+    frontend_fixture node([&](const std::shared_ptr<http::exchange>& request) {
+        running += request->head().target + " ";
+        open.push_back(request);
+    });
+    std::string sent;
+    for (const auto& target : GetParam().targets) {
+        sent += "POST " + target + " HTTP/1.1\r\nHost: a\r\nIdempotency-Key: i" + target +
+                "\r\nContent-Length: 0\r\nDamaskladder-Key: " + key + "\r\n\r\n";
+    }
+    http::raw_socket_caller caller(node.frontend().callers_port(), sent);
+    const auto sorted = [](std::string targets) {
+        std::istringstream words(targets);
+        std::vector<std::string> list(std::istream_iterator<std::string>(words), {});
+        std::sort(list.begin(), list.end());
+        return list;
+    };
+    std::string expected;
+    for (const auto& step : GetParam().runs) {
+        expected += step;
+        node.run_until([&] { return running.size() >= expected.size(); });
+        // Time for a run that should not begin.
+        node.loop().call_at(http::event_loop::now() + std::chrono::milliseconds(20),
+                            [&] { node.loop().stop(); });
+        node.loop().run();
+        EXPECT_EQ(sorted(running), sorted(expected));
+        while (!open.empty()) {
+            open.back()->respond({}, open.back()->head().target);
+            open.pop_back();
+        }
+    }
+    std::string responses;
+    for (const auto& target : GetParam().targets) {
+        responses += (responses.empty() ? "200 " : ", 200 ") + target;
+    }
+    node.run_until([&] {
+        caller.try_read_all();
+        return http::response_list(caller.received()) == responses;
+    });
+    EXPECT_EQ(http::response_list(caller.received()), responses);
+}
+
+INSTANTIATE_TEST_SUITE_P(table, requests_ahead,
+                         testing::Values(ahead_case{"together", {"/a", "/b", "/c"}, {"/a /b /c "}},
+                                         ahead_case{"once_at_its_turn",
+                                                    {"/a", "/once1", "/b"},
+                                                    {"/a ", "/once1 ", "/b "}},
+                                         ahead_case{"those_after_once_together",
+                                                    {"/once1", "/a", "/b", "/once2"},
+                                                    {"/once1 ", "/a /b ", "/once2 "}}),
+                         [](const auto& tested) { return tested.param.name; });
+
 // Guards against a backend server that uses its context to reach a gatekeeper without its node.
 TEST(traffic_frontend, context_of_a_backend_server_is_refused_between_nodes)
 {
--- a/src/daemon/traffic_metrics.cpp
+++ b/src/daemon/traffic_metrics.cpp
@@ -42,7 +42,7 @@
     ++counts[reason];
 }
 
-std::string traffic_metrics::text() const
+std::string traffic_metrics::text(const waiting_requests& waiting) const
 {
     std::ostringstream out;
     out << "# TYPE damaskladder_request_seconds histogram\n";
@@ -59,6 +59,10 @@
         << "damaskladder_calls_forwarded_total " << m_forwarded << '\n'
         << "# TYPE damaskladder_runs_started_total counter\n"
         << "damaskladder_runs_started_total " << m_runs << '\n'
+        << "# TYPE damaskladder_waiting_requests gauge\n"
+        << "damaskladder_waiting_requests " << waiting.count << '\n'
+        << "# TYPE damaskladder_waiting_bytes gauge\n"
+        << "damaskladder_waiting_bytes " << waiting.bytes << '\n'
         << "# TYPE damaskladder_refusals_total counter\n";
     write_refusals(out, m_refused_not_run, "not-run");
     write_refusals(out, m_refused_unknown, "unknown");
--- a/src/daemon/traffic_metrics.hpp
+++ b/src/daemon/traffic_metrics.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "daemon/waiting_requests.hpp"
 #include "node/outcome.hpp"
 #include "node/refusal_reason.hpp"
 
@@ -24,7 +25,7 @@
     void run_started() { ++m_runs; }
 
     /// Returns the metrics in the Prometheus text exposition format.
-    std::string text() const;
+    std::string text(const waiting_requests& waiting) const;
 
 private:
     using time_axis =
--- a/src/daemon/traffic_thread.cpp
+++ b/src/daemon/traffic_thread.cpp
@@ -39,6 +39,7 @@
 {
     http::server_limits limits;
     limits.max_connections = settings.connections;
+    limits.requests_ahead = settings.requests_ahead;
     return limits;
 }
 
@@ -57,11 +58,11 @@
       m_quota(std::move(self), incarnation,
               {.deliver = [this](const node::event& event) { m_frontend.deliver(event); },
                .send = m_requests.send_quota}),
-      m_local({.read_call = http_dialect.read_local_call,
-               .announce = m_requests.announce,
-               .ready = [this] { return m_ready.load() && m_frontend.settings_known(); },
-               .metrics =
-                   [this] { return m_frontend.metrics().text() + m_requests.control_metrics(); }}),
+      m_local(
+          {.read_call = http_dialect.read_local_call,
+           .announce = m_requests.announce,
+           .ready = [this] { return m_ready.load() && m_frontend.settings_known(); },
+           .metrics = [this] { return m_frontend.metrics_text() + m_requests.control_metrics(); }}),
       m_frontend(
           m_loop, secret, incarnation, make_limits(settings), http_dialect,
           {.handle = [this](const auto& event, const auto& view, auto now,
--- a/src/http/server_bench.cpp
+++ b/src/http/server_bench.cpp
@@ -3,6 +3,9 @@
 
 #include <benchmark/benchmark.h>
 #include <fcntl.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <array>
 #include <string>
