--- a/src/daemon/process_settings_test.cpp
+++ b/src/daemon/process_settings_test.cpp
@@ -175,6 +175,8 @@
                      "vm1.ini:16: [control] cold_rate_factor: expected a number from 0 to 1000"},
         problem_case{"cold_rate_slack", "data = data\n", "data = data\ncold_rate_slack = -1\n",
                      "vm1.ini:16: [control] cold_rate_slack: expected a number from 0 to 1000"},
+        problem_case{"none_ahead", "stop_limit = 5s", "requests_ahead = 0",
+                     "vm1.ini:12: [node] requests_ahead: expected a number from 1"},
         problem_case{"no_unit", "5s", "5", "vm1.ini:12: [node] stop_limit: expected a duration"},
         problem_case{"no_flag", "stop_limit = 5s", "place_by_completion = 1",
                      "vm1.ini:12: [node] place_by_completion: expected yes or no"},
--- a/src/daemon/traffic_thread.cpp
+++ b/src/daemon/traffic_thread.cpp
@@ -45,6 +45,7 @@
 {
     http::server_limits limits;
     limits.max_connections = settings.connections;
+    limits.requests_ahead = settings.requests_ahead;
     return limits;
 }
 
@@ -75,7 +76,7 @@
                .ready = [this] { return m_ready.load() && m_frontend.settings_known(); },
                .metrics =
                    [this] {
-                       return m_frontend.metrics().text() + m_evacuations.metrics() +
+                       return m_frontend.metrics_text() + m_evacuations.metrics() +
                               pressure_text(m_machine.highest_pressures(max_shown_routes,
                                                                         http::event_loop::now())) +
                               m_requests.control_metrics();
