--- a/include/damaskladder/routing.hpp
+++ b/include/damaskladder/routing.hpp
@@ -16,6 +16,10 @@
 /// get no attempts. A recovered server starts with a tenth of its load share and reaches the full
 /// share after 2 s.
 ///
+/// With placement_options::by_completion, a router instead draws two servers in proportion to their
+/// throughput and selects the one with the lower load relative to its limit; domain_spill decides
+/// which part of the attempts leaves the own failure domain.
+///
 /// Contract. Each successful choose() counts one outstanding call and must be followed by exactly
 /// one on_attempt_ended(). Timestamps must not decrease. There are no errors: an empty result means
 /// that no server is usable.
--- a/src/routing/placement_replay.hpp
+++ b/src/routing/placement_replay.hpp
@@ -114,7 +114,7 @@
         m_events.emplace(m_now + ms, std::move(call));
     }
 
-    void send(std::size_t node, std::vector<base::node_id> tried)
+    void send(std::size_t node, const std::vector<base::node_id>& tried)
     {
         const int domain = static_cast<int>(node % 3);
         std::vector<backend_server> announced;
--- a/src/routing/placement_test.cpp
+++ b/src/routing/placement_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <random>
 
 namespace damaskladder::routing {
@@ -28,8 +29,7 @@
 {
     const completion_estimate estimate{milliseconds(100), 50, GetParam().relative_load};
     EXPECT_NEAR(estimate.slowdown(), GetParam().slowdown, 1e-9);
-    EXPECT_EQ(estimate.completion(),
-              milliseconds(static_cast<int>(GetParam().slowdown * 100 + 0.5)));
+    EXPECT_EQ(estimate.completion(), milliseconds(std::llround(GetParam().slowdown * 100)));
 }
 
 INSTANTIATE_TEST_SUITE_P(table, slowdowns,
