--- a/include/damaskladder/admission.hpp
+++ b/include/damaskladder/admission.hpp
@@ -41,8 +41,8 @@
 /// Limits: 250 ms queueing time and 4096 queued calls (controller_options). A call that exceeds a
 /// limit gets the verdict shed; this is not an error.
 
-#include "admission/cold_limit.hpp"
 #include "admission/call_tree_model.hpp"
+#include "admission/cold_limit.hpp"
 #include "admission/controller.hpp"
 #include "admission/cpu_load_shedder.hpp"
 #include "admission/entry_throttle.hpp"
--- a/src/daemon/traffic_thread.cpp
+++ b/src/daemon/traffic_thread.cpp
@@ -49,6 +49,15 @@
     return limits;
 }
 
+void log_crossing(const node::leaving_service& service, bool upward)
+{
+    log(log_level::info, upward ? "domain_leaving" : "domain_staying",
+        {{"service", service.service.value()},
+         {"part", std::to_string(service.part)},
+         {"own_slowdown", std::to_string(service.own_slowdown)},
+         {"others_slowdown", std::to_string(service.others_slowdown)}});
+}
+
 base::service_id own_service(const node_settings& settings)
 {
     return settings.services.empty() ? base::service_id() : settings.services.front();
@@ -68,6 +77,7 @@
     : m_requests(std::move(requests)),
       m_machine(make_options(settings)),
       m_evacuations(log_evacuation),
+      m_leaving([this] { return m_machine.leaving_services(); }, log_crossing),
       m_quota(std::move(self), incarnation,
               {.deliver = [this](const node::event& event) { m_frontend.deliver(event); },
                .send = m_requests.send_quota}),
@@ -75,8 +85,9 @@
                .announce = m_requests.announce,
                .ready = [this] { return m_ready.load() && m_frontend.settings_known(); },
                .metrics =
-                   [this] {
+                   [this, places = settings.place_by_completion] {
                        return m_frontend.metrics_text() + m_evacuations.metrics() +
+                              (places ? m_leaving.metrics() : std::string()) +
                               pressure_text(m_machine.highest_pressures(max_shown_routes,
                                                                         http::event_loop::now())) +
                               m_requests.control_metrics();
@@ -100,6 +111,9 @@
       m_addresses(settings.listen)
 {
     m_loop.each_round([this](base::time_point now) { return m_quota.round(now); });
+    if (settings.place_by_completion) {
+        m_loop.each_round([this](base::time_point now) { return m_leaving.round(now); });
+    }
     m_loop.observe_waits([this](base::duration busy, base::duration waited, base::time_point now) {
         m_machine.observed_wait(busy, waited, now);
     });
--- a/src/daemon/traffic_thread.hpp
+++ b/src/daemon/traffic_thread.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/evacuation_monitor.hpp"
+#include "daemon/leaving_report.hpp"
 #include "daemon/local_api.hpp"
 #include "daemon/node_settings.hpp"
 #include "daemon/traffic_frontend.hpp"
@@ -68,6 +69,7 @@
     control_requests m_requests;
     node::traffic_machine m_machine;
     evacuation_monitor m_evacuations;
+    leaving_report m_leaving;
     traffic_quota m_quota;
     local_api m_local;
     traffic_frontend m_frontend;
