--- a/src/admission/cold_limit.cpp
+++ b/src/admission/cold_limit.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <numeric>
 
 namespace damaskladder::admission {
 
@@ -13,8 +14,12 @@
 constexpr base::duration window = std::chrono::milliseconds(1100);
 /// Kept free for requests that are delayed on their way by more than the window allows for.
 constexpr std::int64_t margin = 2;
-/// Part of the bound that each level of importance leaves to the level above it.
+/// Part of the bound that each level of importance leaves to the level above it at least, and part
+/// that all levels may leave together at most. With the smallest reserve alone, half of the
+/// critical requests were refused in cold_fleets, since others had used the bound before they
+/// arrived.
 constexpr double reserve_per_level = 0.15;
+constexpr double max_reserve = 0.9;
 
 } // namespace
 
@@ -29,25 +34,37 @@
     if (!m_most) {
         return true;
     }
-    const auto levels_above =
-        static_cast<double>(base::importance::critical) - static_cast<double>(level);
-    // A bound of one request has no room for a reserve.
-    const auto reserve = std::llround(
-        std::floor(reserve_per_level * levels_above * static_cast<double>(usable() - 1)));
-    return sent_lately(now) < usable() - reserve;
+    const std::int64_t sent = sent_lately(base::importance::background, now);
+    std::int64_t kept = min_reserve(level);
+    for (auto each = level; each < base::importance::critical;) {
+        const std::int64_t expected = expected_above(each, now);
+        each = static_cast<base::importance>(static_cast<int>(each) + 1);
+        kept = std::max(kept, expected - sent_lately(each, now));
+    }
+    return sent + kept < usable();
 }
 
-void cold_limit::take(base::time_point now)
+void cold_limit::offered(base::importance level, base::time_point now)
+{
+    const double decay = decay_until(now);
+    for (double& count : m_offered) {
+        count *= decay;
+    }
+    m_offered_at = now;
+    m_offered.at(static_cast<std::size_t>(level)) += 1;
+}
+
+void cold_limit::take(base::importance level, base::time_point now)
 {
     if (!m_most) {
         m_unlogged = std::max(m_unlogged, now);
         m_sent.clear();
         return;
     }
-    while (!m_sent.empty() && m_sent.front() + window <= now) {
+    while (!m_sent.empty() && m_sent.front().at + window <= now) {
         m_sent.pop_front();
     }
-    m_sent.push_back(now);
+    m_sent.push_back({now, level});
 }
 
 double cold_limit::used_share(base::time_point now) const
@@ -55,7 +72,8 @@
     if (!m_most) {
         return 0;
     }
-    return std::min(1.0, static_cast<double>(sent_lately(now)) / static_cast<double>(usable()));
+    return std::min(1.0, static_cast<double>(sent_lately(base::importance::background, now)) /
+                             static_cast<double>(usable()));
 }
 
 std::int64_t cold_limit::usable() const
@@ -63,13 +81,41 @@
     return std::max<std::int64_t>(1, m_most->value() - margin);
 }
 
-std::int64_t cold_limit::sent_lately(base::time_point now) const
+std::int64_t cold_limit::min_reserve(base::importance level) const
+{
+    const auto levels_above =
+        static_cast<double>(base::importance::critical) - static_cast<double>(level);
+    // A bound of one request has no room for a reserve.
+    return std::llround(
+        std::floor(reserve_per_level * levels_above * static_cast<double>(usable() - 1)));
+}
+
+std::int64_t cold_limit::expected_above(base::importance level, base::time_point now) const
+{
+    const auto first_above = static_cast<std::ptrdiff_t>(level) + 1;
+    const double asked =
+        decay_until(now) * std::accumulate(m_offered.begin() + first_above, m_offered.end(), 0.0);
+    // Twice, because entry nodes that were refused within the last second do not ask. Arrivals vary
+    // by about the square root of their number.
+    const double highest = max_reserve * static_cast<double>(usable() - 1);
+    return std::llround(std::floor(std::min(2 * asked + std::sqrt(asked), highest)));
+}
+
+double cold_limit::decay_until(base::time_point now) const
+{
+    const std::chrono::duration<double> passed = now - m_offered_at;
+    return std::exp(-std::max(0.0, passed / std::chrono::duration<double>(window)));
+}
+
+std::int64_t cold_limit::sent_lately(base::importance lowest, base::time_point now) const
 {
     const base::time_point from = now - window;
     if (m_unlogged > from) {
         return usable();
     }
-    return m_sent.end() - std::upper_bound(m_sent.begin(), m_sent.end(), from);
+    return std::count_if(m_sent.begin(), m_sent.end(), [&](const sent_request& sent) {
+        return sent.at > from && sent.level >= lowest;
+    });
 }
 
 } // namespace damaskladder::admission
--- a/src/admission/cold_limit_test.cpp
+++ b/src/admission/cold_limit_test.cpp
@@ -59,7 +59,7 @@
     std::vector<std::int64_t> arrivals;
     for (std::int64_t ms = 0; ms < 20'000; ms += row.every_ms) {
         for (int n = 0; n < row.group && limit.allows(critical, at(ms)); ++n) {
-            limit.take(at(ms));
+            limit.take(critical, at(ms));
             arrivals.push_back(ms + delay(random));
         }
     }
@@ -92,7 +92,7 @@
     limit.set(base::request_count(22), at(-2'000));
     int taken = 0;
     for (; limit.allows(GetParam().level, at(0)); ++taken) {
-        limit.take(at(0));
+        limit.take(GetParam().level, at(0));
     }
     EXPECT_EQ(taken, GetParam().taken);
     EXPECT_EQ(limit.allows(critical, at(0)), taken < 20);
@@ -105,18 +105,45 @@
                                                       12}),
                          [](const auto& tested) { return tested.param.name; });
 
+// Guards against critical requests that find the bound used up by others that arrived before them.
+TEST(cold_limit, keeps_what_more_important_requests_have_asked_for)
+{
+    cold_limit limit;
+    limit.set(base::request_count(22), at(-2'000));
+    int normal = 0;
+    int refused_critical = 0;
+    for (std::int64_t ms = 0; ms < 20'000; ++ms) {
+        if (ms % 100 == 0) {
+            limit.offered(critical, at(ms));
+            if (limit.allows(critical, at(ms))) {
+                limit.take(critical, at(ms));
+            }
+            else {
+                refused_critical += ms > 3'000 ? 1 : 0;
+            }
+        }
+        limit.offered(base::importance::normal, at(ms));
+        if (limit.allows(base::importance::normal, at(ms))) {
+            limit.take(base::importance::normal, at(ms));
+            ++normal;
+        }
+    }
+    EXPECT_EQ(refused_critical, 0);
+    EXPECT_GE(normal, 40);
+}
+
 // Guards against requests that are forgotten: those sent before a bound is set, and those that a
 // changed bound would drop from the log.
 TEST(cold_limit, counts_what_was_sent_before_the_bound_was_set_or_changed)
 {
     cold_limit limit;
     EXPECT_TRUE(limit.allows(critical, at(0)));
-    limit.take(at(500));
+    limit.take(critical, at(500));
     limit.set(base::request_count(22), at(-2'000));
     EXPECT_FALSE(limit.allows(critical, at(1'500)));
     EXPECT_EQ(limit.used_share(at(1'500)), 1);
     for (int n = 0; n < 100; ++n) {
-        limit.take(at(2'000));
+        limit.take(critical, at(2'000));
     }
     limit.set(base::request_count(40), at(-2'000));
     EXPECT_FALSE(limit.allows(critical, at(2'900)));
