Gatekeepers bound the requests to cold backend servers

A gatekeeper sent a cold server what its slots hold, well above the rate at which it crashes. It now sends at most cold_burst requests in any one second, in total over all entry nodes. A server is cold while it has announced so, and while nothing has been heard from it since a connection to it was refused or reset or its service reopened. Used up, it counts as full and refuses with backend_limit.

Entry nodes exclude a server that refused so for 1 s, for requests of at most that importance, and refuse with shed if no other is left; before, they tried it again after 100 ms. Routers multiply the load of cold servers by 4.

--- a/src/daemon/node_host.cpp
+++ b/src/daemon/node_host.cpp
@@ -132,6 +132,12 @@
                                    : std::vector<membership::backend_server>();
 }
 
+std::vector<membership::local_announcement> node_host::offered_announcements() const
+{
+    return m_knows_earlier_endings ? m_announcements.announced()
+                                   : std::vector<membership::local_announcement>();
+}
+
 void node_host::publish_backends(base::time_point now)
 {
     perform(m_membership.set_backends(offered_servers(), now, m_announcements.endings(now)));
@@ -252,7 +258,8 @@
     from.settings = m_tables;
     from.settings_confirmed_at = m_confirmed_at;
     from.services = m_membership.view();
-    from.local = offered_servers();
+    from.local = offered_announcements();
+    from.started_at = m_started_at;
     from.backend_server_host = m_settings.node->backend_server_host;
     return build_view(from);
 }
--- a/src/daemon/node_host.hpp
+++ b/src/daemon/node_host.hpp
@@ -63,6 +63,7 @@
     /// The announced backend servers. None until this node knows which of them have left according
     /// to what it confirmed before a restart.
     std::vector<membership::backend_server> offered_servers() const;
+    std::vector<membership::local_announcement> offered_announcements() const;
     /// Publishes the offered backend servers to the fleet.
     void publish_backends(base::time_point now);
     void publish();
@@ -77,6 +78,7 @@
     membership::announcement_registry m_announcements;
     membership::membership_node m_membership;
     membership::pending_confirmations m_confirmations;
+    base::time_point m_started_at{http::event_loop::now()};
     bool m_knows_earlier_endings = false;
     std::shared_ptr<const settings::compiled_settings> m_compiled;
     std::shared_ptr<const settings_tables> m_tables;
--- a/src/daemon/view_builder.cpp
+++ b/src/daemon/view_builder.cpp
@@ -93,6 +93,12 @@
     return slots;
 }
 
+bool has_cold_limit(const base::service_id& id, const settings::compiled_settings& settings)
+{
+    const auto* service = settings.find_service(id);
+    return service != nullptr && service->cold_rate;
+}
+
 void add_services(const view_sources& from, traffic_view& out, node::node_view& view)
 {
     for (const auto& service : from.services->services()) {
@@ -112,9 +118,10 @@
             }
             out.gatekeepers[endpoint.node] = address;
             const auto& backend = endpoint.backend;
+            const bool cold = backend.cold && has_cold_limit(service, *from.settings->settings);
             entry.servers.push_back({endpoint.node, endpoint.incarnation, endpoint.domain,
                                      backend.slots, reported_slots(endpoint.load, backend.slots),
-                                     backend.draining});
+                                     backend.draining, cold});
         }
         view.services.push_back(std::move(entry));
     }
@@ -143,7 +150,8 @@
 
 void add_local(const view_sources& from, traffic_view& out, node::node_view& view)
 {
-    for (const auto& backend : from.local) {
+    for (const auto& announced : from.local) {
+        const auto& backend = announced.backend;
         node::local_backend_server local;
         local.service = backend.service;
         local.slots = backend.slots;
@@ -151,6 +159,12 @@
         local.draining = backend.draining;
         local.instance = backend.instance;
         local.max_staleness = longest_staleness(backend.service, *from.settings->settings);
+        local.cold_until = announced.cold_until;
+        local.announced_at = announced.announced_at;
+        const auto& settings = *from.settings->settings;
+        if (has_cold_limit(backend.service, settings)) {
+            local.cold_burst = settings.find_service(backend.service)->cold_burst;
+        }
         view.local.push_back(local);
         out.local[backend.service] = {from.backend_server_host, backend.port.value()};
     }
@@ -183,6 +197,7 @@
     auto view = std::make_shared<node::node_view>();
     view->self = from.self;
     view->own_domain = from.domain;
+    view->started_at = from.started_at;
     view->settings_confirmed_at = from.settings_confirmed_at;
     view->settings_version = from.settings->settings->version();
     set_hooks(*view, from.settings);
--- a/src/daemon/view_builder.hpp
+++ b/src/daemon/view_builder.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "daemon/traffic_view.hpp"
-#include "membership/backend_server.hpp"
+#include "membership/local_announcement.hpp"
 #include "membership/service_view.hpp"
 #include "settings/compiled_settings.hpp"
 
@@ -21,11 +21,13 @@
 struct view_sources {
     base::node_id self;
     base::failure_domain_id domain;
+    /// Start of this node.
+    base::time_point started_at;
     std::shared_ptr<const settings_tables> settings;
     base::time_point settings_confirmed_at;
     std::shared_ptr<const membership::service_view> services;
     /// Backend servers on this VM.
-    std::vector<membership::backend_server> local;
+    std::vector<membership::local_announcement> local;
     /// IP address on which they listen.
     std::string backend_server_host;
 };
--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -66,9 +66,10 @@
     using routing::attempt_result;
     switch (reason) {
     case refusal_reason::shed:
-    case refusal_reason::backend_limit:
     case refusal_reason::backend_shed:
         return attempt_result::shed;
+    case refusal_reason::backend_limit:
+        return attempt_result::limited;
     case refusal_reason::draining:
     case refusal_reason::stopping:
     case refusal_reason::no_backend_server:
@@ -699,10 +700,16 @@
         // Every gatekeeper has refused the request. After the pause between attempts any of them
         // may have regained capacity, so all are eligible again.
         request.tried_gatekeepers.clear();
-        return router.choose(service.servers,
-                             {ctx.view.own_domain, {}, wanted.may_probe, wanted.importance},
-                             ctx.now);
+        wanted.excluded.clear();
+        if (const auto chosen = router.choose(service.servers, wanted, ctx.now)) {
+            return chosen;
+        }
     }
+    const auto is_limited = [&](const routing::backend_server& server) {
+        return router.is_limited(server.node, wanted.importance, ctx.now);
+    };
+    skipped_shedding =
+        skipped_shedding || std::any_of(service.servers.begin(), service.servers.end(), is_limited);
     return std::nullopt;
 }
 
--- a/src/node/gatekeeper_machine.cpp
+++ b/src/node/gatekeeper_machine.cpp
@@ -76,6 +76,7 @@
     const local_backend_server* server = ctx.view.find_local(received.service);
     gatekeeper_service& service = service_of(received.service);
     update_from_view(service, server, ctx);
+    service.cold.offered(received.context.importance, ctx.now);
     if (const auto reason = refusal_at_arrival(received, server, ctx)) {
         refuse refusal = refusal_of(received.exchange, outcome::not_run, *reason);
         refusal.allowance_left = received.context.allowance;
@@ -151,6 +152,9 @@
 void gatekeeper_machine::on(const connect_failed& received, event_context& ctx)
 {
     gatekeeper_call* call = find(received.transfer);
+    if (call != nullptr) {
+        service_of(call->service).cold.state_unknown(ctx.now);
+    }
     if (call != nullptr && call->phase == gatekeeper_phase::connecting) {
         refuse_call(*call, outcome::not_run, refusal_reason::unreachable,
                     admission::call_outcome::failed, ctx);
@@ -168,6 +172,7 @@
     if (call == nullptr) {
         return;
     }
+    service_of(call->service).cold.state_unknown(ctx.now);
     if (call->phase == gatekeeper_phase::responding) {
         ctx.out.emplace_back(abort_response{call->exchange});
         end_call(*call, admission::call_outcome::failed, ctx);
@@ -356,7 +361,8 @@
     if (service.closed) {
         return refusal_reason::draining;
     }
-    if (!service.rate.allows(received.context.importance, ctx.now)) {
+    if (!service.rate.allows(received.context.importance, ctx.now) ||
+        !service.cold.allows(received.context.importance, ctx.now)) {
         return refusal_reason::backend_limit;
     }
     return std::nullopt;
@@ -396,8 +402,12 @@
     if (!closed && service.closed) {
         service.control.reopen();
         service.drain_seen = false;
+        service.cold.state_unknown(ctx.now);
     }
     service.closed = closed;
+    if (server != nullptr) {
+        service.cold.update(*server, ctx.view.started_at);
+    }
     if (!closed) {
         service.control.announce(server->slots, server->cold, ctx.now, verdicts);
     }
@@ -448,8 +458,13 @@
 
 void gatekeeper_machine::dispatch(gatekeeper_call& call, event_context& ctx)
 {
-    admission::rate_limit& rate = service_of(call.service).rate;
-    if (!rate.allows(call.context.importance, ctx.now)) {
+    gatekeeper_service& service = service_of(call.service);
+    if (const local_backend_server* server = ctx.view.find_local(call.service)) {
+        // The server may have become cold while the call was queued.
+        service.cold.update(*server, ctx.view.started_at);
+    }
+    if (!service.rate.allows(call.context.importance, ctx.now) ||
+        !service.cold.allows(call.context.importance, ctx.now)) {
         return refuse_call(call, outcome::not_run, refusal_reason::backend_limit,
                            admission::call_outcome::cancelled, ctx);
     }
@@ -457,7 +472,8 @@
         return refuse_call(call, outcome::not_run, refusal_reason::bad_request,
                            admission::call_outcome::cancelled, ctx);
     }
-    rate.take(ctx.now);
+    service.rate.take(ctx.now);
+    service.cold.take(call.context.importance, ctx.now);
     m_shared.ledger.open(call.context.call, call.context.allowance);
     call.phase = gatekeeper_phase::connecting;
     call.transfer = m_shared.next_transfer();
@@ -556,8 +572,9 @@
     const base::slot_count busy = control.running() + base::slot_count(control.queued());
     // A server that has used up its rate counts as full, whatever runs on it.
     const auto limit = static_cast<double>(control.limit().value());
-    const base::slot_count by_rate(
-        static_cast<std::int64_t>(limit * found->second.rate.used_share(ctx.now)));
+    const double used =
+        std::max(found->second.rate.used_share(ctx.now), found->second.cold.used_share(ctx.now));
+    const base::slot_count by_rate(static_cast<std::int64_t>(limit * used));
     return routing::load_report{std::max(busy, by_rate), control.limit()};
 }
 
--- a/src/node/gatekeeper_machine_test.cpp
+++ b/src/node/gatekeeper_machine_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+#include <utility>
+
 namespace damaskladder::node {
 namespace {
 
@@ -410,6 +413,128 @@
         reported_case{"answer of an earlier run", of_an_earlier_run(), 4,
                       "503 not-run backend-limit left 2\n"}));
 
+struct cold_case {
+    const char* name;
+    std::optional<base::request_count> burst;
+    std::int64_t cold_until_ms;
+    std::int64_t node_started_ms;
+    /// Calls started out of 40 at 5,000 ms and at 5,900 ms, and out of 40 more at 6,200 ms.
+    std::array<int, 3> started;
+};
+
+void PrintTo(const cold_case& row, std::ostream* out)
+{
+    *out << row.name;
+}
+
+class cold_backend_servers : public testing::TestWithParam<cold_case> {};
+
+// Guards against a cold backend server that crashes because its gatekeeper sends it what its slots
+// would hold, and against a limit that holds longer than the server is cold or for other services.
+TEST_P(cold_backend_servers, get_a_bounded_number_of_calls)
+{
+    const auto& row = GetParam();
+    call_driver path(true);
+    path.fixture.view.started_at = traffic_fixture::at_ms(row.node_started_ms);
+    auto& server = path.fixture.view.local.front();
+    server.cold_burst = row.burst;
+    server.cold_until = traffic_fixture::at_ms(row.cold_until_ms);
+    server.announced_at = traffic_fixture::at_ms(4'900);
+    std::array<int, 3> started{};
+    std::size_t round = 0;
+    for (const int ms : {5'000, 5'900, 6'200}) {
+        const auto [count, refusal] = offer_calls(path, ms);
+        started.at(round++) = count;
+        EXPECT_EQ(refusal, count == 40 ? "" : "503 not-run backend-limit left 2\n");
+    }
+    EXPECT_EQ(started, row.started);
+}
+
+constexpr base::request_count burst_of_22(22);
+
+INSTANTIATE_TEST_SUITE_P(
+    table, cold_backend_servers,
+    testing::Values(cold_case{"cold", burst_of_22, 9'000, 1'000, {20, 0, 20}},
+                    cold_case{"warm after some time", burst_of_22, 6'000, 1'000, {20, 0, 40}},
+                    cold_case{"node just started", burst_of_22, 9'000, 4'000, {0, 20, 0}},
+                    cold_case{"warm", burst_of_22, 5'000, 1'000, {40, 40, 40}},
+                    cold_case{"no limit", std::nullopt, 9'000, 4'000, {40, 40, 40}}));
+
+struct unknown_case {
+    const char* name;
+    std::function<void(call_driver&)> act;
+    /// Calls started out of 40 at 5,000 ms, and at 7,000 ms after an announcement at 6,900 ms.
+    std::array<int, 2> started;
+};
+
+void PrintTo(const unknown_case& row, std::ostream* out)
+{
+    *out << row.name;
+}
+
+class unknown_states : public testing::TestWithParam<unknown_case> {};
+
+// Guards against a restarted server that gets the rate of a warm one until its first announcement.
+TEST_P(unknown_states, count_as_cold_until_the_next_announcement)
+{
+    call_driver path(true);
+    auto& server = path.fixture.view.local.front();
+    server.cold_burst = burst_of_22;
+    server.announced_at = traffic_fixture::at_ms(3'500);
+    path.handle(call_of(e1, true), 4'000);
+    GetParam().act(path);
+    std::array<int, 2> started{};
+    started[0] = offer_calls(path, 5'000).first;
+    path.fixture.view.local.front().announced_at = traffic_fixture::at_ms(6'900);
+    started[1] = offer_calls(path, 7'000).first;
+    EXPECT_EQ(started, GetParam().started);
+}
+
+/// No announcement of the server for a time; then it is announced again.
+void announce_again(call_driver& path)
+{
+    path.handle(transfer_connected{t1}, 4'100);
+    path.handle(response_started{t1, response_class::served, {}, {}}, 4'100);
+    path.handle(response_finished{t1, nullptr}, 4'100);
+    const auto local = std::exchange(path.fixture.view.local, {});
+    path.handle(tick{}, 4'200);
+    path.fixture.view.local = local;
+    path.fixture.view.local.front().announced_at = traffic_fixture::at_ms(4'300);
+    path.handle(tick{}, 4'300);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, unknown_states,
+    testing::Values(
+        unknown_case{
+            "refused", [](auto& path) { path.handle(connect_failed{t1}, 4'100); }, {19, 40}},
+        unknown_case{
+            "reset", [](auto& path) { path.handle(transfer_failed{t1}, 4'100); }, {19, 40}},
+        unknown_case{"reopened", announce_again, {19, 40}},
+        unknown_case{"answered",
+                     [](auto& path) {
+                         path.handle(transfer_connected{t1}, 4'100);
+                         path.handle(response_started{t1, response_class::served, {}, {}}, 4'100);
+                         path.handle(response_finished{t1, nullptr}, 4'100);
+                     },
+                     {40, 40}}));
+
+// Guards against a server that becomes cold while calls are queued, and then gets all of them.
+TEST(gatekeeper, queued_calls_count_against_the_limit_of_a_cold_server)
+{
+    call_driver path(true);
+    path.handle(call_of(exchange_id(1), true), 5'000);
+    for (std::uint64_t number = 2; number < 40; ++number) {
+        path.handle(call_of(exchange_id(number), true), 5'000);
+    }
+    auto& server = path.fixture.view.local.front();
+    server.cold_burst = burst_of_22;
+    server.cold_until = traffic_fixture::at_ms(9'000);
+    const auto effects = path.fixture.handle(caller_disconnected{exchange_id(1)}, 5'100);
+    EXPECT_EQ(effects.find("start"), std::string::npos) << effects;
+    EXPECT_NE(effects.find("refuse e2 503 not-run backend-limit"), std::string::npos) << effects;
+}
+
 // Guards against a later run at the same port that gets no requests because the run before it has
 // said that it leaves.
 TEST(gatekeeper, a_later_run_gets_calls_after_the_earlier_one_has_left)
--- a/src/node/gatekeeper_service.hpp
+++ b/src/node/gatekeeper_service.hpp
@@ -4,6 +4,7 @@
 #include "admission/rate_limit.hpp"
 #include "base/instance_id.hpp"
 #include "base/service_id.hpp"
+#include "node/cold_guard.hpp"
 
 namespace damaskladder::node {
 
@@ -21,6 +22,7 @@
     bool closed = false;
     /// Rate that the backend server has named in its latest answer.
     admission::rate_limit rate;
+    cold_guard cold;
 };
 
 } // namespace damaskladder::node
--- a/src/node/local_backend_server.hpp
+++ b/src/node/local_backend_server.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "base/instance_id.hpp"
+#include "base/request_count.hpp"
 #include "base/service_id.hpp"
 #include "base/slot_count.hpp"
 #include "base/time.hpp"
 
 #include <chrono>
+#include <optional>
 
 namespace damaskladder::node {
 
@@ -21,6 +23,12 @@
     base::duration max_staleness{std::chrono::seconds(10)};
     /// Instance id in the announcement; empty if it had none.
     base::instance_id instance = {};
+    /// Most requests in one second while the server is cold; empty if its service has no limit.
+    std::optional<base::request_count> cold_burst = std::nullopt;
+    /// The server has announced that it is cold until this time.
+    base::time_point cold_until = {};
+    /// Arrival of the server's last announcement.
+    base::time_point announced_at = {};
 };
 
 } // namespace damaskladder::node
--- a/src/node/node_view.hpp
+++ b/src/node/node_view.hpp
@@ -25,6 +25,8 @@
 struct node_view {
     base::node_id self;
     base::failure_domain_id own_domain;
+    /// Start of this node. Requests that its VM sent to the backend servers before are unknown.
+    base::time_point started_at;
     /// Version of the settings; 0 if none have arrived.
     base::settings_version settings_version;
     /// The settings include everything that was accepted up to this time of the local clock.
--- a/src/routing/attempt_result.hpp
+++ b/src/routing/attempt_result.hpp
@@ -15,6 +15,9 @@
     unreachable,
     /// The gatekeeper had no capacity.
     shed,
+    /// The server gets no more requests of this importance at present, by its own rate or because
+    /// it is cold.
+    limited,
     /// The gatekeeper reported that the server is draining or leaving.
     draining,
     /// The attempt ended for a reason unrelated to the server.
--- a/src/routing/backend_server.hpp
+++ b/src/routing/backend_server.hpp
@@ -19,6 +19,8 @@
     base::slot_count reported_load;
     /// The server is draining or leaving and gets no new calls.
     bool draining = false;
+    /// The server started recently and gets a small part of the requests.
+    bool cold = false;
 };
 
 } // namespace damaskladder::routing
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -12,6 +12,8 @@
 /// Multiplies the load of an ejected server that could not be excluded, so that it is chosen only
 /// if the others are much more loaded.
 constexpr double ejected_load_factor = 8;
+/// Multiplies the load of a cold server, which handles a small part of what it does when warm.
+constexpr double cold_load_factor = 4;
 /// The counts of attempts and failures decay by this factor per attempt.
 constexpr double decay_factor = 0.9;
 constexpr base::duration idle_timeout = std::chrono::minutes(1);
@@ -57,8 +59,12 @@
             local.push_back(option);
         }
     }
-    return record_attempt(pick_less_loaded(local.empty() ? options : local, request, now), request,
-                          now);
+    const auto is_cold = [](const candidate& option) { return option.server->cold; };
+    // Cold servers of the own domain do not keep all of its requests from the warm ones of others.
+    const bool leaves = std::all_of(local.begin(), local.end(), is_cold) &&
+                        !std::all_of(options.begin(), options.end(), is_cold);
+    return record_attempt(pick_less_loaded(local.empty() || leaves ? options : local, request, now),
+                          request, now);
 }
 
 void router::on_load_report(const base::node_id& node, const load_report& report,
@@ -113,6 +119,10 @@
     case attempt_result::draining:
         state.draining_until = now + m_options.drain_exclusion_duration;
         break;
+    case attempt_result::limited:
+        std::fill_n(state.limited_until.begin(), index_of(importance) + 1,
+                    now + m_options.limited_exclusion_duration);
+        break;
     case attempt_result::cancelled:
         break;
     }
@@ -132,6 +142,13 @@
     return found != m_states.end() && found->second.ejected;
 }
 
+bool router::is_limited(const base::node_id& node, base::importance importance,
+                        base::time_point now) const
+{
+    auto found = m_states.find(node);
+    return found != m_states.end() && now < found->second.limited_until.at(index_of(importance));
+}
+
 void router::remove_idle(base::time_point now)
 {
     std::erase_if(m_states, [&](const auto& item) {
@@ -153,7 +170,8 @@
         server_state& state = state_of(server, now);
         const bool excluded = std::find(request.excluded.begin(), request.excluded.end(),
                                         server.node) != request.excluded.end();
-        if (!server.draining && !excluded && now >= state.draining_until) {
+        const bool limited = now < state.limited_until.at(index_of(request.importance));
+        if (!server.draining && !excluded && !limited && now >= state.draining_until) {
             options.push_back({&server, &state});
         }
     }
@@ -250,6 +268,9 @@
             static_cast<double>(m_options.slow_start_duration.count());
         load /= std::clamp(slow_start_fraction, min_slow_start_fraction, 1.0);
     }
+    if (option.server->cold) {
+        load *= cold_load_factor;
+    }
     return state.ejected ? load * ejected_load_factor : load;
 }
 
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -38,6 +38,10 @@
 
     bool is_ejected(const base::node_id& node) const;
 
+    /// Whether the server is excluded for requests of this importance, since it is limited.
+    bool is_limited(const base::node_id& node, base::importance importance,
+                    base::time_point now) const;
+
     /// Removes the state of servers unused for 1 minute and without outstanding calls.
     void remove_idle(base::time_point now);
 
--- a/src/routing/router_options.hpp
+++ b/src/routing/router_options.hpp
@@ -17,6 +17,10 @@
     base::duration report_lifetime{std::chrono::milliseconds(500)};
     /// Time for which a server counts as full after it shed a request.
     base::duration shed_cooldown{std::chrono::milliseconds(100)};
+    /// Time for which a server gets no attempts after its gatekeeper reported that it is limited,
+    /// so that many entry nodes do not all repeat their attempts at it. For those of higher
+    /// importance it keeps a reserve.
+    base::duration limited_exclusion_duration{std::chrono::seconds(1)};
     /// Consecutive failures that eject a server. Failed connections need fewer, because they are
     /// unambiguous.
     int consecutive_failures_to_eject = 5;
--- a/src/routing/router_test.cpp
+++ b/src/routing/router_test.cpp
@@ -277,6 +277,41 @@
     EXPECT_NEAR(chosen["1"], 50, 1);
 }
 
+// Guards against many entry nodes that all repeat their attempts at a limited server, and against
+// critical requests that are kept from it because a less important one was refused.
+TEST(router, limited_server_is_excluded_for_requests_of_at_most_this_importance)
+{
+    const std::vector<backend_server> servers{server_of("1", "a")};
+    router chooser(seeded(3));
+    auto request = from_domain("a");
+    request.importance = base::importance::normal;
+    ASSERT_TRUE(chooser.choose(servers, request, at_ms(0)));
+    chooser.on_attempt_ended(base::node_id("1"), request.importance, attempt_result::limited,
+                             at_ms(0));
+    EXPECT_FALSE(chooser.choose(servers, request, at_ms(999)));
+    request.importance = base::importance::low;
+    EXPECT_FALSE(chooser.choose(servers, request, at_ms(999)));
+    EXPECT_TRUE(chooser.is_limited(base::node_id("1"), request.importance, at_ms(999)));
+    EXPECT_TRUE(chooser.choose(servers, request, at_ms(1'000)));
+    request.importance = base::importance::critical;
+    EXPECT_TRUE(chooser.choose(servers, request, at_ms(1)));
+}
+
+// Guards against a cold server that gets all requests of its failure domain, or none at all.
+TEST(router, cold_server_gets_a_small_part)
+{
+    std::vector<backend_server> servers{server_of("cold", "a"), server_of("1", "b"),
+                                        server_of("2", "b")};
+    servers.front().cold = true;
+    router chooser(seeded(3));
+    int on_cold = 0;
+    for (int n = 0; n < 60; ++n) {
+        on_cold += chooser.choose(servers, from_domain("a"), at_ms(n)) == servers.front().node;
+    }
+    EXPECT_GE(on_cold, 3);
+    EXPECT_LE(on_cold, 12);
+}
+
 // Guards against probing an ejected server with a request that must not run twice.
 TEST(router, non_idempotent_requests_are_not_used_as_probes)
 {
--- a/src/routing/server_state.hpp
+++ b/src/routing/server_state.hpp
@@ -32,6 +32,9 @@
     std::int64_t outstanding_since_report = 0;
     base::time_point full_until;
     base::time_point draining_until;
+    /// The gatekeeper refuses requests of each importance until then, because the server is
+    /// limited.
+    std::array<base::time_point, base::importance_levels> limited_until{};
     /// Start of slow start; nullopt after it ended.
     std::optional<base::time_point> slow_start_began;
     base::time_point last_used;
