--- a/src/node/gatekeeper_service.hpp
+++ b/src/node/gatekeeper_service.hpp
@@ -4,6 +4,7 @@
 #include "admission/rate_limit.hpp"
 #include "base/instance_id.hpp"
 #include "base/service_id.hpp"
+#include "node/cold_guard.hpp"
 #include "node/refusal_reason.hpp"
 #include "routing/run_time_average.hpp"
 
@@ -28,6 +29,7 @@
     admission::rate_limit rate;
     /// Time for which calls occupy a slot, for load reports.
     routing::run_time_average run_time;
+    cold_guard cold;
 };
 
 } // namespace damaskladder::node
--- a/src/node/local_backend_server.hpp
+++ b/src/node/local_backend_server.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "base/instance_id.hpp"
+#include "base/request_count.hpp"
 #include "base/service_id.hpp"
 #include "base/slot_count.hpp"
 #include "base/time.hpp"
 
 #include <chrono>
+#include <optional>
 
 namespace damaskladder::node {
 
@@ -23,6 +25,12 @@
     base::instance_id instance = {};
     /// Its failure domain is evacuated, so it gets no new calls.
     bool evacuated = false;
+    /// Most requests in one second while the server is cold; empty if its service has no limit.
+    std::optional<base::request_count> cold_burst = std::nullopt;
+    /// The server has announced that it is cold until this time.
+    base::time_point cold_until = {};
+    /// Arrival of the server's last announcement.
+    base::time_point announced_at = {};
 };
 
 } // namespace damaskladder::node
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -43,6 +43,10 @@
     /// What leaves the own failure domain with placement_options::by_completion.
     const domain_spill& spill() const { return m_spill; }
 
+    /// Whether the server is excluded for requests of this importance, since it is limited.
+    bool is_limited(const base::node_id& node, base::importance importance,
+                    base::time_point now) const;
+
     /// Removes the state of servers unused for 1 minute and without outstanding calls.
     void remove_idle(base::time_point now);
 
