Admission: no workspace is served less than half as often as the mean

Change: the probability with which a request of a workspace is shed is bounded. Measured: with demands 10, 10, 10, 10, 60 and 0.6 shed the largest is served 0.20 instead of 0.13 of its requests (new table row). Ruled out: to shed the rest from the others at once; the controller raises the fraction instead.

--- a/src/admission/workspace_demand.cpp
+++ b/src/admission/workspace_demand.cpp
@@ -13,6 +13,9 @@
 constexpr base::duration memory = std::chrono::seconds(5);
 constexpr base::duration decay_interval = std::chrono::milliseconds(250);
 constexpr double forgotten = 0.02;
+/// A workspace is served at least this fraction as often as the mean. A max-min share alone would
+/// refuse nearly all requests of a workspace that sends many times as much as the others.
+constexpr double min_service = 0.5;
 
 const base::workspace_id rest;
 
@@ -46,7 +49,8 @@
         }
         admitted -= demands[served];
     }
-    return std::max(0.0, 1 - share / own->second);
+    const double highest = 1 - min_service * (1 - fraction);
+    return std::clamp(1 - share / own->second, 0.0, highest);
 }
 
 const base::workspace_id& workspace_demand::bucket_of(const base::workspace_id& workspace) const
--- a/src/admission/workspace_demand_test.cpp
+++ b/src/admission/workspace_demand_test.cpp
@@ -47,6 +47,11 @@
                     demand_case{"one above the mean", {10, 30}, 0.4, {0, 16 / 30.0}},
                     demand_case{"all above the share", {10, 30}, 0.8, {0.6, 26 / 30.0}},
                     demand_case{"three", {2, 6, 12}, 0.5, {0, 2 / 6.0, 8 / 12.0}},
+                    demand_case{"one far above the others", {2, 2, 96}, 0.4, {0, 0, 40 / 96.0}},
+                    demand_case{"one far above the others, much to shed",
+                                {10, 10, 10, 10, 60},
+                                0.6,
+                                {0.2, 0.2, 0.2, 0.2, 0.8}},
                     demand_case{"nothing to shed", {10, 30}, 0, {0, 0}}));
 
 // Guards against memory that grows with the number of workspaces, and against workspaces beyond the
