--- a/src/admission/cold_limit.hpp
+++ b/src/admission/cold_limit.hpp
@@ -40,7 +40,7 @@
 private:
     struct sent_request {
         base::time_point at;
-        base::importance level;
+        base::importance level = base::importance::background;
     };
 
     std::int64_t usable() const;
