Routing: only cold servers are excluded for a second after a refusal

Cause: the exclusion for 1 s also applied to warm servers that name a rate, whose bucket is refilled within milliseconds; fleets without cold servers were no longer served as before. The test of cold fleets had bounds taken from its own figures. Change: a warm limited server counts as full for 100 ms, as before. The test checks the stated targets in a suite of its own: under 100 refusals a second, and 0.95 of the critical requests while all servers are cold.

--- a/src/daemon/view_builder_test.cpp
+++ b/src/daemon/view_builder_test.cpp
@@ -47,7 +47,9 @@
     from.domain = base::failure_domain_id(GetParam().own);
     from.settings = make_tables(settings::compiled_settings::compile(tree));
     from.services = services;
-    from.local = member_in(GetParam().own).backends;
+    for (const auto& backend : member_in(GetParam().own).backends) {
+        from.local.push_back({backend, {}, {}});
+    }
     const auto view = build_view(from);
 
     const base::failure_domain_id evacuated(GetParam().evacuated);
--- a/src/node/cold_servers_test.cpp
+++ b/src/node/cold_servers_test.cpp
@@ -25,10 +25,6 @@
     /// Times at which the servers become warm.
     std::vector<std::int64_t> warm_at_ms;
     double requests_per_second;
-    /// Smallest fraction of the critical requests that is served while all servers are cold.
-    double min_critical;
-    /// Most refusals of gatekeepers in one second.
-    int max_refused;
 };
 
 struct simulated_server {
@@ -213,7 +209,6 @@
     cold_fleet fleet(row);
     fleet.run(end_ms);
     EXPECT_LE(fleet.most_sent_in_one_second(), 22U);
-    EXPECT_LE(fleet.most_refused_in_one_second(), row.max_refused);
     // The first second is full, as every gatekeeper starts; windows last 1 s.
     const auto first_warm = row.warm_at_ms.front() / 1'000;
     const double critical = fleet.served_fraction(1, first_warm, base::importance::critical);
@@ -221,7 +216,6 @@
     const double low = fleet.served_fraction(1, first_warm, base::importance::low);
     RecordProperty("served", std::to_string(critical) + " " + std::to_string(normal) + " " +
                                  std::to_string(low));
-    EXPECT_GE(critical, row.min_critical);
     EXPECT_GE(critical, normal);
     EXPECT_GE(normal, low);
     double before = 0;
@@ -241,10 +235,31 @@
 
 INSTANTIATE_TEST_SUITE_P(
     table, cold_fleets,
-    testing::Values(cold_fleet_case{"low_load", {3'000, 6'000, 9'000, 12'000}, 60, 0.95, 40},
-                    cold_fleet_case{"load", {3'000, 6'000, 9'000, 12'000}, 240, 0.85, 500},
-                    cold_fleet_case{"high_load", {3'000, 6'000, 9'000, 12'000}, 300, 0.7, 560}),
+    testing::Values(cold_fleet_case{"low_load", {3'000, 6'000, 9'000, 12'000}, 60},
+                    cold_fleet_case{"load", {3'000, 6'000, 9'000, 12'000}, 240},
+                    cold_fleet_case{"high_load", {3'000, 6'000, 9'000, 12'000}, 300}),
     [](const auto& tested) { return tested.param.name; });
 
+class all_cold : public testing::TestWithParam<cold_fleet_case> {};
+
+// Guards against refusals by the hundred at gatekeepers, and against critical requests that are
+// refused although the cold servers have room for all of them (88 a second).
+TEST_P(all_cold, serve_critical_requests_with_few_refusals)
+{
+    const auto& row = GetParam();
+    const auto first_warm = row.warm_at_ms.front() / 1'000;
+    cold_fleet fleet(row);
+    fleet.run(row.warm_at_ms.front());
+    EXPECT_LT(fleet.most_refused_in_one_second(), 100);
+    EXPECT_GE(fleet.served_fraction(1, first_warm, base::importance::critical), 0.95);
+}
+
+INSTANTIATE_TEST_SUITE_P(table, all_cold,
+                         testing::Values(cold_fleet_case{"low_load", {3'000, 3'000}, 40},
+                                         cold_fleet_case{"load", {3'000, 3'000, 3'000, 3'000}, 240},
+                                         cold_fleet_case{
+                                             "high_load", {3'000, 3'000, 3'000, 3'000}, 300}),
+                         [](const auto& tested) { return tested.param.name; });
+
 } // namespace
 } // namespace damaskladder::node
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -109,6 +109,10 @@
     auto& outstanding = state.outstanding.at(index_of(importance));
     outstanding = std::max<std::int64_t>(0, outstanding - 1);
     --state.outstanding_since_report;
+    if (result == attempt_result::limited && !state.cold) {
+        // A rate that a warm server names is refilled within milliseconds.
+        result = attempt_result::shed;
+    }
     switch (result) {
     case attempt_result::answered:
         state.attempts = state.attempts * decay_factor + 1;
@@ -192,6 +196,7 @@
     options.reserve(servers.size());
     for (const auto& server : servers) {
         server_state& state = state_of(server, now);
+        state.cold = server.cold;
         const bool excluded = std::find(request.excluded.begin(), request.excluded.end(),
                                         server.node) != request.excluded.end();
         const bool limited = now < state.limited_until.at(index_of(request.importance));
--- a/src/routing/router_options.hpp
+++ b/src/routing/router_options.hpp
@@ -22,9 +22,9 @@
     base::duration known_lifetime{std::chrono::seconds(2)};
     /// Time for which a server counts as full after it shed a request.
     base::duration shed_cooldown{std::chrono::milliseconds(100)};
-    /// Time for which a server gets no attempts after its gatekeeper reported that it is limited,
-    /// so that many entry nodes do not all repeat their attempts at it. For those of higher
-    /// importance it keeps a reserve.
+    /// Time for which a cold server gets no attempts after its gatekeeper reported that it is
+    /// limited, so that many entry nodes do not all repeat their attempts at it. For those of
+    /// higher importance it keeps a reserve.
     base::duration limited_exclusion_duration{std::chrono::seconds(1)};
     /// Consecutive failures that eject a server. Failed connections need fewer, because they are
     /// unambiguous.
--- a/src/routing/router_test.cpp
+++ b/src/routing/router_test.cpp
@@ -317,9 +317,10 @@
 
 // Guards against many entry nodes that all repeat their attempts at a limited server, and against
 // critical requests that are kept from it because a less important one was refused.
-TEST(router, limited_server_is_excluded_for_requests_of_at_most_this_importance)
+TEST(router, limited_cold_server_is_excluded_for_requests_of_at_most_this_importance)
 {
-    const std::vector<backend_server> servers{server_of("1", "a")};
+    std::vector<backend_server> servers{server_of("1", "a")};
+    servers.front().cold = true;
     router chooser(seeded(3));
     auto request = from_domain("a");
     request.importance = base::importance::normal;
@@ -335,6 +336,18 @@
     EXPECT_TRUE(chooser.choose(servers, request, at_ms(1)));
 }
 
+// Guards against a warm server that names its rate and gets nothing for a second after a refusal.
+TEST(router, limited_warm_server_stays_eligible)
+{
+    const std::vector<backend_server> servers{server_of("1", "a")};
+    router chooser(seeded(3));
+    const auto request = from_domain("a");
+    ASSERT_TRUE(chooser.choose(servers, request, at_ms(0)));
+    chooser.on_attempt_ended(base::node_id("1"), request.importance, attempt_result::limited,
+                             at_ms(0));
+    EXPECT_TRUE(chooser.choose(servers, request, at_ms(1)));
+}
+
 // Guards against a cold server that gets all requests of its failure domain, or none at all.
 TEST(router, cold_server_gets_a_small_part)
 {
--- a/src/routing/server_state.hpp
+++ b/src/routing/server_state.hpp
@@ -32,6 +32,8 @@
     std::int64_t outstanding_since_report = 0;
     base::time_point full_until;
     base::time_point draining_until;
+    /// Announced as cold at the last choice.
+    bool cold = false;
     /// The gatekeeper refuses requests of each importance until then, because the server is
     /// limited.
     std::array<base::time_point, base::importance_levels> limited_until{};
