daemon: the restart test of evacuations asks a leader

Cause: the loop of the test asked a replica that did not lead yet, which refuses at once, so its own loop never ran and it ended after 20 s (3 rows failed). Change: it waits for the leadership before each question.

--- a/src/daemon/operator_api_test.cpp
+++ b/src/daemon/operator_api_test.cpp
@@ -94,6 +94,7 @@
         bool confirmed = false;
         const auto give_up = http::event_loop::now() + std::chrono::seconds(20);
         while (!confirmed && http::event_loop::now() < give_up) {
+            ASSERT_TRUE(http::run_until(m_loop, [this] { return m_replica.leads(); }));
             bool ended = false;
             m_replica.query([&](const control::submission_refused* refused) {
                 confirmed = refused == nullptr;
