--- a/src/daemon/leaving_report_test.cpp
+++ b/src/daemon/leaving_report_test.cpp
@@ -30,8 +30,10 @@
 {
     const leaving_report report(
         [] {
+            constexpr int count = 100;
             std::vector<node::leaving_service> services;
-            for (int n = 0; n < 100; ++n) {
+            services.reserve(count);
+            for (int n = 0; n < count; ++n) {
                 services.push_back({base::service_id("s" + std::to_string(n)), n / 100.0, 1, 1});
             }
             return services;
--- a/src/daemon/traffic_frontend_test.cpp
+++ b/src/daemon/traffic_frontend_test.cpp
@@ -467,7 +467,7 @@
                 "\r\nContent-Length: 0\r\nDamaskladder-Key: " + key + "\r\n\r\n";
     }
     http::raw_socket_caller caller(node.frontend().callers_port(), sent);
-    const auto sorted = [](std::string targets) {
+    const auto sorted = [](const std::string& targets) {
         std::istringstream words(targets);
         std::vector<std::string> list(std::istream_iterator<std::string>(words), {});
         std::sort(list.begin(), list.end());
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -451,7 +451,7 @@
     return advanced;
 }
 
-void server_connection::notify_writable(std::shared_ptr<exchange> to)
+void server_connection::notify_writable(const std::shared_ptr<exchange>& to)
 {
     if (to->m_connection != nullptr && to->m_on_writable && has_output_space(*to)) {
         // A copy, because the hook may complete the exchange, which releases its hooks.
@@ -530,7 +530,7 @@
     ended.clear_hooks();
 }
 
-void server_connection::disconnect(std::vector<std::shared_ptr<exchange>> open)
+void server_connection::disconnect(const std::vector<std::shared_ptr<exchange>>& open)
 {
     std::vector<std::function<void()>> hooks;
     for (const auto& each : open) {
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -101,9 +101,9 @@
     void front_complete();
     /// Resets the connection once the responses before an aborted one have arrived.
     void reset_when_acknowledged();
-    void notify_writable(std::shared_ptr<exchange> to);
+    void notify_writable(const std::shared_ptr<exchange>& to);
     void end_exchange(exchange& ended);
-    void disconnect(std::vector<std::shared_ptr<exchange>> open);
+    void disconnect(const std::vector<std::shared_ptr<exchange>>& open);
     void start_draining();
 
     server& m_owner;
--- a/src/node/entry_machine.cpp
+++ b/src/node/entry_machine.cpp
@@ -757,7 +757,7 @@
         // may have regained capacity, so all are eligible again.
         request.tried_gatekeepers.clear();
         wanted.excluded.clear();
-        if (const auto chosen = router.choose(service.servers, wanted, ctx.now)) {
+        if (auto chosen = router.choose(service.servers, wanted, ctx.now)) {
             return chosen;
         }
     }
