--- a/review/standin-2/fleet.cpp
+++ b/review/standin-2/fleet.cpp
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -31,6 +32,8 @@
 std::set<pid_t> tracked;
 std::string work_folder;
 const pid_t main_process = getpid();
+/// A case runs for 120 s at most.
+constexpr double longest_run_s = 112;
 
 std::mt19937_64& engine()
 {
@@ -140,6 +143,11 @@
     tracked.erase(child);
 }
 
+void end_with_parent()
+{
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
 void finish(int code, const std::string& why)
 {
     if (getpid() != main_process) {
@@ -179,6 +187,10 @@
     : m_cores(static_cast<std::size_t>(cores))
 {
     std::signal(SIGPIPE, SIG_IGN);
+    std::thread([] {
+        pause(longest_run_s);
+        finish(2, "out of time");
+    }).detach();
     char pattern[] = "/tmp/review-2-XXXXXX";
     const char* made = mkdtemp(pattern);
     if (made == nullptr) {
@@ -270,6 +282,7 @@
     const std::string log = m_folder + "/" + vm.name + ".log";
     const pid_t child = fork();
     if (child == 0) {
+        end_with_parent();
         const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(out, 1);
         dup2(out, 2);
--- a/review/standin-2/fleet.hpp
+++ b/review/standin-2/fleet.hpp
@@ -49,6 +49,9 @@
 void track(pid_t child);
 void untrack(pid_t child);
 
+/// To be called by a child process: it ends when the thread that started it does.
+void end_with_parent();
+
 bool trouble();
 
 class fleet {
