Consensus: a lost voter and its successor never count in the same quorum

No config could be read or changed any more, for good, although the losses were a catch_up_s apart.

Cause: the successor was promoted as soon as it had caught up, beside the VM that was gone. That one was removed after 6 s of silence, counted anew by each leader. In between the quorum was three of four with one known to be lost.

Ruled out: a successor that was admitted late (it was a voter after 0.8 s), and a wiped VM that is refused (there was no leader to refuse it).

Change: a voter that is silent for 1 s is removed once a learner has caught up, also below 2 f + 1 live voters. A learner is promoted only after every voter has answered a round that began after it had caught up, which a lost voter never does; so a new leader, which counts silence from its election, cannot promote it too early either. That covers a successor that is itself lost again while it catches up. voter_replaced_after is gone: a standby takes the place of a removed voter.

--- a/src/consensus/follower_progress.hpp
+++ b/src/consensus/follower_progress.hpp
@@ -10,6 +10,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 
 namespace damaskladder::consensus {
 
@@ -30,6 +31,8 @@
     /// Latest heartbeat round that the follower acknowledged.
     round_number acked_round;
     base::time_point last_heard;
+    /// Round in which this learner was first found to have caught up; reset when it falls behind.
+    std::optional<round_number> caught_up_in;
     /// Snapshot being transferred. It does not change during a transfer, even if a newer one is
     /// taken.
     std::shared_ptr<const snapshot> transfer;
--- a/src/consensus/membership_policy.cpp
+++ b/src/consensus/membership_policy.cpp
@@ -1,5 +1,7 @@
 #include "consensus/membership_policy.hpp"
 
+#include <algorithm>
+
 namespace damaskladder::consensus {
 
 namespace {
@@ -90,15 +92,28 @@
     return m_leaving.count(identity) != 0;
 }
 
+bool membership_policy::has_successor(const replica_status& status) const
+{
+    return std::any_of(status.members.members.begin(), status.members.members.end(),
+                       [&](const member& each) {
+                           return each.role == member_role::learner && !is_leaving(each.identity) &&
+                                  status.has_caught_up(each.identity.id);
+                       });
+}
+
 bool membership_policy::can_remove(const replica_status& status, const member& candidate,
                                    base::time_point now) const
 {
     const auto heard = status.last_heard(candidate.identity.id);
+    const bool is_voter = candidate.role == member_role::voter;
+    if (is_voter && heard && now - *heard > m_options.live_voter_timeout && has_successor(status)) {
+        return true;
+    }
     const bool silent = heard && now - *heard > m_options.removal_timeout;
     if (!silent && !is_leaving(candidate.identity)) {
         return false;
     }
-    if (candidate.role == member_role::learner) {
+    if (!is_voter) {
         return true;
     }
     // Starts at 1 for this leader itself.
--- a/src/consensus/membership_policy.hpp
+++ b/src/consensus/membership_policy.hpp
@@ -15,6 +15,10 @@
 /// operator: adds replicas that ask to join, under the identity of their data folder, and removes
 /// members that announce their stop or are silent, as long as enough other voters remain.
 ///
+/// A silent voter is removed early if a learner has caught up and can take its place. The leader
+/// promotes the learner only after that, so that no quorum counts on both: until the learner itself
+/// has lasted, the other voters alone must be a quorum.
+///
 /// A replica whose folder was wiped asks to join with a new identity, which replaces the old one
 /// with the same id. It counts towards a quorum again only after it has caught up as a learner.
 class membership_policy {
@@ -46,6 +50,8 @@
     /// Whether the change was refused lately for a reason that does not pass by itself.
     bool is_deferred(const membership_change& change, base::time_point now) const;
     bool is_leaving(const replica_identity& identity) const;
+    /// Whether a learner can take the place of a voter.
+    bool has_successor(const replica_status& status) const;
     bool can_remove(const replica_status& status, const member& candidate,
                     base::time_point now) const;
 
--- a/src/consensus/membership_policy_test.cpp
+++ b/src/consensus/membership_policy_test.cpp
@@ -8,6 +8,7 @@
 namespace damaskladder::consensus {
 namespace {
 
+using namespace std::chrono_literals;
 using std::chrono::seconds;
 
 replica_identity identity(const std::string& id, std::uint64_t nonce = 1)
@@ -76,6 +77,16 @@
     return status;
 }
 
+/// Leader "a" with voter "b", voter "c" that is silent for some time, and learner "d".
+replica_status with_learner(base::duration silence_of_c, bool caught_up)
+{
+    auto status = leader_of({"b", "c"});
+    status.contacts.back().last_heard = at(100) - silence_of_c;
+    status.members.members.push_back({identity("d"), member_role::learner});
+    status.contacts.push_back({replica_id("d"), at(100), caught_up});
+    return status;
+}
+
 void nothing(membership_policy& /*policy*/) {}
 
 class membership_decisions : public testing::TestWithParam<policy_case> {};
@@ -105,6 +116,15 @@
                     [](auto& u) { u.on_join_request(identity("d"), at(99)); }, "none"},
         policy_case{"silent_of_three", silent_one({"b", "c"}, "c"), nothing, "none"},
         policy_case{"silent_of_four", silent_one({"b", "c", "d"}, "c"), nothing, "remove c"},
+        policy_case{"silent_of_three_with_a_successor", with_learner(1100ms, true), nothing,
+                    "remove c"},
+        policy_case{"silent_of_three_with_a_successor_that_catches_up", with_learner(1100ms, false),
+                    nothing, "none"},
+        policy_case{"silent_of_three_with_a_successor_that_leaves", with_learner(1100ms, true),
+                    [](auto& u) { u.on_leave_request(identity("d"), at(100)); }, "remove d"},
+        policy_case{"silent_for_a_short_time_beside_a_learner", with_learner(900ms, true), nothing,
+                    "none"},
+        policy_case{"live_beside_a_learner", with_learner(0ms, true), nothing, "none"},
         policy_case{"leaving_of_three", leader_of({"b", "c"}),
                     [](auto& u) { u.on_leave_request(identity("b"), at(100)); }, "none"},
         policy_case{"leaving_of_four", leader_of({"b", "c", "d"}),
--- a/src/consensus/replica_core.cpp
+++ b/src/consensus/replica_core.cpp
@@ -76,7 +76,7 @@
     std::vector<member_contact> all;
     if (m_leader_state) {
         for (const auto& [id, follower] : m_leader_state->followers) {
-            all.push_back({id, follower.last_heard});
+            all.push_back({id, follower.last_heard, has_caught_up(follower)});
         }
     }
     return all;
--- a/src/consensus/replica_core.hpp
+++ b/src/consensus/replica_core.hpp
@@ -124,9 +124,13 @@
     std::optional<refusal_reason> check_change(const membership_change& change) const;
     void append_configuration(configuration changed);
     void refresh_followers();
+    /// Promotes a learner that has caught up, once every voter has answered a round that began
+    /// after that. A learner that replaces a lost voter is therefore promoted only after that voter
+    /// has been removed: otherwise the quorum would count on both, and the next loss could stop the
+    /// cluster for good.
     void promote_learner_if_due();
-    /// Voters that were heard within voter_replaced_after.
-    std::size_t reachable_voter_count() const;
+    bool has_caught_up(const follower_progress& follower) const;
+    bool all_voters_answered_after(round_number round) const;
     void step_down_if_removed();
 
     // Snapshot transfer.
--- a/src/consensus/replica_membership.cpp
+++ b/src/consensus/replica_membership.cpp
@@ -120,17 +120,23 @@
 {
     const bool may_change = m_leader_state && current_term_committed() &&
                             !m_leader_state->transfer_target && m_log.members_index() <= m_commit;
-    if (!may_change || reachable_voter_count() >= m_options.max_voters) {
+    const configuration& members = m_log.members();
+    if (!may_change || members.voter_count() >= m_options.max_voters) {
         return;
     }
-    for (const auto& [id, follower] : m_leader_state->followers) {
-        const bool recent = m_now - follower.last_heard < m_options.election_timeout;
-        const bool caught_up =
-            follower.state == progress_state::replicating &&
-            entries_between(follower.match, m_log.last_index()) <= m_options.promotion_lag_entries;
-        const bool is_learner = !m_log.members().is_voter(follower.identity);
-        if (is_learner && recent && caught_up) {
-            configuration changed = m_log.members();
+    for (auto& [id, follower] : m_leader_state->followers) {
+        if (members.is_voter(follower.identity)) {
+            continue;
+        }
+        if (!has_caught_up(follower)) {
+            follower.caught_up_in.reset();
+            continue;
+        }
+        if (!follower.caught_up_in) {
+            follower.caught_up_in = m_leader_state->round;
+        }
+        if (all_voters_answered_after(*follower.caught_up_in)) {
+            configuration changed = members;
             for (member& each : changed.members) {
                 if (each.identity == follower.identity) {
                     each.role = member_role::voter;
@@ -142,14 +148,20 @@
     }
 }
 
-std::size_t replica_core::reachable_voter_count() const
+bool replica_core::has_caught_up(const follower_progress& follower) const
 {
-    std::size_t count = m_log.members().is_voter(m_self) ? 1 : 0;
-    for (const auto& [id, follower] : m_leader_state->followers) {
-        const bool reachable = m_now - follower.last_heard < m_options.voter_replaced_after;
-        count += reachable && m_log.members().is_voter(follower.identity) ? 1 : 0;
-    }
-    return count;
+    return m_now - follower.last_heard < m_options.election_timeout &&
+           follower.state == progress_state::replicating &&
+           entries_between(follower.match, m_log.last_index()) <= m_options.promotion_lag_entries;
+}
+
+bool replica_core::all_voters_answered_after(round_number round) const
+{
+    const auto& followers = m_leader_state->followers;
+    return std::all_of(followers.begin(), followers.end(), [&](const auto& each) {
+        const follower_progress& follower = each.second;
+        return !m_log.members().is_voter(follower.identity) || follower.acked_round > round;
+    });
 }
 
 void replica_core::step_down_if_removed()
--- a/src/consensus/replica_options.hpp
+++ b/src/consensus/replica_options.hpp
@@ -45,11 +45,8 @@
     /// Further replicas are refused admission.
     std::size_t max_members = 31;
     /// Learners are promoted up to this number of voters. The others stay learners, which follow
-    /// the log without a vote, until a voter is removed or silent.
+    /// the log without a vote, until a voter is removed.
     std::size_t max_voters = 15;
-    /// A voter that is silent for longer does not count towards max_voters, so that a learner can
-    /// take its place before it is removed: its removal may have to wait for that.
-    base::duration voter_replaced_after = std::chrono::seconds(2);
 
     /// A snapshot is requested once this many entries have been applied since the last one, or
     /// entries of this total size, whichever comes first. A snapshot that is larger than
--- a/src/consensus/replica_status.hpp
+++ b/src/consensus/replica_status.hpp
@@ -32,6 +32,8 @@
 
     /// Time of the last contact with a member; nullopt if contacts does not have it.
     std::optional<base::time_point> last_heard(const replica_id& id) const;
+    /// member_contact::caught_up of a member; false if contacts does not have it.
+    bool has_caught_up(const replica_id& id) const;
 };
 
 } // namespace damaskladder::consensus
--- a/src/consensus/test_cluster.hpp
+++ b/src/consensus/test_cluster.hpp
@@ -45,6 +45,10 @@
     void wipe(std::size_t number);
     /// From its next start on, the replica rejoins a cluster instead of forming it.
     void set_rejoins(std::size_t number) { m_replicas[number].rejoins = true; }
+    /// A frozen replica does nothing in run(); what is delivered to it waits until it thaws.
+    void freeze(std::size_t number) { m_replicas[number].frozen = true; }
+    void thaw(std::size_t number);
+    bool is_frozen(std::size_t number) const { return m_replicas[number].frozen; }
     /// Only replicas of the same group receive each other's messages.
     void set_group(std::size_t number, int group) { m_replicas[number].group = group; }
     void heal();
@@ -101,6 +105,8 @@
         std::optional<replica> core;
         int group = 0;
         bool rejoins = false;
+        bool frozen = false;
+        std::vector<envelope> received_while_frozen;
         log_index applied;
         std::uint64_t hash = 0;
         std::optional<log_index> wanted_snapshot;
--- a/src/consensus/test_cluster_test.cpp
+++ b/src/consensus/test_cluster_test.cpp
@@ -91,7 +91,13 @@
         return static_cast<std::size_t>(id.value()[0] - 'a');
     };
     const std::size_t to = number_of(delivered.to.id);
-    if (m_replicas[to].group == m_replicas[number_of(delivered.from.id)].group) {
+    if (m_replicas[to].group != m_replicas[number_of(delivered.from.id)].group) {
+        return;
+    }
+    if (is_frozen(to)) {
+        m_replicas[to].received_while_frozen.push_back(delivered);
+    }
+    else {
         step(to, message_received{delivered});
     }
 }
@@ -144,6 +150,15 @@
     start(number);
 }
 
+void test_cluster::thaw(std::size_t number)
+{
+    m_replicas[number].frozen = false;
+    const auto received = std::exchange(m_replicas[number].received_while_frozen, {});
+    for (const envelope& each : received) {
+        step(number, message_received{each});
+    }
+}
+
 void test_cluster::heal()
 {
     for (std::size_t i = 0; i < size(); ++i) {
@@ -157,7 +172,9 @@
     while (m_now < end) {
         pass_time(m_options.tick_interval);
         for (std::size_t i = 0; i < size(); ++i) {
-            tick(i);
+            if (!is_frozen(i)) {
+                tick(i);
+            }
         }
         deliver_all();
     }
