Membership policy: a replica that was wiped twice is not replaced by its first identity

What operators would see: a replica that loses its disk again within 2 s of its return flaps between two identities, replica_added each 0.3 s, and starts to catch up anew each time.

Cause: join requests were kept for each identity, for 2 s. Once the second identity was a member, the request of the first, whose folder is gone, was taken for a new replica, and replaced it.

The loss is within the catch_up_s of the first one, so no allowed order of losses makes it worse than slow.

Change: one request for each replica id; a later one takes the place of an earlier one.

--- a/src/consensus/membership_policy.cpp
+++ b/src/consensus/membership_policy.cpp
@@ -25,7 +25,7 @@
 
 void membership_policy::on_join_request(const replica_identity& identity, base::time_point now)
 {
-    m_joining[identity] = now;
+    m_joining[identity.id] = {identity.nonce, now};
 }
 
 void membership_policy::on_leave_request(const replica_identity& identity, base::time_point now)
@@ -56,7 +56,8 @@
             return change;
         }
     }
-    for (const auto& [identity, requested_at] : m_joining) {
+    for (const auto& [id, request] : m_joining) {
+        const replica_identity identity{id, request.nonce};
         const add_replica change{identity};
         const auto* present = status.members.find(identity.id);
         const bool is_member = present != nullptr && present->identity == identity;
@@ -69,11 +70,11 @@
 
 void membership_policy::drop_expired(base::time_point now)
 {
-    const auto is_expired = [&](const auto& item) {
-        return now - item.second > m_options.request_lifetime;
+    const auto is_expired = [&](base::time_point requested_at) {
+        return now - requested_at > m_options.request_lifetime;
     };
-    std::erase_if(m_joining, is_expired);
-    std::erase_if(m_leaving, is_expired);
+    std::erase_if(m_joining, [&](const auto& item) { return is_expired(item.second.at); });
+    std::erase_if(m_leaving, [&](const auto& item) { return is_expired(item.second); });
     // Kept beyond the backoff, so that on_refused recognizes a repeated refusal.
     std::erase_if(m_refused, [&](const auto& item) {
         return now - item.second.at > m_options.refusal_backoff + m_options.request_lifetime;
--- a/src/consensus/membership_policy.hpp
+++ b/src/consensus/membership_policy.hpp
@@ -25,7 +25,8 @@
 public:
     explicit membership_policy(membership_policy_options options = {}) : m_options(options) {}
 
-    /// A replica asks to become a member. It repeats the request until it is one.
+    /// A replica asks to become a member. It repeats the request until it is one. A request takes
+    /// the place of an earlier one with the same id and another nonce, whose folder is gone.
     void on_join_request(const replica_identity& identity, base::time_point now);
     /// A member announces that it is about to stop.
     void on_leave_request(const replica_identity& identity, base::time_point now);
@@ -46,6 +47,11 @@
         base::time_point at;
     };
 
+    struct join_request {
+        identity_nonce nonce;
+        base::time_point at;
+    };
+
     void drop_expired(base::time_point now);
     /// Whether the change was refused lately for a reason that does not pass by itself.
     bool is_deferred(const membership_change& change, base::time_point now) const;
@@ -56,7 +62,7 @@
                     base::time_point now) const;
 
     membership_policy_options m_options;
-    std::map<replica_identity, base::time_point> m_joining;
+    std::map<replica_id, join_request> m_joining;
     std::map<replica_identity, base::time_point> m_leaving;
     /// By the identity to be added, or by the id to be removed without a nonce.
     std::map<replica_identity, refusal> m_refused;
--- a/src/consensus/membership_policy_test.cpp
+++ b/src/consensus/membership_policy_test.cpp
@@ -70,6 +70,14 @@
     return status;
 }
 
+/// Voters "a" and "b", and learner `id`, the last one of them, under another identity.
+replica_status wiped(const std::string& id, std::uint64_t nonce)
+{
+    auto status = leader_of({"b", id});
+    status.members.members.back() = {identity(id, nonce), member_role::learner};
+    return status;
+}
+
 replica_status follower()
 {
     auto status = leader_of({"b", "c"});
@@ -108,6 +116,18 @@
                     [](auto& u) { u.on_join_request(identity("d"), at(99)); }, "add d/1"},
         policy_case{"a_wiped_replica_asks", leader_of({"b", "c"}),
                     [](auto& u) { u.on_join_request(identity("c", 2), at(99)); }, "add c/2"},
+        policy_case{"wiped_twice_and_admitted", wiped("c", 3),
+                    [](auto& u) {
+                        u.on_join_request(identity("c", 2), at(99));
+                        u.on_join_request(identity("c", 3), at(100));
+                    },
+                    "none"},
+        policy_case{"wiped_twice_before_it_was_admitted", leader_of({"b", "c"}),
+                    [](auto& u) {
+                        u.on_join_request(identity("c", 3), at(99));
+                        u.on_join_request(identity("c", 2), at(100));
+                    },
+                    "add c/2"},
         policy_case{"a_member_asks", leader_of({"b", "c"}),
                     [](auto& u) { u.on_join_request(identity("c"), at(99)); }, "none"},
         policy_case{"an_old_request", leader_of({"b", "c"}),
