HTTP: a reset during an upload is not taken for the end of the answer

The client got half the body with a proper last chunk, as a complete 200.

Cause: Linux reports the error of a connection to one call. The write of the upload took ECONNRESET, and the read after it returned 0, the same as after a close, so that the body counted as ended. A second read after a failed one, and one after SO_ERROR, did the same.

Ruled out: a reset that is taken for the end without a write before (the first read fails as it should), and the entry node completing what the gatekeeper broke off.

Change: stream_socket records the error that any of its calls returns; a read never reports the peer's end after an error that came before the peer's close. A close that came first still counts: the write then fails with EPIPE, or the event of the close was reported before.

--- a/src/daemon/traffic_frontend_test.cpp
+++ b/src/daemon/traffic_frontend_test.cpp
@@ -1,6 +1,7 @@
 #include "daemon/own_dialect.hpp"
 #include "daemon/secure_random.hpp"
 #include "daemon/traffic_frontend.hpp"
+#include "http/early_answer_fake.hpp"
 #include "http/raw_socket_fake.hpp"
 #include "http/response_list.hpp"
 #include "http/run_until.hpp"
@@ -38,6 +39,14 @@
         m_frontend.set_view(make_view());
     }
 
+    /// Sends requests to another backend server, with bodies of any size.
+    void use_backend(std::uint16_t port)
+    {
+        m_backend_port = port;
+        m_max_body = base::byte_count(1 << 30);
+        m_frontend.set_view(make_view());
+    }
+
     http::event_loop& loop() { return m_loop; }
     /// Runs of the backend server that were reported as leaving.
     const std::vector<base::instance_id>& leaving() const { return m_leaving; }
@@ -160,7 +169,7 @@
         m_route.service = service;
         m_route.timeout = std::chrono::seconds(10);
         m_route.retries = base::retry_count(0);
-        m_route.max_body = base::byte_count(4 << 20);
+        m_route.max_body = m_max_body;
         m_route.max_staleness = std::chrono::hours(1);
         m_once = m_route;
         m_once.idempotent = false;
@@ -185,7 +194,7 @@
         auto out = std::make_shared<traffic_view>();
         out->node = view;
         out->gatekeepers[view->self] = {"127.0.0.1", m_frontend.peers_port()};
-        out->local[service] = {"127.0.0.1", m_backend.port()};
+        out->local[service] = {"127.0.0.1", m_backend_port.value_or(m_backend.port())};
         return out;
     }
 
@@ -195,6 +204,8 @@
     node::route_entry m_once;
     node::key_entry m_key;
     std::vector<base::instance_id> m_leaving;
+    std::optional<std::uint16_t> m_backend_port;
+    base::byte_count m_max_body{4 << 20};
     http::server m_backend;
     http::client m_client;
     node::traffic_machine m_machine;
@@ -400,6 +411,40 @@
                      true, 403, "not-run"}),
     [](const auto& tested) { return tested.param.name; });
 
+struct early_case {
+    std::string name;
+    http::server_end end;
+    http::transfer_result::kind expected;
+};
+
+class early_answers : public testing::TestWithParam<early_case> {};
+
+// Guards against half an answer that its backend server reset during the upload and that the nodes
+// passed on with a proper end.
+TEST_P(early_answers, reach_the_caller_as_they_ended)
+{
+    constexpr std::size_t upload_size = std::size_t{64} << 20;
+    http::early_answer_fake server("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf",
+                                   GetParam().end);
+    frontend_fixture node([](const std::shared_ptr<http::exchange>&) {});
+    node.use_backend(server.port());
+    const auto received = node.call(node.frontend().callers_port(), request_for("/a", with_key),
+                                    std::string(upload_size, 'u'));
+    EXPECT_EQ(received.head.status, 200);
+    ASSERT_TRUE(received.end);
+    EXPECT_EQ(received.end->completion, GetParam().expected) << received.end->text;
+}
+
+INSTANTIATE_TEST_SUITE_P(table, early_answers,
+                         testing::Values(early_case{"reset", http::server_end::reset,
+                                                    http::transfer_result::kind::broken},
+                                         early_case{"closed", http::server_end::closed,
+                                                    http::transfer_result::kind::complete},
+                                         early_case{"closed_then_reset",
+                                                    http::server_end::closed_then_reset,
+                                                    http::transfer_result::kind::complete}),
+                         [](const auto& tested) { return tested.param.name; });
+
 // Guards against requests that keep running at the backend server after the caller has
 // disconnected.
 TEST(traffic_frontend, caller_that_leaves_cancels_at_the_backend_server)
--- a/src/http/stream_socket.cpp
+++ b/src/http/stream_socket.cpp
@@ -77,15 +77,30 @@
     return connecting;
 }
 
-bool stream_socket::finish_connect() const
+bool stream_socket::finish_connect()
 {
     int error = 0;
     socklen_t size = sizeof error;
-    return getsockopt(descriptor(), SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
+    if (getsockopt(descriptor(), SOL_SOCKET, SO_ERROR, &error, &size) != 0) {
+        return false;
+    }
+    if (error != 0) {
+        record_error(error);
+    }
+    return error == 0;
+}
+
+void stream_socket::record_error(int error)
+{
+    // EPIPE is the error of a write after the peer's close, also if the peer has reset the
+    // connection since. It follows every other error, which has been recorded then.
+    m_broken = m_broken || (error != EPIPE && !m_peer_ended);
 }
 
 void stream_socket::update_readiness(std::uint32_t events)
 {
+    const bool whole = (events & (EPOLLHUP | EPOLLERR)) == 0;
+    m_peer_ended = m_peer_ended || (whole && !m_broken && (events & EPOLLRDHUP) != 0);
     m_peer_closed = m_peer_closed || (events & close_events) != 0;
     m_readable = m_readable || (events & (EPOLLIN | close_events)) != 0;
 }
@@ -98,8 +113,11 @@
 stream_socket::io_result stream_socket::read(char* out, std::size_t size)
 {
     auto got = result_of(recv(descriptor(), out, size, 0));
-    if (got.what == io_result::status::transferred && got.size == 0) {
-        got.what = io_result::status::ended;
+    if (got.what == io_result::status::failed) {
+        record_error(errno);
+    }
+    else if (got.what == io_result::status::transferred && got.size == 0) {
+        got.what = m_broken ? io_result::status::failed : io_result::status::ended;
     }
     // A short read has drained the socket; further input is reported by another event.
     const bool short_read = got.what == io_result::status::transferred && got.size < size;
@@ -113,6 +131,7 @@
 {
     const auto sent = result_of(send(descriptor(), data.data(), data.size(), MSG_NOSIGNAL));
     if (sent.what == io_result::status::failed) {
+        record_error(errno);
         m_peer_closed = true;
         m_readable = true;
     }
--- a/src/http/stream_socket.hpp
+++ b/src/http/stream_socket.hpp
@@ -26,9 +26,11 @@
             transferred,
             /// The operation would block.
             blocked,
-            /// The peer has closed its sending side. Only for reads.
+            /// The peer has closed its sending side, and everything before that was read. Only for
+            /// reads.
             ended,
-            /// The connection is broken.
+            /// The connection is broken. A read reports this, and never `ended`, if the connection
+            /// broke before the peer had closed its sending side, whichever call met the error.
             failed,
         };
         status what = status::failed;
@@ -42,7 +44,7 @@
     static std::optional<stream_socket> connect(const address& to);
 
     /// Whether the connection started by connect() is established.
-    bool finish_connect() const;
+    bool finish_connect();
 
     /// Updates the stored readiness from epoll events.
     void update_readiness(std::uint32_t events);
@@ -76,9 +78,17 @@
     int descriptor() const { return m_descriptor.get(); }
 
 private:
+    /// Records the error that a call has returned. The kernel reports it to one call only; the ones
+    /// after it see the same as after a close.
+    void record_error(int error);
+
     base::file_descriptor m_descriptor;
     bool m_readable = false;
     bool m_peer_closed = false;
+    /// The peer has closed its sending side while the connection was whole.
+    bool m_peer_ended = false;
+    /// The connection broke before that.
+    bool m_broken = false;
 };
 
 } // namespace damaskladder::http
