Daemon: a node counts as stopped only when its answers have left the process

Cause: traffic_frontend::stopped counted requests, and a request ends when its last byte has been handed to the connection; up to 80 KiB, and the answers that wait behind it, were then still in the process's buffers.

Ruled out: the kernel dropping what it was given, as shorter answers arrive.

Change: stopped() also waits until no exchange is open, that is, all output was passed to the kernel, which sends it after the exit, too. Tokens are still returned as soon as no request runs.

--- a/src/daemon/traffic_frontend.cpp
+++ b/src/daemon/traffic_frontend.cpp
@@ -185,6 +185,12 @@
     deliver(node::stop_requested{});
 }
 
+bool traffic_frontend::stopped() const
+{
+    return idle() && m_callers.open_exchanges() == 0 && m_peers.open_exchanges() == 0 &&
+           m_backend_servers.open_exchanges() == 0;
+}
+
 std::optional<base::time_point> traffic_frontend::round(base::time_point now)
 {
     const auto deadline = m_logic.next_deadline();
--- a/src/daemon/traffic_frontend.hpp
+++ b/src/daemon/traffic_frontend.hpp
@@ -63,9 +63,13 @@
         m_callers.close_idle_connections();
     }
 
-    /// Starts a graceful stop; stopped() returns true when no request is running.
+    /// Starts a graceful stop.
     void stop();
-    bool stopped() const { return m_stopping && m_inbound.empty(); }
+    /// Whether no request is running after stop(). Answers may still lie in the process's buffers.
+    bool idle() const { return m_stopping && m_inbound.empty(); }
+    /// Whether, besides, all answers have been passed to the kernel, which sends them also after
+    /// the exit.
+    bool stopped() const;
     /// Whether settings have arrived, which are required to decide on requests.
     bool settings_known() const { return m_view && m_view->node->settings_known(); }
     std::size_t running() const { return m_inbound.size(); }
--- a/src/daemon/traffic_frontend_test.cpp
+++ b/src/daemon/traffic_frontend_test.cpp
@@ -5,6 +5,7 @@
 #include "http/raw_socket_fake.hpp"
 #include "http/response_list.hpp"
 #include "http/run_until.hpp"
+#include "http/slow_caller.hpp"
 #include "node/traffic_machine.hpp"
 
 #include <gtest/gtest.h>
@@ -97,6 +98,12 @@
         return *received;
     }
 
+    void run_for(base::duration time)
+    {
+        const auto end = http::event_loop::now() + time;
+        http::run_until(m_loop, [&] { return http::event_loop::now() >= end; });
+    }
+
     void run_until(const std::function<bool()>& done)
     {
         EXPECT_TRUE(http::run_until(m_loop, done));
@@ -411,6 +418,37 @@
                      true, 403, "not-run"}),
     [](const auto& tested) { return tested.param.name; });
 
+class slow_readers : public testing::TestWithParam<std::size_t> {};
+
+// Guards against an answer that is cut because its last part still lies in the buffers of a process
+// that counts as stopped.
+TEST_P(slow_readers, have_their_answers_once_the_node_has_stopped)
+{
+    const std::size_t size = GetParam();
+    bool answered = false;
+    auto node =
+        std::make_unique<frontend_fixture>([&](const std::shared_ptr<http::exchange>& request) {
+            request->respond({}, std::string(size, 'r'));
+            answered = true;
+        });
+    http::slow_caller caller(node->frontend().callers_port(),
+                             std::string("GET /a HTTP/1.1\r\nHost: a\r\nDamaskladder-Key: ") + key +
+                                 "\r\n\r\n");
+    node->run_until([&] { return answered; });
+    node->run_for(std::chrono::milliseconds(100));
+    node->frontend().stop();
+    for (std::size_t rounds = 0; !node->frontend().stopped(); ++rounds) {
+        ASSERT_LT(rounds, size);
+        caller.read_some();
+        node->run_for(std::chrono::milliseconds(1));
+    }
+    node.reset();
+    EXPECT_GE(caller.read_to_the_end(), size);
+}
+
+INSTANTIATE_TEST_SUITE_P(table, slow_readers,
+                         testing::Values(1'000, 40'000, 80'000, 120'000, 160'000, 400'000));
+
 struct early_case {
     std::string name;
     http::server_end end;
--- a/src/daemon/traffic_thread.cpp
+++ b/src/daemon/traffic_thread.cpp
@@ -172,14 +172,16 @@
     m_ready = false;
     m_loop.post([this, done = std::move(done)] {
         m_frontend.stop();
-        m_loop.each_round([this, done, notified = false](
+        m_loop.each_round([this, done, quota_stopped = false, notified = false](
                               base::time_point now) mutable -> std::optional<base::time_point> {
-            if (notified || !m_frontend.stopped()) {
-                return std::nullopt;
+            if (!quota_stopped && m_frontend.idle()) {
+                quota_stopped = true;
+                m_quota.stop(now);
+            }
+            if (!notified && m_frontend.stopped()) {
+                notified = true;
+                done();
             }
-            notified = true;
-            m_quota.stop(now);
-            done();
             return std::nullopt;
         });
     });
