Daemon: the exit waits for answers on their way until shortly before the stop limit

Cause: the margin of 0.8 s before the limit, by which requests have to be answered, was the time of the exit, too, whatever was still being relayed.

Change: stop_schedule holds the times of a stop as pure decisions. Requests must be answered by the same time as before; the exit comes half a second after the last answer, at the latest 0.1 s before the limit. A second signal still ends the process at once.

--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -9,19 +9,8 @@
 
 namespace {
 
-// Time between the last request and the exit, in which notices of the stop and returned tokens are
-// sent.
-constexpr base::duration message_flush_time = std::chrono::milliseconds(500);
-// Time between reporting not ready and leaving the fleet. Callers and load balancers typically
-// probe readiness every second and stop sending after two failed probes.
-constexpr base::duration unready_notice_time = std::chrono::milliseconds(2500);
-// Margin between the last request served and the stop limit.
-constexpr base::duration exit_margin = std::chrono::milliseconds(800);
-// Time for which callers' connections are still accepted after the node has left the fleet. Kept
-// short, since every request that was read must finish before the exit.
-constexpr base::duration accept_time_after_leave = std::chrono::milliseconds(300);
-// Time for the last answers to reach their callers before the exit.
-constexpr base::duration last_answer_margin = std::chrono::milliseconds(100);
+// Stop limit of a process without a node.
+constexpr base::duration stop_limit_without_node = std::chrono::milliseconds(500);
 constexpr base::duration stop_check_interval = std::chrono::milliseconds(20);
 constexpr base::duration messages_log_interval = std::chrono::seconds(15);
 // An iteration of the control thread's loop that takes longer, or a timer that is later, is logged.
@@ -194,7 +183,7 @@
     m_loop.watch(signals.fd(), signal_watch::readable,
                  [this, &signals](std::uint32_t) { on_signal(signals.take()); });
     m_loop.each_round([this](base::time_point now) -> std::optional<base::time_point> {
-        if (!m_stopping) {
+        if (!m_stop) {
             return std::nullopt;
         }
         finish_stop(now);
@@ -232,8 +221,8 @@
     if (number != SIGTERM && number != SIGINT) {
         return;
     }
-    if (m_stopping) {
-        m_stop_by = http::event_loop::now();
+    if (m_stop) {
+        m_stop->end(http::event_loop::now());
         return;
     }
     begin_stop();
@@ -264,14 +253,9 @@
 
 void control_thread::begin_stop()
 {
-    const auto now = http::event_loop::now();
-    m_stopping = true;
-    const auto limit = m_settings.node ? m_settings.node->stop_limit : message_flush_time;
+    const auto limit = m_settings.node ? m_settings.node->stop_limit : stop_limit_without_node;
     const bool keeps_serving = m_settings.node && m_settings.node->serve_while_stopping;
-    m_stop_by =
-        now + limit - (keeps_serving ? std::min(limit / 2, exit_margin) : base::duration(0));
-    m_leave_at = now + std::min(unready_notice_time, limit / 2);
-    m_stop_at = keeps_serving ? m_stop_by - message_flush_time : m_leave_at;
+    m_stop.emplace(http::event_loop::now(), limit, keeps_serving);
     log(log_level::info, "stopping");
     if (m_replica) {
         if (m_replica_membership) {
@@ -304,20 +288,20 @@
 
 void control_thread::finish_stop(base::time_point now)
 {
-    if (!m_fleet_left && now >= m_leave_at) {
+    if (!m_fleet_left && now >= m_stop->leave_at()) {
         leave_fleet();
     }
-    if (m_node && !m_accepting_stopped && now >= m_leave_at + accept_time_after_leave) {
+    if (m_node && !m_accepting_stopped && now >= m_stop->stop_accepting_at()) {
         m_accepting_stopped = true;
-        m_traffic->stop_accepting(m_stop_by - last_answer_margin);
+        m_traffic->stop_accepting(m_stop->serving_end());
     }
-    if (m_fleet_left && !m_traffic_stopping && now >= m_stop_at) {
+    if (m_fleet_left && !m_traffic_stopping && now >= m_stop->stop_traffic_at()) {
         stop_traffic();
     }
-    if (m_traffic_stopping && m_traffic_stopped && !m_flush_until) {
-        m_flush_until = now + message_flush_time;
+    if (m_traffic_stopping && m_traffic_stopped) {
+        m_stop->answers_sent(now);
     }
-    if ((m_flush_until && now >= *m_flush_until) || now >= m_stop_by) {
+    if (m_stop->exit_due(now)) {
         m_loop.stop();
     }
 }
--- a/src/daemon/control_thread.hpp
+++ b/src/daemon/control_thread.hpp
@@ -11,6 +11,7 @@
 #include "daemon/replica_host.hpp"
 #include "daemon/replica_membership_host.hpp"
 #include "daemon/signal_watch.hpp"
+#include "daemon/stop_schedule.hpp"
 #include "daemon/traffic_thread.hpp"
 
 #include <functional>
@@ -66,16 +67,12 @@
     std::unique_ptr<claims_host> m_claims;
     std::unique_ptr<traffic_thread> m_traffic;
 
-    bool m_stopping = false;
+    /// Set by the first signal to stop.
+    std::optional<stop_schedule> m_stop;
     bool m_traffic_stopped = true;
-    base::time_point m_stop_by;
-    /// Times at which the node leaves the fleet and at which it stops serving callers.
-    base::time_point m_leave_at;
-    base::time_point m_stop_at;
     bool m_fleet_left = false;
     bool m_traffic_stopping = false;
     bool m_accepting_stopped = false;
-    std::optional<base::time_point> m_flush_until;
 };
 
 } // namespace damaskladder::daemon
