Consensus: replicas that all restart before the cluster has formed form it

Cause: only the settings of the first start say that a replica may form the cluster. After the restart each of them asked to be admitted to a cluster that did not exist.

Evidence: no log of the case names a leader, and the terms stay as they were at the kill; so no replica campaigns. Ruled out: candidates that refuse each other, which would raise the terms.

Change: a new data folder stores the initial replicas (file "formation"), synced before its identity; a replica with an empty log uses them when its settings name none. A wiped disk has none and only votes, as before. A bootstrap still needs the vote of every initial replica.

--- a/src/consensus/cluster_test.cpp
+++ b/src/consensus/cluster_test.cpp
@@ -230,6 +230,43 @@
     EXPECT_TRUE(cluster.members().is_voter(cluster.status(1).identity));
 }
 
+// Guards against replicas that are all killed before the cluster has formed and then wait for a
+// cluster that does not exist: only the settings of the first start said that they may form one.
+void all_killed_before_it_formed(test_cluster& cluster)
+{
+    for (std::size_t i = 0; i < cluster.size(); ++i) {
+        cluster.set_rejoins(i);
+    }
+    for (int kills = 0; kills < 3; ++kills) {
+        cluster.run(100ms);
+        for (std::size_t i = 0; i < cluster.size(); ++i) {
+            cluster.crash(i, unsynced_data::lost);
+        }
+        for (std::size_t i = 0; i < cluster.size(); ++i) {
+            cluster.start(i);
+        }
+    }
+    wait_for_leader(cluster);
+    EXPECT_TRUE(cluster.converges(10s));
+    EXPECT_EQ(cluster.members().voter_count(), cluster.size());
+}
+
+void all_killed_and_one_wiped_before_it_formed(test_cluster& cluster)
+{
+    cluster.run(100ms);
+    for (std::size_t i = 0; i < cluster.size(); ++i) {
+        cluster.set_rejoins(i);
+        cluster.crash(i, unsynced_data::lost);
+    }
+    for (std::size_t i = 1; i < cluster.size(); ++i) {
+        cluster.start(i);
+    }
+    cluster.wipe(0);
+    wait_for_leader(cluster);
+    EXPECT_TRUE(cluster.converges(10s));
+    EXPECT_EQ(cluster.members().voter_count(), cluster.size());
+}
+
 // Guards against a second cluster that a wiped replica helps to form while the only holder of the
 // first one's entries is down.
 void wiped_after_it_formed(test_cluster& cluster)
@@ -420,6 +457,10 @@
                     scenario{"bootstrap_needs_all", 3, bootstrap_needs_all},
                     scenario{"restarted_before_it_formed", 3, restarted_before_it_formed},
                     scenario{"wiped_before_it_formed", 3, wiped_before_it_formed},
+                    scenario{"all_killed_before_it_formed", 3, all_killed_before_it_formed},
+                    scenario{"all_of_five_killed_before_it_formed", 5, all_killed_before_it_formed},
+                    scenario{"all_killed_and_one_wiped_before_it_formed", 3,
+                             all_killed_and_one_wiped_before_it_formed},
                     scenario{"wiped_after_it_formed", 3, wiped_after_it_formed},
                     scenario{"entry_of_older_term", 3, entry_of_older_term},
                     scenario{"restart_after_hundreds", 3, restart_after_hundreds},
--- a/src/consensus/file_encoding.cpp
+++ b/src/consensus/file_encoding.cpp
@@ -146,6 +146,30 @@
     return valid ? std::optional(std::move(value)) : std::nullopt;
 }
 
+std::string encode_formation(const std::vector<replica_id>& initial_replicas)
+{
+    base::byte_writer out;
+    out.u32(static_cast<std::uint32_t>(initial_replicas.size()));
+    for (const replica_id& each : initial_replicas) {
+        out.text(each.value());
+    }
+    return out.take();
+}
+
+std::optional<std::vector<replica_id>> decode_formation(std::string_view bytes)
+{
+    base::byte_reader in(bytes);
+    const std::uint32_t count = in.u32();
+    if (count > max_decoded_members) {
+        return std::nullopt;
+    }
+    std::vector<replica_id> initial_replicas;
+    for (std::uint32_t i = 0; i < count && in.ok(); ++i) {
+        initial_replicas.emplace_back(std::string(in.text()));
+    }
+    return in.finished() ? std::optional(std::move(initial_replicas)) : std::nullopt;
+}
+
 std::string encode_snapshot(const stored_snapshot& value)
 {
     base::byte_writer out;
--- a/src/consensus/file_encoding.hpp
+++ b/src/consensus/file_encoding.hpp
@@ -2,12 +2,14 @@
 
 #include "consensus/entry.hpp"
 #include "consensus/hard_state.hpp"
+#include "consensus/replica_id.hpp"
 #include "consensus/replica_identity.hpp"
 #include "consensus/stored_snapshot.hpp"
 
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace damaskladder::consensus {
 
@@ -22,6 +24,9 @@
 std::string encode_identity(const replica_identity& value);
 std::optional<replica_identity> decode_identity(std::string_view bytes);
 
+std::string encode_formation(const std::vector<replica_id>& initial_replicas);
+std::optional<std::vector<replica_id>> decode_formation(std::string_view bytes);
+
 std::string encode_snapshot(const stored_snapshot& value);
 std::optional<stored_snapshot> decode_snapshot(std::string_view bytes);
 
--- a/src/consensus/file_storage.hpp
+++ b/src/consensus/file_storage.hpp
@@ -17,6 +17,7 @@
 
 /// Stores the state of one replica in a data folder:
 ///   identity            id and nonce
+///   formation           replicas that form the cluster, on those that do
 ///   vote                term and vote, replaced atomically
 ///   segment-NUMBER      entries as checksummed frames
 ///   snapshot-INDEX      newest snapshot, replaced atomically
--- a/src/consensus/file_storage_options.hpp
+++ b/src/consensus/file_storage_options.hpp
@@ -3,6 +3,8 @@
 #include "base/byte_count.hpp"
 #include "consensus/replica_id.hpp"
 
+#include <vector>
+
 namespace damaskladder::consensus {
 
 /// Options of file_storage.
@@ -16,6 +18,8 @@
     base::byte_count max_record{2 << 20};
     /// Maximum size of a snapshot file. Must exceed replica_options::max_snapshot.
     base::byte_count max_snapshot_file{512 << 20};
+    /// Replicas that form the cluster with this one, as in replica_options. Stored in a new folder.
+    std::vector<replica_id> initial_replicas = {};
 };
 
 } // namespace damaskladder::consensus
--- a/src/consensus/file_storage_test.cpp
+++ b/src/consensus/file_storage_test.cpp
@@ -287,6 +287,9 @@
         }
         decode_hard_state(bytes);
         decode_identity(bytes);
+        if (const auto decoded = decode_formation(bytes)) {
+            EXPECT_EQ(encode_formation(*decoded), bytes);
+        }
         EXPECT_TRUE(scan_segment(segment_number(1), bytes, base::byte_count(100)).entries.empty());
     }
 }
@@ -454,6 +457,43 @@
                          testing::Values(snapshot_case{log_disposition::keep_suffix, {4, 5}},
                                          snapshot_case{log_disposition::discard_all, {}}));
 
+struct formation_case {
+    std::string name;
+    /// Options of the starts of one folder, one after the other.
+    std::vector<std::vector<replica_id>> starts;
+    std::vector<replica_id> expected;
+};
+
+class stored_formations : public testing::TestWithParam<formation_case> {};
+
+// Guards against replicas that may form a cluster and forget it when they restart before they have.
+TEST_P(stored_formations, outlast_a_restart)
+{
+    fake_disk disk;
+    std::vector<replica_id> last;
+    for (const auto& initial : GetParam().starts) {
+        file_storage_options options{replica_id("a")};
+        options.initial_replicas = initial;
+        auto opened = open_files(disk.layer(), options);
+        ASSERT_TRUE(opened.storage) << base::to_string(opened.error);
+        last = opened.storage->take_recovered_state().initial_replicas;
+        opened.storage.reset();
+        disk.crash(unsynced_data::lost);
+    }
+    EXPECT_EQ(last, GetParam().expected);
+}
+
+const std::vector<replica_id> three = {replica_id("a"), replica_id("b"), replica_id("c")};
+const std::vector<replica_id> others = {replica_id("a"), replica_id("d")};
+
+INSTANTIATE_TEST_SUITE_P(table, stored_formations,
+                         testing::Values(formation_case{"first_start", {three}, three},
+                                         formation_case{"restart", {three, {}}, three},
+                                         formation_case{
+                                             "restart_with_others", {three, others}, three},
+                                         formation_case{"joined_later", {{}, {}}, {}}),
+                         [](const auto& each) { return each.param.name; });
+
 // Guards against differences between fake_disk and real files, and against a folder used by two
 // processes or by another replica.
 TEST(file_storage, works_on_real_files)
--- a/src/consensus/folder_names.cpp
+++ b/src/consensus/folder_names.cpp
@@ -44,6 +44,11 @@
     return file_name("identity");
 }
 
+file_name formation_file()
+{
+    return file_name("formation");
+}
+
 file_name vote_file()
 {
     return file_name("vote");
--- a/src/consensus/folder_names.hpp
+++ b/src/consensus/folder_names.hpp
@@ -10,6 +10,7 @@
 
 /// Names of the files in a data folder.
 file_name identity_file();
+file_name formation_file();
 file_name vote_file();
 file_name segment_file(segment_number number);
 file_name snapshot_file(log_index last_index);
--- a/src/consensus/folder_recovery.cpp
+++ b/src/consensus/folder_recovery.cpp
@@ -32,6 +32,8 @@
     BOOST_LEAF_CHECK(m_files.lock());
     BOOST_LEAF_CHECK(classify_files());
     BOOST_LEAF_CHECK(remove_temporaries());
+    // Before the identity, so that a folder with an identity has its formation.
+    BOOST_LEAF_CHECK(load_formation());
     BOOST_LEAF_CHECK(load_identity(random));
     BOOST_LEAF_CHECK(load_snapshot());
     BOOST_LEAF_CHECK(load_segments());
@@ -56,6 +58,7 @@
             m_snapshots.push_back(*last_index);
         }
         m_has_identity_file = m_has_identity_file || name == identity_file();
+        m_has_formation_file = m_has_formation_file || name == formation_file();
         m_has_vote_file = m_has_vote_file || name == vote_file();
     }
     std::sort(m_segments.begin(), m_segments.end());
@@ -63,6 +66,26 @@
     return {};
 }
 
+base::result<void> folder_recovery::load_formation()
+{
+    if (!m_has_formation_file) {
+        m_result.state.initial_replicas = m_options.initial_replicas;
+        if (m_has_identity_file || m_options.initial_replicas.empty()) {
+            return {};
+        }
+        return write_atomically(
+            m_files, formation_file(),
+            encode_checksummed(formation_magic, encode_formation(m_options.initial_replicas)));
+    }
+    BOOST_LEAF_AUTO(payload, read_checksummed(formation_file(), formation_magic, max_small_file));
+    auto initial_replicas = decode_formation(payload);
+    if (!initial_replicas) {
+        return fail_corrupt(formation_file(), {}, "the content cannot be decoded");
+    }
+    m_result.state.initial_replicas = std::move(*initial_replicas);
+    return {};
+}
+
 base::result<void> folder_recovery::load_identity(const base::random_source& random)
 {
     if (!m_has_identity_file) {
--- a/src/consensus/folder_recovery.hpp
+++ b/src/consensus/folder_recovery.hpp
@@ -26,6 +26,8 @@
 private:
     base::result<void> classify_files();
     base::result<void> load_identity(const base::random_source& random);
+    /// Stores the formation of a new folder, or reads the stored one.
+    base::result<void> load_formation();
     base::result<void> load_hard_state();
     base::result<void> load_snapshot();
     base::result<void> load_segments();
@@ -43,6 +45,7 @@
     const file_layer& m_files;
     recovered_folder m_result;
     bool m_has_identity_file = false;
+    bool m_has_formation_file = false;
     bool m_has_vote_file = false;
     std::vector<segment_number> m_segments;
     std::vector<log_index> m_snapshots;
--- a/src/consensus/recovered_state.hpp
+++ b/src/consensus/recovered_state.hpp
@@ -18,6 +18,8 @@
     std::shared_ptr<const snapshot> newest_snapshot;
     /// Entries after the snapshot, in order and without gaps.
     std::vector<entry> entries;
+    /// Replicas with which this one formed the cluster, or still may; empty if it joined later.
+    std::vector<replica_id> initial_replicas = {};
 };
 
 } // namespace damaskladder::consensus
--- a/src/consensus/replica_core.cpp
+++ b/src/consensus/replica_core.cpp
@@ -25,6 +25,9 @@
       m_persist(m_log.last_index()),
       m_receiver(m_options.max_snapshot)
 {
+    if (m_options.initial_replicas.empty()) {
+        m_options.initial_replicas = std::move(state.initial_replicas);
+    }
 }
 
 std::vector<effect> replica_core::start(base::time_point now)
--- a/src/consensus/replica_options.hpp
+++ b/src/consensus/replica_options.hpp
@@ -15,8 +15,9 @@
 /// Options of a replica. All replicas of a cluster must use the same values.
 struct replica_options {
     /// Replicas that bootstrap the cluster; the same list on each of them. Leave it empty on a
-    /// replica that joins or rejoins an existing cluster; such a replica does not campaign before
-    /// it is a member, but votes for a bootstrap while it holds no entry.
+    /// replica that joins or rejoins an existing cluster: the list of its first start is in
+    /// recovered_state. Without one, a replica does not campaign before it is a member, but votes
+    /// for a bootstrap while it holds no entry.
     std::vector<replica_id> initial_replicas;
 
     /// Maximum time between two heartbeats of a leader.
--- a/src/consensus/test_cluster_test.cpp
+++ b/src/consensus/test_cluster_test.cpp
@@ -121,8 +121,13 @@
 {
     test_replica& started = m_replicas[number];
     const base::random_source random = [this] { return m_random(); };
+    const auto& forming = m_options.initial_replicas;
+    file_storage_options folder{id_of(number)};
+    if (!started.rejoins && std::find(forming.begin(), forming.end(), folder.id) != forming.end()) {
+        folder.initial_replicas = forming;
+    }
     started.storage = base::handle_failure(
-        [&] { return file_storage::open({id_of(number)}, started.disk->layer(), random); },
+        [&] { return file_storage::open(folder, started.disk->layer(), random); },
         [&](const base::failure& failed) {
             // A disk that is still full keeps the replica down; this is not a violation.
             expect(failed.kind == base::failure_kind::io, "start: " + base::to_string(failed));
--- a/src/daemon/replica_host.cpp
+++ b/src/daemon/replica_host.cpp
@@ -49,10 +49,7 @@
 
 replica_host::replica_host(http::event_loop& loop, const process_settings& settings,
                            hooks callbacks)
-    : m_loop(loop),
-      m_settings(settings),
-      m_hooks(std::move(callbacks)),
-      m_forms_cluster(may_form_cluster(settings))
+    : m_loop(loop), m_settings(settings), m_hooks(std::move(callbacks))
 {
 }
 
@@ -60,10 +57,13 @@
 {
     consensus::file_storage_options options;
     options.id = consensus::replica_id(m_settings.name.value());
+    options.initial_replicas = make_options(m_settings).initial_replicas;
     BOOST_LEAF_AUTO(storage, consensus::file_storage::open(
                                  options, consensus::posix_file_layer(m_settings.replica->data),
                                  secure_random()));
     auto recovered = storage->take_recovered_state();
+    // Also known from an earlier start that ended before the cluster had formed.
+    m_forms_cluster = !recovered.initial_replicas.empty();
     m_replica = std::make_unique<control::control_replica>(
         make_options(m_settings), std::move(recovered), control::state_options{}, secure_random());
     m_storage =
--- a/src/daemon/replica_membership_host_test.cpp
+++ b/src/daemon/replica_membership_host_test.cpp
@@ -32,6 +32,22 @@
                          testing::Values(leave_case{"leader", true}, leave_case{"follower", false}),
                          [](const auto& tested) { return tested.param.name; });
 
+// Guards against replicas that are all restarted before the cluster has formed and ask to be
+// admitted to a cluster that does not exist.
+TEST(restarted_replicas, form_the_cluster_of_their_first_start)
+{
+    const scratch_folder folder;
+    control_fleet fleet(folder.path());
+    for (const control_fleet::vm_number replica : {1U, 2U, 3U}) {
+        fleet.start(replica, {.forms_cluster = true});
+    }
+    for (const control_fleet::vm_number replica : {1U, 2U, 3U}) {
+        fleet.kill(replica);
+        fleet.start(replica, {});
+    }
+    EXPECT_TRUE(fleet.run_until([&] { return fleet.has_voters(3); }));
+}
+
 struct return_case {
     std::string name;
     bool disk_is_empty;
