Daemon: a leader that stops repeats the transfer of its leadership

Cause: the transfer was asked for once, as the stop began. If no follower had been heard within 0.4 s at that moment, or the successor did not take over in time, it was abandoned for good; and a replica that was elected after it had begun to leave was never asked. A leader does not remove itself.

Change: replica_host repeats the transfer each second for as long as the replica leads.

--- a/src/daemon/replica_host.cpp
+++ b/src/daemon/replica_host.cpp
@@ -17,6 +17,8 @@
 // Proposals and claims expire by log time, which advances only with log entries, so an idle leader
 // appends one at this interval.
 constexpr base::duration log_time_interval = std::chrono::seconds(60);
+// Longer than a transfer, during which the leader refuses changes.
+constexpr base::duration transfer_interval = std::chrono::seconds(1);
 // An election takes longer, so each leader that lasts is logged.
 constexpr base::duration cluster_log_interval = std::chrono::milliseconds(100);
 
@@ -79,6 +81,7 @@
 {
     const auto now = http::event_loop::now();
     step(consensus::tick{});
+    transfer_if_due();
     advance_log_time();
     log_cluster_changes();
     m_loop.call_at(m_loop.next_multiple(tick_interval, now), [this] { tick(); });
@@ -161,7 +164,15 @@
 
 void replica_host::transfer_leadership()
 {
-    if (leads()) {
+    m_next_transfer = http::event_loop::now();
+    transfer_if_due();
+}
+
+void replica_host::transfer_if_due()
+{
+    const auto now = http::event_loop::now();
+    if (m_next_transfer && now >= *m_next_transfer && leads()) {
+        m_next_transfer = now + transfer_interval;
         step(consensus::transfer_requested{});
     }
 }
--- a/src/daemon/replica_host.hpp
+++ b/src/daemon/replica_host.hpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <variant>
 
@@ -39,7 +40,8 @@
     void submit(const control::command& entry, submit_done done);
     void change_members(consensus::membership_change wanted, submit_done done);
     void query(query_done done);
-    /// Transfers leadership, for a graceful stop.
+    /// Transfers leadership, for a graceful stop. Repeated from then on whenever this replica
+    /// leads, because a transfer is abandoned if no other voter takes over in time.
     void transfer_leadership();
 
     const control::control_replica& replica() const { return *m_replica; }
@@ -59,6 +61,7 @@
     void perform(const control::query_confirmed& effect);
     void perform(const control::leadership_changed& effect);
     void create_first_admin();
+    void transfer_if_due();
     void advance_log_time();
     /// Logs the leader and the members that this replica knows, when they change.
     void log_cluster_changes();
@@ -74,6 +77,8 @@
     bool m_performing = false;
     bool m_forms_cluster = false;
     std::uint64_t m_last_submission = 0;
+    /// Set by transfer_leadership().
+    std::optional<base::time_point> m_next_transfer;
     base::time_point m_next_log_time;
     base::time_point m_next_cluster_log;
     std::optional<consensus::replica_id> m_logged_leader;
--- a/src/daemon/replica_membership_host_test.cpp
+++ b/src/daemon/replica_membership_host_test.cpp
@@ -3,18 +3,24 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
+#include <thread>
+
 namespace damaskladder::daemon {
 namespace {
 
 struct leave_case {
     std::string name;
     bool leads;
+    /// Time before the request in which no VM runs.
+    base::duration pause = {};
 };
 
 class leaving_replicas : public testing::TestWithParam<leave_case> {};
 
 // Guards against a leader that leaves and stays a member: its request reached followers that
-// forwarded it to the leader that they still knew, the leaving replica itself.
+// forwarded it to the leader that they still knew, the leaving replica itself; or it had no live
+// follower to transfer its leadership to when it began to leave, and did not try again.
 TEST_P(leaving_replicas, are_removed)
 {
     const scratch_folder folder;
@@ -24,12 +30,15 @@
     }
     ASSERT_TRUE(fleet.run_until([&] { return fleet.has_voters(4); }));
     const auto other = fleet.leader() == 2 ? 3U : 2U;
+    std::this_thread::sleep_for(GetParam().pause);
     EXPECT_TRUE(fleet.retire(GetParam().leads ? fleet.leader() : other));
     EXPECT_TRUE(fleet.run_until([&] { return fleet.has_voters(3); }));
 }
 
 INSTANTIATE_TEST_SUITE_P(table, leaving_replicas,
-                         testing::Values(leave_case{"leader", true}, leave_case{"follower", false}),
+                         testing::Values(leave_case{"leader", true}, leave_case{"follower", false},
+                                         leave_case{"leader_after_a_pause", true,
+                                                    std::chrono::milliseconds(600)}),
                          [](const auto& tested) { return tested.param.name; });
 
 // Guards against replicas that are all restarted before the cluster has formed and ask to be
--- a/src/http/stream_socket_test.cpp
+++ b/src/http/stream_socket_test.cpp
@@ -48,7 +48,7 @@
         m_peer.emplace(listener.wait_for_connection());
         fcntl(connected.get(), F_SETFL, O_NONBLOCK);
         m_socket.emplace(std::move(connected));
-        send(m_peer->get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        send(m_peer->get(), m_bytes.data(), m_bytes.size(), MSG_NOSIGNAL);
     }
 
     void end(const end_case& how)
@@ -100,7 +100,7 @@
         }
     }
 
-    bool received_everything() const { return m_received == bytes.size(); }
+    bool received_everything() const { return m_received == m_bytes.size(); }
 
 private:
     void wait_for(short events) const
@@ -110,7 +110,7 @@
         ASSERT_EQ(poll(&waiting, 1, limit_ms), 1);
     }
 
-    const std::string bytes = "some bytes";
+    const std::string m_bytes = "some bytes";
     std::optional<base::file_descriptor> m_peer;
     std::optional<stream_socket> m_socket;
     std::size_t m_received = 0;
