--- a/src/consensus/loss_order_test.cpp
+++ b/src/consensus/loss_order_test.cpp
@@ -20,6 +20,8 @@
 constexpr base::duration catch_up = 4s;
 /// Service resumes within this time after the last loss.
 constexpr base::duration recovery_limit = 15s;
+/// A leader commits a change within this time.
+constexpr base::duration commit_limit = 500ms;
 /// The losses are played in steps of this length; a slowed VM runs in every fifth of them only.
 constexpr base::duration step = 300ms;
 constexpr int steps_of_a_pause = 5;
@@ -114,12 +116,17 @@
         }
     }
 
-    /// A change that has to survive the next loss.
-    void commit_change()
+    /// Commits a change, which has to survive the losses that follow. Returns false if there is no
+    /// leader or it does not succeed in time.
+    bool commit_change()
     {
-        if (const auto leader = cluster().leader()) {
-            cluster().propose(*leader);
+        const auto leader = cluster().leader();
+        if (!leader || !runs(*leader)) {
+            return false;
         }
+        const auto change = cluster().propose(*leader);
+        return cluster().run_until([&] { return cluster().accepted.count(change) != 0; },
+                                   commit_limit);
     }
 
     /// Every entry that was committed is still there (checked by test_cluster), new ones are
@@ -222,7 +229,7 @@
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         losing_cluster cluster(size, seed, 1);
         cluster.lose({first}, catch_up);
-        cluster.commit_change();
+        EXPECT_TRUE(cluster.commit_change());
         cluster.lose({second}, catch_up);
         cluster.expect_recovery();
     }
@@ -248,9 +255,10 @@
     const auto& [first, second, steps_between, size] = GetParam();
     losing_cluster cluster(size, 1, 1);
     cluster.lose({{first, loss_target::leader}}, steps_between * step);
+    // There may be no leader yet.
     cluster.commit_change();
     cluster.lose({{second, loss_target::newest}}, catch_up);
-    cluster.commit_change();
+    EXPECT_TRUE(cluster.commit_change());
     cluster.lose({{loss_kind::wiped, loss_target::leader}}, catch_up);
     cluster.expect_recovery();
 }
@@ -291,7 +299,7 @@
             while (together.size() < GetParam().together) {
                 together.push_back(losses[random() % losses.size()]);
             }
-            cluster.commit_change();
+            EXPECT_TRUE(cluster.commit_change());
             cluster.lose(together, catch_up);
         }
         cluster.expect_recovery();
