Test of early answers: the fake waits for the request, so that a busy machine changes nothing

The fake answered as soon as it was connected to. A client that had sent nothing by then would end the transfer as not sent.

--- a/src/http/early_answer_fake.hpp
+++ b/src/http/early_answer_fake.hpp
@@ -42,6 +42,9 @@
         if (!connection.is_open()) {
             return;
         }
+        // The rest of the request stays unread.
+        char first = '\0';
+        recv(connection.get(), &first, 1, 0);
         std::this_thread::sleep_for(until_blocked);
         send(connection.get(), m_response.data(), m_response.size(), MSG_NOSIGNAL);
         std::this_thread::sleep_for(until_blocked);
