review: CONFIG, an answer that stalls is held for minutes

Cause: once the head of an answer has arrived, the deadline of the request is replaced by 5 minutes, and nothing bounds the time without progress.

--- /dev/null
+++ b/review/13/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the disruption.
+here=$(cd "$(dirname "$0")" && pwd)
+REVIEW_ROOT=$(cd "$here/../.." && pwd)
+REVIEW_RECORD=$here/record.txt
+export REVIEW_ROOT REVIEW_RECORD
+exec timeout -k 1 110 "$REVIEW_ROOT/target/review-3/stalled_answer"
--- a/review/standin-3/harness.hpp
+++ b/review/standin-3/harness.hpp
@@ -617,11 +617,10 @@
         return answer.status();
     }
 
+    /// Without a body, as in the examples of the pages.
     int deregister()
     {
-        const auto sequence = ++m_sequence;
-        const auto body = "{\"sequence\":" + std::to_string(sequence) + ",\"born\":" + std::to_string(m_born) + "}";
-        return call(m_fleet.at(m_beside, control), post("/damaskladder/instances/" + m_id + "/deregister", body), 1)
+        return call(m_fleet.at(m_beside, control), post("/damaskladder/instances/" + m_id + "/deregister", ""), 1)
             .status();
     }
 
