review: the stand-ins of the cases leave no process behind and pace their requests

Cause: a case that was cut off by its time limit left the programs it had started; all requests of a case waited on a thread of their own from the start.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -4,4 +4,7 @@
 REVIEW_ROOT=$(cd "$here/../.." && pwd)
 REVIEW_RECORD=$here/record.txt
 export REVIEW_ROOT REVIEW_RECORD
-exec timeout -k 1 110 "$REVIEW_ROOT/target/review-3/drain_forgotten"
+timeout -k 1 115 "$REVIEW_ROOT/target/review-3/drain_forgotten"
+code=$?
+[ $code -le 1 ] || code=2
+exit $code
--- a/review/standin-3/harness.hpp
+++ b/review/standin-3/harness.hpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -349,6 +350,8 @@
         const auto program = m_root + "/target/damaskladder";
         each.pid = fork();
         if (each.pid == 0) {
+            // A case that is cut off leaves no process behind.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
             dup2(out, 1);
             dup2(out, 2);
@@ -419,6 +422,8 @@
     }
 
     std::vector<machine> machines;
+    /// Names of core machines that no settings file names as a seed.
+    std::set<std::string> spares;
 
 private:
     void add(const std::string& name, const std::string& ip, const std::string& zone, bool core,
@@ -497,6 +502,9 @@
         };
         std::string seeds;
         for (const auto* core : cores()) {
+            if (spares.contains(core->name)) {
+                continue;
+            }
             seeds += (seeds.empty() ? "" : ",") + at(*core, control).text();
         }
         put("{{#bootstrap}}yes{{/bootstrap}}{{^bootstrap}}no{{/bootstrap}}", each.bootstrap ? "yes" : "no");
@@ -834,6 +842,40 @@
     return 0;
 }
 
+/// Makes calls at given times, each on a thread of its own, which begins only then.
+class paced_calls {
+public:
+    void add(double at, std::function<void()> call) { m_calls.emplace(at, std::move(call)); }
+
+    /// Begins the calls added so far.
+    void begin()
+    {
+        m_pacers.emplace_back([this, calls = std::exchange(m_calls, {})] {
+            std::vector<std::thread> running;
+            for (const auto& [at, call] : calls) {
+                sleep_s(at - now_s());
+                running.emplace_back(call);
+            }
+            for (auto& each : running) {
+                each.join();
+            }
+        });
+    }
+
+    /// Waits for the end of all calls that were begun.
+    void finish()
+    {
+        for (auto& each : m_pacers) {
+            each.join();
+        }
+        m_pacers.clear();
+    }
+
+private:
+    std::multimap<double, std::function<void()>> m_calls;
+    std::vector<std::thread> m_pacers;
+};
+
 /// Waits until a condition holds. Ends the case with 2 if it doesn't in time.
 inline void wait_until(const char* what, double limit_s, const std::function<bool()>& holds)
 {
