--- a/review/standin-3/quota_readded.cpp
+++ b/review/standin-3/quota_readded.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr double window_s = 5;
-constexpr double rate = 20;
+constexpr double rate = 5;
 constexpr double burst = 120;
 constexpr double overage = 0.1;
 constexpr double slack = 20;
@@ -92,8 +92,8 @@
         sending.begin();
     };
     const auto begin = now_s() + 0.2;
-    send_many(20, begin, 0);
-    sleep_s(begin + 0.15 - now_s());
+    send_many(static_cast<int>(burst) / 6, begin, 0);
+    sleep_s(begin + 0.08 - now_s());
     if (has_trouble()) {
         const int dropped = put_config(machines, 2, config_text(3, services, routes, {first}));
         sleep_s(storm_gap_s);
@@ -101,7 +101,7 @@
             return 2;
         }
     }
-    send_many(80, now_s() + 0.1, 3);
+    send_many(80, now_s() + 0.02, 3);
     sending.finish();
     sleep_s(1);
     return judge(clients.all(), runs.all());
