--- a/review/standin-3/drain_forgotten.cpp
+++ b/review/standin-3/drain_forgotten.cpp
@@ -1,5 +1,6 @@
-// A worker that never reports draining deregisters, is acknowledged and serves on. All processes are killed right after
-// the confirmation and are back within a second. A ping that the worker had sent before arrives seconds late.
+// A worker that never reports draining deregisters, is acknowledged and serves on. All processes
+// are killed right after the confirmation and are back within a second. A ping that the worker had
+// sent before arrives seconds late.
 
 #include "harness.hpp"
 
@@ -51,7 +52,8 @@
     const auto late_ping = leaving.take_ping("ready");
     const double sent_at = now_s();
     note("worker " + leaving.id() + " sends a ping, which is late");
-    wait_until("the deregistration is acknowledged", 5, [&] { return leaving.deregister() == 200; });
+    wait_until("the deregistration is acknowledged", 5,
+               [&] { return leaving.deregister() == 200; });
     const double acknowledged = now_s();
     note("worker " + leaving.id() + " has its deregistration acknowledged");
     double in_touch = acknowledged;
@@ -91,7 +93,8 @@
     }
     char text[200];
     std::snprintf(text, sizeof text,
-                  "DRAIN: %d requests sent after %.3f ran at the worker that was acknowledged as gone at %.3f (%d "
+                  "DRAIN: %d requests sent after %.3f ran at the worker that was acknowledged as "
+                  "gone at %.3f (%d "
                   "requests served)",
                   broken, from, acknowledged, served);
     note(text);
--- a/review/standin-3/formation_lost_machine.cpp
+++ b/review/standin-3/formation_lost_machine.cpp
@@ -1,5 +1,6 @@
-// One of the three control machines is gone for good 0.2 s after all machines have started for the first time. A spare one
-// starts 1 s later at another address, with an empty disk and bootstrap set to false.
+// One of the three control machines is gone for good 0.2 s after all machines have started for the
+// first time. A spare one starts 1 s later at another address, with an empty disk and bootstrap set
+// to false.
 
 #include "harness.hpp"
 
@@ -49,7 +50,9 @@
     int served = 0;
     while (now_s() < back + 4 * recovery_s) {
         for (auto* side : machines.sides()) {
-            served += clients.send(*side, "GET", "/orders/a", "key-of-shop-00001", 1).status == 200 ? 1 : 0;
+            served += clients.send(*side, "GET", "/orders/a", "key-of-shop-00001", 1).status == 200
+                          ? 1
+                          : 0;
         }
         sleep_s(0.2);
         if (served >= 50) {
@@ -59,7 +62,8 @@
     operating.join();
     char text[200];
     std::snprintf(text, sizeof text,
-                  "Fault: %d configs confirmed and %d requests served in the %.0f s after the spare machine's start",
+                  "Fault: %d configs confirmed and %d requests served in the %.0f s after the "
+                  "spare machine's start",
                   confirmed.load(), served, now_s() - back);
     note(text);
     std::printf("%s\n", text);
--- a/review/standin-3/harness.hpp
+++ b/review/standin-3/harness.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-// Stand-ins of the platform, of workers, of clients and of the operator for the cases 11 to 15, and a fleet of the
-// project's own programs on loopback addresses.
+// Stand-ins of the platform, of workers, of clients and of the operator for the cases 11 to 15, and
+// a fleet of the project's own programs on loopback addresses.
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -146,10 +146,7 @@
     std::string body;
     bool complete = false;
 
-    int status() const
-    {
-        return first_line.size() > 12 ? std::atoi(first_line.c_str() + 9) : 0;
-    }
+    int status() const { return first_line.size() > 12 ? std::atoi(first_line.c_str() + 9) : 0; }
     std::string field(const std::string& name) const
     {
         const auto found = fields.find(name);
@@ -191,7 +188,8 @@
             continue;
         }
         auto name = line.substr(0, colon);
-        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+        std::transform(name.begin(), name.end(), name.begin(),
+                       [](unsigned char c) { return std::tolower(c); });
         const auto value = line.find_first_not_of(" \t", colon + 1);
         got.fields[name] = value == std::string::npos ? "" : line.substr(value);
     }
@@ -251,8 +249,10 @@
     return got;
 }
 
-/// Sends one request on a new connection, not before the given time, and returns its answer; status 0 if there was none.
-inline message call(const address& to, const std::string& request, double timeout_s, double not_before = 0)
+/// Sends one request on a new connection, not before the given time, and returns its answer; status
+/// 0 if there was none.
+inline message call(const address& to, const std::string& request, double timeout_s,
+                    double not_before = 0)
 {
     const int fd = connect_to(to, timeout_s);
     if (fd < 0) {
@@ -268,10 +268,11 @@
     return got;
 }
 
-inline std::string post(const std::string& path, const std::string& body, const std::string& fields = {})
+inline std::string post(const std::string& path, const std::string& body,
+                        const std::string& fields = {})
 {
-    return "POST " + path + " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\n" + fields +
-           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "POST " + path + " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\n" +
+           fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -306,12 +307,14 @@
         const char* zones[] = {"zone-a", "zone-b", "zone-c"};
         int host = 1;
         for (int i = 0; i < cores; ++i) {
-            add("core-" + std::to_string(i + 1), "127.77." + std::to_string(net) + "." + std::to_string(host++),
-                zones[i % 3], true, "");
+            add("core-" + std::to_string(i + 1),
+                "127.77." + std::to_string(net) + "." + std::to_string(host++), zones[i % 3], true,
+                "");
         }
         for (std::size_t i = 0; i < services.size(); ++i) {
-            add("side-" + std::to_string(i + 1), "127.77." + std::to_string(net) + "." + std::to_string(host++),
-                zones[i % 3], false, services[i]);
+            add("side-" + std::to_string(i + 1),
+                "127.77." + std::to_string(net) + "." + std::to_string(host++), zones[i % 3], false,
+                services[i]);
         }
         find_ports();
     }
@@ -330,7 +333,8 @@
     address at(const machine& each, int port) const { return {each.ip, m_base + port}; }
     machine& operator[](const std::string& name)
     {
-        return *std::find_if(machines.begin(), machines.end(), [&](const auto& m) { return m.name == name; });
+        return *std::find_if(machines.begin(), machines.end(),
+                             [&](const auto& m) { return m.name == name; });
     }
     std::vector<machine*> cores() { return of(true); }
     std::vector<machine*> sides() { return of(false); }
@@ -361,7 +365,8 @@
             if (chdir(m_root.c_str()) != 0) {
                 _exit(127);
             }
-            execl(program.c_str(), program.c_str(), "run", settings.c_str(), static_cast<char*>(nullptr));
+            execl(program.c_str(), program.c_str(), "run", settings.c_str(),
+                  static_cast<char*>(nullptr));
             _exit(127);
         }
         note("platform start " + each.name);
@@ -418,7 +423,8 @@
 
     bool is_ready(const machine& each) const
     {
-        return call(at(each, ready), "GET /damaskladder/ready HTTP/1.1\r\nHost: ready\r\n\r\n", 1).status() == 200;
+        return call(at(each, ready), "GET /damaskladder/ready HTTP/1.1\r\nHost: ready\r\n\r\n", 1)
+                   .status() == 200;
     }
 
     std::vector<machine> machines;
@@ -507,7 +513,8 @@
             }
             seeds += (seeds.empty() ? "" : ",") + at(*core, control).text();
         }
-        put("{{#bootstrap}}yes{{/bootstrap}}{{^bootstrap}}no{{/bootstrap}}", each.bootstrap ? "yes" : "no");
+        put("{{#bootstrap}}yes{{/bootstrap}}{{^bootstrap}}no{{/bootstrap}}",
+            each.bootstrap ? "yes" : "no");
         put("{{#zones}}{{@}}{{,}} {{/zones}}", "zone-a, zone-b, zone-c ");
         put("{{#fault_tolerance.nodes}}tolerated_losses = {{.}}\n{{/fault_tolerance.nodes}}\n",
             "tolerated_losses = 1\n");
@@ -580,7 +587,12 @@
 class worker {
 public:
     worker(fleet& of, machine& beside, run_list& runs, std::string id, double work_s)
-        : m_fleet(of), m_beside(beside), m_runs(runs), m_id(std::move(id)), m_work_s(work_s), m_born(unix_ms())
+        : m_fleet(of),
+          m_beside(beside),
+          m_runs(runs),
+          m_id(std::move(id)),
+          m_work_s(work_s),
+          m_born(unix_ms())
     {
         m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const int on = 1;
@@ -612,9 +624,10 @@
     std::string take_ping(const std::string& state)
     {
         const auto sequence = ++m_sequence;
-        return "{\"service\":\"" + m_beside.service + "\",\"address\":\"" + m_fleet.at(m_beside, app).text() +
-               "\",\"zone\":\"" + m_beside.zone + "\",\"version\":\"v1\",\"slots\":" + std::to_string(slots) +
-               ",\"state\":\"" + state + "\",\"cold_left_s\":0,\"sequence\":" + std::to_string(sequence) +
+        return "{\"service\":\"" + m_beside.service + "\",\"address\":\"" +
+               m_fleet.at(m_beside, app).text() + "\",\"zone\":\"" + m_beside.zone +
+               "\",\"version\":\"v1\",\"slots\":" + std::to_string(slots) + ",\"state\":\"" +
+               state + "\",\"cold_left_s\":0,\"sequence\":" + std::to_string(sequence) +
                ",\"born\":" + std::to_string(m_born) + "}";
     }
 
@@ -628,7 +641,8 @@
     /// Without a body, as in the examples of the pages.
     int deregister()
     {
-        return call(m_fleet.at(m_beside, control), post("/damaskladder/instances/" + m_id + "/deregister", ""), 1)
+        return call(m_fleet.at(m_beside, control),
+                    post("/damaskladder/instances/" + m_id + "/deregister", ""), 1)
             .status();
     }
 
@@ -664,9 +678,11 @@
             }
             const auto id = request.field("request-id");
             const auto first = request.first_line.find(' ') + 1;
-            const auto path = request.first_line.substr(first, request.first_line.rfind(' ') - first);
+            const auto path =
+                request.first_line.substr(first, request.first_line.rfind(' ') - first);
             if (path == "/health") {
-                send_all(fd, "HTTP/1.1 200 OK\r\nInstance-Id: " + m_id + "\r\nContent-Length: 0\r\n\r\n");
+                send_all(fd, "HTTP/1.1 200 OK\r\nInstance-Id: " + m_id +
+                                 "\r\nContent-Length: 0\r\n\r\n");
                 continue;
             }
             const auto expected = request.field("expected-instance");
@@ -685,8 +701,9 @@
             }
             sleep_s(m_work_s);
             const std::string body = "done " + id;
-            if (!send_all(fd, "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: sig-" + id +
-                                  "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body)) {
+            if (!send_all(fd, "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+                                  "\r\nResponse-Signature: sig-" + id + "\r\nContent-Length: " +
+                                  std::to_string(body.size()) + "\r\n\r\n" + body)) {
                 break;
             }
         }
@@ -721,18 +738,20 @@
 public:
     explicit client_group(fleet& of) : m_fleet(of) {}
 
-    sent_request send(const machine& at, const std::string& method, const std::string& path, const std::string& key,
-                      double timeout_s, double not_before = 0)
+    sent_request send(const machine& at, const std::string& method, const std::string& path,
+                      const std::string& key, double timeout_s, double not_before = 0)
     {
         sent_request made;
         made.id = "q" + std::to_string(++m_last);
         made.node = at.name;
         made.key = key;
-        const auto authorization = key.empty() ? std::string() : "Authorization: Token " + key + "\r\n";
+        const auto authorization =
+            key.empty() ? std::string() : "Authorization: Token " + key + "\r\n";
         const auto length = method == "GET" ? std::string() : std::string("Content-Length: 0\r\n");
-        const auto text = method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: " + made.id +
-                          "\r\nDeadline-Ms: " + std::to_string(static_cast<int>(timeout_s * 1000)) + "\r\n" +
-                          authorization + length + "\r\n";
+        const auto text = method + " " + path +
+                          " HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: " + made.id +
+                          "\r\nDeadline-Ms: " + std::to_string(static_cast<int>(timeout_s * 1000)) +
+                          "\r\n" + authorization + length + "\r\n";
         made.sent = std::max(now_s(), not_before);
         note("sent " + made.id + " to " + at.name + " path " + path);
         const auto answer = call(m_fleet.at(at, outbound), text, timeout_s + 0.5, not_before);
@@ -787,17 +806,20 @@
     for (std::size_t i = 0; i < routes.size(); ++i) {
         const auto& each = routes[i];
         text += (i == 0 ? "" : ",") + std::string("\"") + each.name +
-                "\":{\"host\":\"shop.example\",\"path_prefix\":\"" + each.prefix + "\",\"route_type\":\"" +
-                each.type + "\",\"timeout_s\":" + std::to_string(each.timeout_s) +
+                "\":{\"host\":\"shop.example\",\"path_prefix\":\"" + each.prefix +
+                "\",\"route_type\":\"" + each.type +
+                "\",\"timeout_s\":" + std::to_string(each.timeout_s) +
                 ",\"target_latency_s\":1,\"priority\":0,\"service\":\"" + each.service +
                 "\",\"max_attempts\":2,\"public\":" + (each.open ? "true" : "false") + "}";
     }
     text += "},\"services\":{";
     for (std::size_t i = 0; i < services.size(); ++i) {
         text += (i == 0 ? "" : ",") + std::string("\"") + services[i] +
-                "\":{\"health_path\":\"/health\",\"max_connections\":2000,\"protocol\":\"h1\",\"tls\":false}";
+                "\":{\"health_path\":\"/"
+                "health\",\"max_connections\":2000,\"protocol\":\"h1\",\"tls\":false}";
     }
-    text += "},\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout_s\":3,"
+    text += "},\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout_"
+            "s\":3,"
             "\"idle_timeout_s\":15},\"tenants\":{";
     for (std::size_t i = 0; i < tenants.size(); ++i) {
         const auto& each = tenants[i];
@@ -811,7 +833,8 @@
     return text + "}}";
 }
 
-/// Sends a config as the operator does, until it is acknowledged or refused. Returns the last status.
+/// Sends a config as the operator does, until it is acknowledged or refused. Returns the last
+/// status.
 inline int put_config(fleet& of, unsigned base, const std::string& text, double limit_s = 20)
 {
     const auto end = now_s() + limit_s;
@@ -820,8 +843,10 @@
     address to = of.at(*cores[0], control);
     int redirects = 0;
     while (now_s() < end) {
-        const auto answer =
-            call(to, post("/damaskladder/config/put", text, "Base-Version: " + version_text(base) + "\r\n"), 1);
+        const auto answer = call(
+            to,
+            post("/damaskladder/config/put", text, "Base-Version: " + version_text(base) + "\r\n"),
+            1);
         const auto status = answer.status();
         if (status == 200 || status == 400 || status == 412) {
             note("operator put base " + version_text(base) + " " + text.substr(1, 20) + " -> " +
@@ -832,7 +857,8 @@
         if (status == 307 && redirects < 2 && location.rfind("http://", 0) == 0) {
             ++redirects;
             const auto host = location.substr(7, location.find('/', 7) - 7);
-            to = {host.substr(0, host.find(':')), std::atoi(host.substr(host.find(':') + 1).c_str())};
+            to = {host.substr(0, host.find(':')),
+                  std::atoi(host.substr(host.find(':') + 1).c_str())};
             continue;
         }
         redirects = 0;
--- a/review/standin-3/quota_readded.cpp
+++ b/review/standin-3/quota_readded.cpp
@@ -1,5 +1,5 @@
-// A tenant that has just been added sends a burst, its entry is dropped from the config and put back at once, and it goes
-// on sending. Its usage cap is counted over the runs at all workers.
+// A tenant that has just been added sends a burst, its entry is dropped from the config and put
+// back at once, and it goes on sending. Its usage cap is counted over the runs at all workers.
 
 #include "harness.hpp"
 
@@ -43,7 +43,8 @@
         }
     }
     char text[200];
-    std::snprintf(text, sizeof text, "QUOTA: %d runs of the tenant in the 5 s from %.3f, allowed %.0f", most, worst,
+    std::snprintf(text, sizeof text,
+                  "QUOTA: %d runs of the tenant in the 5 s from %.3f, allowed %.0f", most, worst,
                   allowed);
     note(text);
     std::printf("%s\n", text);
@@ -97,7 +98,8 @@
     if (has_trouble()) {
         const int dropped = put_config(machines, 2, config_text(3, services, routes, {first}));
         sleep_s(storm_gap_s);
-        if (dropped != 200 || put_config(machines, 3, config_text(4, services, routes, {first, second})) != 200) {
+        if (dropped != 200 ||
+            put_config(machines, 3, config_text(4, services, routes, {first, second})) != 200) {
             return 2;
         }
     }
--- a/review/standin-3/stalled_answer.cpp
+++ b/review/standin-3/stalled_answer.cpp
@@ -1,5 +1,5 @@
-// Workers truncate a few of their answers: the head and half of the body are sent, and then nothing more, on a connection
-// that stays open. The clients wait longer than the timeout of the route.
+// Workers truncate a few of their answers: the head and half of the body are sent, and then nothing
+// more, on a connection that stays open. The clients wait longer than the timeout of the route.
 
 #include "harness.hpp"
 
@@ -27,8 +27,9 @@
         each.answer = [&, faulty](const message& request, int fd) {
             const auto id = request.field("request-id");
             const std::string body(4000, 'x');
-            const auto whole = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: sig-" + id +
-                               "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            const auto whole =
+                "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: sig-" + id +
+                "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
             // 1 in 34 is just under the share of the site, 0.03.
             if (truncates && faulty && ++answers % 34 == 0) {
                 note("worker truncates the answer to " + id);
@@ -56,8 +57,9 @@
     paced_calls sending;
     for (auto* side : machines.sides()) {
         for (int i = 0; i < 400; ++i) {
-            sending.add(from + 0.03 * i,
-                        [&clients, side] { clients.send(*side, "GET", "/orders/b", "key-of-shop-00001", patience_s); });
+            sending.add(from + 0.03 * i, [&clients, side] {
+                clients.send(*side, "GET", "/orders/b", "key-of-shop-00001", patience_s);
+            });
         }
     }
     sending.begin();
@@ -72,7 +74,8 @@
     }
     char text[200];
     std::snprintf(text, sizeof text,
-                  "CONFIG: %d requests lasted longer than the timeout of their route, %d of them have no final answer "
+                  "CONFIG: %d requests lasted longer than the timeout of their route, %d of them "
+                  "have no final answer "
                   "0.5 s after it",
                   late, unanswered);
     note(text);
