--- a/review/standin-3/quota_readded.cpp
+++ b/review/standin-3/quota_readded.cpp
@@ -13,6 +13,7 @@
 constexpr double overage = 0.1;
 constexpr double slack = 20;
 constexpr double storm_gap_s = 0.06;
+constexpr int nodes = 10;
 
 int judge(const std::vector<sent_request>& sent, const std::vector<run>& runs)
 {
@@ -53,7 +54,7 @@
 
 int play()
 {
-    fleet machines(3, std::vector<std::string>(6, "orders"));
+    fleet machines(3, std::vector<std::string>(nodes, "orders"));
     machines.start_all();
     run_list runs;
     std::vector<std::unique_ptr<worker>> workers;
@@ -90,11 +91,12 @@
                 });
             }
         }
-        sending.begin();
     };
-    const auto begin = now_s() + 0.2;
-    send_many(static_cast<int>(burst) / 6, begin, 0);
-    sleep_s(begin + 0.08 - now_s());
+    const auto begin = now_s() + 0.3;
+    send_many(static_cast<int>(burst) / nodes, begin, 0);
+    send_many(85, begin + 0.1, 3.2);
+    sending.begin();
+    sleep_s(begin + 0.05 - now_s());
     if (has_trouble()) {
         const int dropped = put_config(machines, 2, config_text(3, services, routes, {first}));
         sleep_s(storm_gap_s);
@@ -103,7 +105,6 @@
             return 2;
         }
     }
-    send_many(80, now_s() + 0.02, 3);
     sending.finish();
     sleep_s(1);
     return judge(clients.all(), runs.all());
